--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Two commands do everything on a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo test lint format bench-path lock thrift
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/anvilflow demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet anvilflow benchmarks
+	$(BIN)/ruff check anvilflow benchmarks
+	$(BIN)/mypy anvilflow
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix --quiet anvilflow benchmarks
+	$(BIN)/black --quiet anvilflow benchmarks
+
+bench-path: $(STAMP)
+	$(BIN)/python benchmarks/bench_path.py
+
+# Both need tools that the build itself does without.
+lock:
+	pip-compile --quiet --extra dev --no-emit-index-url --no-emit-trusted-host --no-emit-find-links \
+		--no-header --strip-extras --allow-unsafe --generate-hashes -o requirements.lock pyproject.toml
+
+thrift:
+	thrift --gen py:slots -out . anvilflow/peers/messages.thrift
--- /dev/null
+++ b/anvilflow/decisions/__init__.py
@@ -0,0 +1,67 @@
+"""Pure decisions: inputs and time in, messages out; no I/O and no clock."""
+
+from ._fair_queue import FairQueue, QueuedItem
+from ._home import (
+    AckTask,
+    AskHold,
+    EndJob,
+    HomeBook,
+    RecordEnd,
+    RecordIntent,
+    ReleaseHold,
+    StartTask,
+    StopTask,
+    TaskState,
+)
+from ._leases import LeaseClock, lease_over_at
+from ._messages import (
+    Dispatch,
+    ForgetRequest,
+    Hold,
+    HoldGranted,
+    HoldRefused,
+    HoldRevoked,
+    Refuse,
+    RefuseReason,
+    Request,
+)
+from ._outcomes import Outcome, can_retry
+from ._owner import OwnerBook
+from ._ownership import choose_owner, rendezvous_order, score
+from ._retries import RetryBudget
+from ._rooms import Room, Rooms
+
+__all__ = [
+    "AckTask",
+    "AskHold",
+    "Dispatch",
+    "EndJob",
+    "FairQueue",
+    "ForgetRequest",
+    "Hold",
+    "HoldGranted",
+    "HoldRefused",
+    "HoldRevoked",
+    "HomeBook",
+    "LeaseClock",
+    "Outcome",
+    "OwnerBook",
+    "QueuedItem",
+    "RecordEnd",
+    "RecordIntent",
+    "Refuse",
+    "RefuseReason",
+    "ReleaseHold",
+    "Request",
+    "RetryBudget",
+    "Room",
+    "Rooms",
+    "StartTask",
+    "StopTask",
+    "TaskState",
+    "can_retry",
+    "choose_owner",
+    "lease_over_at",
+    "rendezvous_order",
+    "score",
+]
--- /dev/null
+++ b/anvilflow/decisions/_rooms.py
@@ -0,0 +1,318 @@
+"""Exact accounting of workers, indexed so that no decision scans all of them.
+
+The index keeps, for each resource and each level of free amount, a bit set of the workers that
+have at least that much free. Python's integers serve as bit sets: the workers that may hold a
+need are the intersection of four of them, whatever the number of workers.
+"""
+
+from ..resources import RESOURCE_NAMES
+
+#: Free amounts are indexed in steps of this size; the exact check follows for each candidate.
+_STEPS = {"cpu_milli": 250, "memory_mb": 256, "accelerators": 1, "slots": 1}
+
+#: Levels per resource; all above the last count as the last.
+_MAX_LEVEL = 512
+
+#: Candidates that are checked exactly before the search gives up. Only those whose free amount
+#: shares the need's level can fail, so few are ever seen.
+_MAX_CHECKS = 64
+
+
+class Room:
+    """What one worker has, what is taken and by whom.
+
+    Parameters
+    ----------
+    worker : str
+    capacity : Amounts
+    rack, failure_domain : str
+    """
+
+    __slots__ = (
+        "bit",
+        "capacity",
+        "failure_domain",
+        "free",
+        "position",
+        "rack",
+        "taken",
+        "task_free",
+        "task_used",
+        "worker",
+    )
+
+    def __init__(self, *, worker, capacity, rack="", failure_domain=""):
+        self.worker = worker
+        self.capacity = capacity
+        self.rack = rack
+        self.failure_domain = failure_domain
+        self.position = 0
+        self.bit = 0
+        self.taken = {}
+        self.free = [getattr(capacity, name) for name in RESOURCE_NAMES]
+        self.task_free = list(self.free)
+        self.task_used = [0] * len(RESOURCE_NAMES)
+
+
+class _LevelIndex:
+    """Bit sets of workers by free amount of each resource."""
+
+    __slots__ = ("_at_least",)
+
+    def __init__(self):
+        self._at_least = [[0] for _ in RESOURCE_NAMES]
+
+    def move(self, bit, old, new):
+        """Note that the worker `bit` has `new` free where it had `old`."""
+        for number, step in enumerate(_STEP_SIZES):
+            before = _level(old[number], step)
+            after = _level(new[number], step)
+            if before != after:
+                self._shift(number, bit, before, after)
+
+    def candidates(self, need):
+        """Return the bit set of workers that may hold `need`."""
+        found = -1
+        for number, step in enumerate(_STEP_SIZES):
+            levels = self._at_least[number]
+            level = min(need[number] // step, _MAX_LEVEL)
+            if level >= len(levels):
+                return 0
+            if level:
+                found &= levels[level]
+        return found
+
+    def fullest(self, candidates, start):
+        """Yield single bits of `candidates`, those with the least free processor time first."""
+        levels = self._at_least[0]
+        level = min(start, len(levels) - 1)
+        while candidates:
+            above = levels[level + 1] if level + 1 < len(levels) else 0
+            here = candidates & ~above
+            candidates &= above
+            while here:
+                lowest = here & -here
+                yield lowest
+                here ^= lowest
+            level += 1
+
+    def _shift(self, number, bit, before, after):
+        levels = self._at_least[number]
+        while len(levels) <= max(before, after):
+            levels.append(0)
+        if after > before:
+            for level in range(before + 1, after + 1):
+                levels[level] |= bit
+        else:
+            for level in range(after + 1, before + 1):
+                levels[level] &= ~bit
+
+
+_STEP_SIZES = [_STEPS[name] for name in RESOURCE_NAMES]
+_CPU = RESOURCE_NAMES.index("cpu_milli")
+_ACCELERATORS = RESOURCE_NAMES.index("accelerators")
+_SLOTS = RESOURCE_NAMES.index("slots")
+
+
+def _level(amount, step):
+    return min(amount // step, _MAX_LEVEL) if amount > 0 else 0
+
+
+def as_list(amounts):
+    """Return the amounts in the order of ``RESOURCE_NAMES``."""
+    return [amounts.cpu_milli, amounts.memory_mb, amounts.accelerators, amounts.slots]
+
+
+def _sum(amounts, others, sign):
+    return [one + sign * other for one, other in zip(amounts, others, strict=True)]
+
+
+class Rooms:
+    """The workers of one owner.
+
+    Parameters
+    ----------
+    reserve : float, default=0.25
+        Share of each worker that tasks leave free for service requests.
+
+    Notes
+    -----
+    ``free`` is what a service request may take, ``task_free`` what a task may take: the capacity
+    less the reserve less what tasks have, and never more than ``free``. Both are indexed, so that
+    a worker whose task share is used up costs a task's decision nothing.
+    """
+
+    __slots__ = ("_by_bit", "_index", "_live", "_plain", "_rooms", "_task_index", "reserve")
+
+    def __init__(self, *, reserve=0.25):
+        self.reserve = reserve
+        self._rooms = {}
+        self._by_bit = {}
+        self._live = 0
+        self._plain = 0
+        self._index = _LevelIndex()
+        self._task_index = _LevelIndex()
+
+    def __contains__(self, worker):
+        return worker in self._rooms
+
+    def __len__(self):
+        return len(self._rooms)
+
+    def __iter__(self):
+        return iter(self._rooms.values())
+
+    def get(self, worker):
+        """Return the worker's room or None."""
+        return self._rooms.get(worker)
+
+    def add(self, room):
+        """Start to place work on a worker."""
+        position = 0
+        while 1 << position in self._by_bit:
+            position += 1
+        room.position = position
+        room.bit = 1 << position
+        self._rooms[room.worker] = room
+        self._by_bit[room.bit] = room
+        self._live |= room.bit
+        if not room.capacity.accelerators:
+            self._plain |= room.bit
+        nothing = [0] * len(RESOURCE_NAMES)
+        self._index.move(room.bit, nothing, room.free)
+        room.task_free = self._task_room(room)
+        self._task_index.move(room.bit, nothing, room.task_free)
+
+    def remove(self, worker):
+        """Forget a worker; return its room or None."""
+        room = self._rooms.pop(worker, None)
+        if room is None:
+            return None
+        nothing = [0] * len(RESOURCE_NAMES)
+        self._index.move(room.bit, room.free, nothing)
+        self._task_index.move(room.bit, room.task_free, nothing)
+        del self._by_bit[room.bit]
+        self._live &= ~room.bit
+        self._plain &= ~room.bit
+        return room
+
+    def close(self, worker):
+        """Find no place on a worker any more; what it runs stays accounted."""
+        room = self._rooms.get(worker)
+        if room is not None:
+            self._live &= ~room.bit
+
+    def reopen(self, worker):
+        """Find places on a worker again."""
+        room = self._rooms.get(worker)
+        if room is not None:
+            self._live |= room.bit
+
+    def is_closed(self, worker):
+        """Whether no place is found on the worker."""
+        room = self._rooms.get(worker)
+        return room is None or not room.bit & self._live
+
+    def set_reserve(self, reserve):
+        """Change the share that tasks leave free; what already runs stays."""
+        self.reserve = reserve
+        for room in self._rooms.values():
+            self._reindex(room, room.free)
+
+    def best_fit(self, needs, *, task):
+        """Return the fullest worker that holds `needs`, or None.
+
+        A need without accelerators goes to workers without any while one fits, so that
+        accelerators stay free for work that needs them.
+        """
+        need = as_list(needs)
+        index = self._task_index if task else self._index
+        candidates = index.candidates(need) & self._live
+        if not candidates:
+            return None
+        if not need[_ACCELERATORS] and candidates & self._plain:
+            found = self._search(index, candidates & self._plain, need, task)
+            if found is not None:
+                return found
+            candidates &= ~self._plain
+        return self._search(index, candidates, need, task)
+
+    def take(self, worker, item_id, needs, *, task):
+        """Account `needs` for the item on the worker, whether or not it fits.
+
+        Work that a new owner finds running is accounted even when it leaves the worker over its
+        task share: it is there, and leaving it out would let more be placed on top.
+        """
+        room = self._rooms[worker]
+        if item_id in room.taken:
+            return
+        need = as_list(needs)
+        room.taken[item_id] = (need, task)
+        if task:
+            room.task_used = _sum(room.task_used, need, 1)
+        self._reindex(room, _sum(room.free, need, -1))
+
+    def release(self, worker, item_id):
+        """Give back what the item took; return whether it had anything."""
+        room = self._rooms.get(worker)
+        if room is None:
+            return False
+        taken = room.taken.pop(item_id, None)
+        if taken is None:
+            return False
+        need, task = taken
+        if task:
+            room.task_used = _sum(room.task_used, need, -1)
+        self._reindex(room, _sum(room.free, need, 1))
+        return True
+
+    def ever_fits(self, needs, *, task):
+        """Whether an empty worker would hold `needs`."""
+        need = as_list(needs)
+        return any(
+            all(want <= have for want, have in zip(need, self._bounds(room, task), strict=True))
+            for room in self._rooms.values()
+        )
+
+    def total(self, name):
+        """Return the capacity of resource `name` over all workers."""
+        return sum(getattr(room.capacity, name) for room in self._rooms.values())
+
+    def total_free(self, name, *, task):
+        """Return the free amount of resource `name` over all workers."""
+        number = RESOURCE_NAMES.index(name)
+        return sum(
+            max(0, (room.task_free if task else room.free)[number])
+            for room in self._rooms.values()
+        )
+
+    def _bounds(self, room, task):
+        whole = as_list(room.capacity)
+        if not task:
+            return whole
+        return [
+            amount if number == _ACCELERATORS else int(amount * (1 - self.reserve))
+            for number, amount in enumerate(whole)
+        ]
+
+    def _task_room(self, room):
+        left = _sum(self._bounds(room, True), room.task_used, -1)
+        return [min(own, free) for own, free in zip(left, room.free, strict=True)]
+
+    def _reindex(self, room, free):
+        self._index.move(room.bit, room.free, free)
+        room.free = free
+        task_free = self._task_room(room)
+        self._task_index.move(room.bit, room.task_free, task_free)
+        room.task_free = task_free
+
+    def _search(self, index, candidates, need, task):
+        start = need[_CPU] // _STEP_SIZES[_CPU]
+        for checks, bit in enumerate(index.fullest(candidates, start)):
+            if checks >= _MAX_CHECKS:
+                return None
+            room = self._by_bit[bit]
+            have = room.task_free if task else room.free
+            if all(want <= there for want, there in zip(need, have, strict=True)):
+                return room.worker
+        return None
--- /dev/null
+++ b/anvilflow/exceptions.py
@@ -0,0 +1,176 @@
+"""Every failure that anvilflow reports, each with a stable code.
+
+Codes are grouped by hundreds: 1xx settings and declarations, 2xx resource API, 3xx requests and
+jobs, 4xx the platform and the workers, 5xx messages between instances, 6xx the process itself.
+"""
+
+__all__ = [
+    "AnvilflowError",
+    "CallError",
+    "ConflictError",
+    "DeclarationError",
+    "FrameError",
+    "NotFoundError",
+    "NotReadyError",
+    "PartError",
+    "PlatformError",
+    "PlatformUnavailableError",
+    "PreconditionError",
+    "RequestError",
+    "RevisionGoneError",
+    "SettingsError",
+    "TooLargeError",
+    "WorkerRefusedError",
+    "WorkerUnreachableError",
+]
+
+
+class AnvilflowError(Exception):
+    """Base of all coded failures.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong and what is allowed, in one line.
+    details : dict, default=None
+        Values that a program may act on, for example the current revision.
+    """
+
+    code = "AF000"
+    http_status = 500
+    exit_status = 1
+
+    def __init__(self, message, *, details=None):
+        super().__init__(message)
+        self.message = message
+        self.details = details
+
+    def to_dict(self):
+        """Return the error as the JSON object that every API answers with."""
+        body = {"code": self.code, "message": self.message}
+        if self.details:
+            body["details"] = self.details
+        return body
+
+    def __str__(self):
+        return f"{self.code} {self.message}"
+
+
+class SettingsError(AnvilflowError):
+    """A settings file is missing, malformed or contradicts itself."""
+
+    code = "AF101"
+    exit_status = 3
+
+
+class DeclarationError(AnvilflowError):
+    """A declared resource is malformed or out of range."""
+
+    code = "AF102"
+    http_status = 400
+    exit_status = 4
+
+
+class NotFoundError(AnvilflowError):
+    """The named resource does not exist."""
+
+    code = "AF201"
+    http_status = 404
+    exit_status = 5
+
+
+class ConflictError(AnvilflowError):
+    """The resource changed since the revision that the write was based on."""
+
+    code = "AF202"
+    http_status = 409
+    exit_status = 6
+
+
+class RevisionGoneError(AnvilflowError):
+    """The revision to resume from is no longer kept: list again and watch from there."""
+
+    code = "AF203"
+    http_status = 410
+    exit_status = 7
+
+
+class NotReadyError(AnvilflowError):
+    """The instance cannot serve yet, for example it has not seen a configuration."""
+
+    code = "AF204"
+    http_status = 503
+    exit_status = 8
+
+
+class CallError(AnvilflowError):
+    """A call is malformed: unknown field, wrong type or out of range."""
+
+    code = "AF301"
+    http_status = 400
+    exit_status = 4
+
+
+class RequestError(AnvilflowError):
+    """A request was certainly not run."""
+
+    code = "AF302"
+    http_status = 503
+    exit_status = 9
+
+
+class TooLargeError(AnvilflowError):
+    """A body is over the stated limit."""
+
+    code = "AF303"
+    http_status = 413
+    exit_status = 4
+
+
+class PlatformError(AnvilflowError):
+    """The table, object store or membership list answered with an error."""
+
+    code = "AF401"
+    http_status = 502
+    exit_status = 10
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform gave no answer: a write may or may not have taken effect."""
+
+    code = "AF402"
+    http_status = 503
+
+
+class PreconditionError(PlatformError):
+    """A transaction was refused because a condition on a row did not hold."""
+
+    code = "AF403"
+    http_status = 409
+
+
+class WorkerRefusedError(AnvilflowError):
+    """A worker refused a call before running anything."""
+
+    code = "AF411"
+    http_status = 503
+
+
+class WorkerUnreachableError(AnvilflowError):
+    """A worker gave no answer: what was sent may or may not run."""
+
+    code = "AF412"
+    http_status = 504
+
+
+class FrameError(AnvilflowError):
+    """A frame from another instance is malformed or over the size limit."""
+
+    code = "AF501"
+
+
+class PartError(AnvilflowError):
+    """A part of the process kept failing and the process gives up."""
+
+    code = "AF601"
+    exit_status = 12
--- /dev/null
+++ b/anvilflow/history/__init__.py
@@ -0,0 +1,28 @@
+"""Records of what happened, and the checks of what must always hold."""
+
+from ._checker import Verdict, check_history
+from ._recorder import (
+    Answered,
+    ConfigAccepted,
+    ConfigInForce,
+    History,
+    RunBegan,
+    RunEnded,
+    Sent,
+    TargetLeaving,
+    WorkerKnown,
+)
+
+__all__ = [
+    "Answered",
+    "ConfigAccepted",
+    "ConfigInForce",
+    "History",
+    "RunBegan",
+    "RunEnded",
+    "Sent",
+    "TargetLeaving",
+    "Verdict",
+    "WorkerKnown",
+    "check_history",
+]
--- /dev/null
+++ b/anvilflow/metrics/_metrics.py
@@ -0,0 +1,81 @@
+"""Waiting times by customer and kind in HDR histograms, and counters for the metrics page."""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client.core import SummaryMetricFamily
+
+_MICROSECONDS = 1_000_000
+_LONGEST_US = 3600 * _MICROSECONDS
+_DIGITS = 2
+_PERCENTILES = (50.0, 99.0)
+
+
+class Metrics:
+    """What one process measures.
+
+    Examples
+    --------
+    >>> metrics = Metrics()
+    >>> metrics.waited("lookups", "service", 0.25)
+    >>> metrics.summary()[("lookups", "service")]["n"]
+    1
+    """
+
+    def __init__(self):
+        self._waits = {}
+        self.registry = CollectorRegistry()
+        self.outcomes = Counter(
+            "anvilflow_requests", "Requests by outcome.", ["outcome"], registry=self.registry
+        )
+        self.placements = Counter(
+            "anvilflow_placements", "Requests and tasks placed.", ["kind"], registry=self.registry
+        )
+        self.retries = Counter(
+            "anvilflow_retries", "Requests sent again.", registry=self.registry
+        )
+        self.registry.register(self)
+
+    def waited(self, customer, kind, seconds):
+        """Record how long a request or task waited for its place."""
+        histogram = self._waits.get((customer, kind))
+        if histogram is None:
+            histogram = HdrHistogram(1, _LONGEST_US, _DIGITS)
+            self._waits[customer, kind] = histogram
+        histogram.record_value(min(_LONGEST_US, max(1, int(seconds * _MICROSECONDS))))
+
+    def histograms(self):
+        """Return the histograms by customer and kind."""
+        return self._waits
+
+    def summary(self):
+        """Return count, p50, p99 and maximum by customer and kind. Unit: seconds."""
+        return {key: summarize(histogram) for key, histogram in self._waits.items()}
+
+    def collect(self):
+        """Yield the waiting times in the form of the metrics page."""
+        family = SummaryMetricFamily(
+            "anvilflow_waiting_seconds", "Waiting time for a place.", labels=["customer", "kind"]
+        )
+        for (customer, kind), histogram in self._waits.items():
+            n_values = histogram.get_total_count()
+            total = histogram.get_mean_value() * n_values / _MICROSECONDS
+            family.add_metric([customer, kind], count_value=n_values, sum_value=total)
+        yield family
+
+    def page(self):
+        """Return the metrics page."""
+        return generate_latest(self.registry)
+
+
+def summarize(histogram):
+    """Return count, p50, p99 and maximum of a histogram of microseconds. Unit: seconds."""
+    p50, p99 = (
+        histogram.get_value_at_percentile(percentile) / _MICROSECONDS
+        for percentile in _PERCENTILES
+    )
+    return {
+        "n": histogram.get_total_count(),
+        "p50": p50,
+        "p99": p99,
+        "max": histogram.get_max_value() / _MICROSECONDS,
+    }
--- /dev/null
+++ b/anvilflow/parts/__init__.py
@@ -0,0 +1,39 @@
+"""Parts of a process: each owns its sockets and state, and talks by messages."""
+
+from ._bus import Bus
+from ._calls import JobCall, RequestAnswer, RequestCall
+from ._config import ConfigPart
+from ._context import Context
+from ._daemon import Daemon, make_daemon
+from ._entry import EntryPart
+from ._home import HomePart, home_key
+from ._members import MembersPart
+from ._network import ReactorNetwork
+from ._operators import OperatorsPart
+from ._owner import OwnerPart
+from ._part import Part
+from ._peers import PeersPart
+from ._store import StorePart
+from ._supervisor import Supervisor
+
+__all__ = [
+    "Bus",
+    "ConfigPart",
+    "Context",
+    "Daemon",
+    "EntryPart",
+    "HomePart",
+    "JobCall",
+    "MembersPart",
+    "OperatorsPart",
+    "OwnerPart",
+    "Part",
+    "PeersPart",
+    "ReactorNetwork",
+    "RequestAnswer",
+    "RequestCall",
+    "StorePart",
+    "Supervisor",
+    "home_key",
+    "make_daemon",
+]
--- /dev/null
+++ b/anvilflow/parts/_calls.py
@@ -0,0 +1,62 @@
+"""The bodies of callers' and operators' calls."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from ..resources import Job
+
+MAX_DEADLINE_S = 3600
+
+
+class RequestCall(Struct, kw_only=True, forbid_unknown_fields=True, repr_omit_defaults=True):
+    """A service request.
+
+    Parameters
+    ----------
+    customer, workload : str
+    payload : str
+        Handed to the target as it is.
+    deadline_s : float, default=None
+        How long the caller waits; None: the instance's default. Unit: seconds.
+    idempotent : bool, default=None
+        Whether it may run twice; None: as the workload says.
+    idempotency_key : str, default=""
+        With a non-idempotent request: repeating the call with the same key, at any instance, does
+        not run it again.
+    """
+
+    customer: str
+    workload: str
+    payload: str = ""
+    deadline_s: Annotated[float, Meta(gt=0, le=MAX_DEADLINE_S)] | None = None
+    idempotent: bool | None = None
+    idempotency_key: Annotated[str, Meta(max_length=128, pattern="^[A-Za-z0-9_.:-]*$")] = ""
+
+
+class RequestAnswer(Struct, kw_only=True, omit_defaults=True):
+    """How a request ended."""
+
+    request_id: str
+    outcome: str
+    result: str = ""
+    code: str = ""
+    reason: str = ""
+    retry_after_s: float = 0.0
+    waited_s: float = 0.0
+    replayed: bool = False
+
+
+class JobCall(Struct, kw_only=True, forbid_unknown_fields=True, repr_omit_defaults=True):
+    """A job to submit."""
+
+    name: str
+    customer: str
+    workload: str
+    tasks: list[str]
+
+    def to_job(self):
+        """Return the resource."""
+        return Job(
+            name=self.name, customer=self.customer, workload=self.workload, tasks=self.tasks
+        )
--- /dev/null
+++ b/anvilflow/parts/_config.py
@@ -0,0 +1,105 @@
+"""Follows the configuration in the table."""
+
+from collections import deque
+
+from twisted.internet.defer import inlineCallbacks
+
+from ..exceptions import PlatformError, RevisionGoneError
+from ..history import ConfigInForce
+from ._events import CatalogChanged, RevisionHint
+from ._part import Part
+
+#: Changes kept in memory for watches that resume.
+_CHANGES_KEPT = 5000
+
+
+class ConfigPart(Part):
+    """Brings the catalog forward, one revision at a time and never back.
+
+    The newest revision is polled; a peer's heartbeat that shows a newer one makes the next poll
+    come at once, so that a change is in force everywhere soon after the first instance has it.
+    """
+
+    prefix = "config"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._changes = deque(maxlen=_CHANGES_KEPT)
+        self._waiting = []
+        self._ticker = None
+        self._listed = False
+
+    def start(self):
+        """Follow the table."""
+        self.context.changes = self
+        self.on(RevisionHint, lambda *_: self._ticker.hurry())
+        self._ticker = self.every(self.context.settings.timing.config_poll_s, self._follow)
+
+    def dump(self):
+        """Return the revision in force."""
+        return {
+            "revision": self.context.catalog.revision,
+            "resources": len(self.context.catalog),
+            "changes_kept": len(self._changes),
+        }
+
+    def hurry(self):
+        """Read the table now."""
+        self._ticker.hurry()
+
+    def changes_after(self, revision, limit):
+        """Return the changes that follow `revision`; AF203 when they are no longer kept."""
+        if revision >= self.context.catalog.revision:
+            return []
+        if not self._changes or self._changes[0].revision > revision + 1:
+            oldest = self._changes[0].revision - 1 if self._changes else self.context.catalog.revision
+            raise RevisionGoneError(
+                f"changes after revision {revision} are not kept here; list again and watch from "
+                "the listing's revision",
+                details={"oldest": oldest},
+            )
+        skip = revision + 1 - self._changes[0].revision
+        return [self._changes[at] for at in range(skip, min(len(self._changes), skip + limit))]
+
+    @inlineCallbacks
+    def _follow(self):
+        try:
+            if not self._listed:
+                yield self._list()
+            more = True
+            while more:
+                changes = yield self.context.resources.changes_after(self.context.catalog.revision)
+                more = bool(changes) and self._apply(changes)
+        except RevisionGoneError:
+            self._listed = False
+            self._ticker.hurry()
+        except PlatformError as exc:
+            self.log.debug("Configuration not read: {}.", exc)
+
+    @inlineCallbacks
+    def _list(self):
+        revision, items = yield self.context.resources.listing()
+        if self.context.catalog.load(revision, items):
+            self._changes.clear()
+            self._listed = True
+            self.context.ready = True
+            self._in_force(None)
+            self.log.info("Revision {} in force, {} resources.", revision, len(items))
+
+    def _apply(self, changes):
+        applied = [change for change in changes if self.context.catalog.apply(change)]
+        self._changes.extend(applied)
+        if applied:
+            self._in_force([change.key for change in applied])
+        return bool(applied)
+
+    def _in_force(self, keys):
+        revision = self.context.catalog.revision
+        if self.context.history is not None:
+            self.context.history.add(
+                ConfigInForce,
+                instance=self.context.name,
+                incarnation=self.context.incarnation,
+                revision=revision,
+            )
+        self.post(CatalogChanged(revision=revision, keys=keys))
--- /dev/null
+++ b/anvilflow/parts/_daemon.py
@@ -0,0 +1,126 @@
+"""One instance: its parts under their supervisor, from start to drained stop."""
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..platform import HttpClient, MembershipClient, ResourceStore, TableClient, WorkerClient
+from ._bus import Bus
+from ._config import ConfigPart
+from ._context import Context
+from ._entry import EntryPart
+from ._events import LeavingChanged
+from ._home import HomePart
+from ._members import MembersPart
+from ._network import ReactorNetwork
+from ._operators import OperatorsPart
+from ._owner import OwnerPart
+from ._peers import PeersPart
+from ._store import StorePart
+from ._supervisor import Supervisor
+
+#: Period of looking whether the work in progress is done. Unit: seconds.
+_DRAIN_POLL_S = 0.05
+
+#: Time for which the instance goes on taking calls while its health says that it is leaving, so
+#: that the balancer learns of it before a connection is refused. Unit: seconds.
+_BALANCER_GRACE_S = 1.0
+
+
+class Daemon:
+    """The parts of one instance.
+
+    Parameters
+    ----------
+    context : Context
+    give_up : callable
+        Called with the coded error when a part keeps failing.
+    """
+
+    def __init__(self, *, context, give_up):
+        self.context = context
+        self.supervisor = Supervisor(clock=context.clock, name=context.name, give_up=give_up)
+        context.bus.on_failure = self.supervisor.on_failure
+
+    def start(self):
+        """Start all parts."""
+        context = self.context
+        self.supervisor.add("store", lambda: StorePart(context=context))
+        self.supervisor.add("peers", lambda: PeersPart(context=context))
+        self.supervisor.add("config", lambda: ConfigPart(context=context))
+        self.supervisor.add("owner", lambda: OwnerPart(context=context))
+        self.supervisor.add("home", lambda: HomePart(context=context))
+        self.supervisor.add("members", lambda: MembersPart(context=context))
+        self.supervisor.add("entry", lambda: EntryPart(context=context))
+        self.supervisor.add(
+            "operators", lambda: OperatorsPart(context=context, dump_all=self.dump)
+        )
+        self.supervisor.start()
+
+    def dump(self):
+        """Return the state of every part."""
+        return {
+            "instance": self.context.name,
+            "incarnation": self.context.incarnation,
+            "revision": self.context.catalog.revision,
+            "restarts": self.supervisor.restarts(),
+            "parts": {name: part.dump() for name, part in self.supervisor.parts().items()},
+        }
+
+    def crash(self):
+        """Stop at once, as a process does that is killed."""
+        return self.supervisor.stop()
+
+    @inlineCallbacks
+    def drain(self):
+        """Hand over, finish what is in progress, and stop.
+
+        First the health check fails and the peers are told, so that nothing new is sent here;
+        workers and homes go to others. What is in progress is then awaited, for as long as the
+        setting says.
+        """
+        context = self.context
+        if context.leaving:
+            return
+        context.leaving = True
+        context.bus.post(LeavingChanged())
+        deadline = context.clock.seconds() + context.settings.timing.drain_s
+        yield deferLater(context.clock, _BALANCER_GRACE_S, lambda: None)
+        while self._n_in_progress() and context.clock.seconds() < deadline:
+            yield deferLater(context.clock, _DRAIN_POLL_S, lambda: None)
+        yield self.supervisor.stop()
+
+    def _n_in_progress(self):
+        parts = self.supervisor.parts()
+        counts = [
+            parts[name].n_in_progress for name in ("entry", "owner") if name in parts
+        ]
+        if "store" in parts:
+            counts.append(parts["store"].n_queued)
+        return sum(counts)
+
+
+def make_daemon(settings, *, reactor, give_up, history=None, random_state=None):
+    """Return the :class:`Daemon` of `settings` with real sockets and HTTP clients."""
+    http = HttpClient(clock=reactor, connections=16)
+    worker_http = HttpClient(clock=reactor, connections=64)
+    timing = settings.timing
+    table = TableClient(
+        http=http, address=settings.platform.table, timeout=timing.platform_timeout_s
+    )
+    context = Context(
+        settings=settings,
+        clock=reactor,
+        bus=Bus(on_failure=None),
+        network=ReactorNetwork(reactor=reactor),
+        table=table,
+        membership=MembershipClient(
+            http=http, address=settings.platform.membership, timeout=timing.platform_timeout_s
+        ),
+        resources=ResourceStore(table=table),
+        make_worker=lambda member: WorkerClient(
+            http=worker_http, address=member.address, timeout=timing.worker_timeout_s
+        ),
+        random_state=random_state,
+        history=history,
+    )
+    return Daemon(context=context, give_up=give_up)
--- /dev/null
+++ b/anvilflow/parts/_entry.py
@@ -0,0 +1,494 @@
+"""Callers' API: takes requests and jobs at this instance and sees them to their answer."""
+
+import uuid
+
+from klein import Klein
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..decisions import Outcome, can_retry, choose_owner
+from ..exceptions import (
+    CallError,
+    DeclarationError,
+    NotFoundError,
+    NotReadyError,
+    PlatformError,
+    PreconditionError,
+    RequestError,
+)
+from ..peers.gen.ttypes import (
+    CancelRequest,
+    ForwardRequest,
+    RequestEnded,
+    StatusAnswer,
+    StatusAsk,
+)
+from ..platform import Condition, Write
+from ..resources import JobPhase, check_references, check_resource
+from ..utils import decode, decode_lenient, to_builtins
+from ._calls import JobCall, RequestAnswer, RequestCall
+from ._events import CommitAsk, PeerDown
+from ._home import home_key
+from ._http_api import LimitedSite, answer_json, argument, coded, read_body, shielded
+from ._part import Part
+
+#: HTTP status of each outcome.
+_STATUS = {
+    Outcome.COMPLETED: 200,
+    Outcome.FAILED: 502,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+}
+
+#: Time beyond the deadline for which the owner's word is awaited that the request never ran.
+_ANSWER_GRACE_S = 0.25
+
+#: Attempts of one request.
+_MAX_ATTEMPTS = 4
+
+#: Wait before another attempt that was refused. Unit: seconds.
+_RETRY_WAIT_S = 0.02
+
+#: Largest result that is kept with an idempotency key. Unit: bytes.
+_KEPT_RESULT_BYTES = 4096
+
+#: Period of looking for the end of a request whose key is claimed. Unit: seconds.
+_KEY_POLL_S = 0.1
+
+#: Tries to take back a claim whose answer was lost, and the wait between them. Unit: seconds.
+_RELEASE_TRIES = 120
+_RELEASE_AGAIN_S = 5.0
+
+_ENDED = {JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED}
+
+
+class _Pending:
+    """One attempt that waits for its owner's word."""
+
+    __slots__ = ("answer", "owner")
+
+    def __init__(self, *, owner):
+        self.owner = owner
+        self.answer = Deferred()
+
+
+class EntryPart(Part):
+    """Serves callers.
+
+    A request is sent to one owner at a time. The answer is matched by the attempt's identity,
+    which is unique in the cell: one that comes late, twice or after the caller has gone finds no
+    attempt and is dropped.
+    """
+
+    prefix = "entry"
+    app = Klein()
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._pending = {}
+        self._status_calls = {}
+        self._n_calls = 0
+        self._n_requests = 0
+        self._n_open = 0
+
+    @property
+    def n_in_progress(self):
+        """Requests that have no answer yet."""
+        return self._n_open
+
+    def start(self):
+        """Listen."""
+        settings = self.context.settings
+        site = LimitedSite(
+            self.app.resource(), max_connections=settings.limits.caller_connections
+        )
+        port, self.context.callers_address = self.context.network.listen(
+            settings.listen.callers, site
+        )
+        self._stack.callback(port.stopListening)
+        self.on(RequestEnded, self._request_ended)
+        self.on(PeerDown, self._peer_down)
+        self.on(StatusAnswer, self._status_answer)
+
+    def dump(self):
+        """Return what is in progress."""
+        return {"requests": self._n_open, "attempts": len(self._pending), "taken": self._n_requests}
+
+    # Requests
+
+    @app.route("/v1/requests", methods=["POST"])
+    @coded
+    def post_request(self, request):
+        """Run a service request."""
+        call = decode(read_body(request, self.context.settings.limits.body_bytes), RequestCall)
+        done = self.serve(call)
+        done.addCallback(lambda answer: self._reply(request, answer))
+        return shielded(done)
+
+    def serve(self, call):
+        """Run a checked call; the Deferred fires with its :class:`RequestAnswer`."""
+        self._check_ready()
+        if self._n_open >= self.context.settings.limits.requests_in_flight:
+            raise RequestError("too many requests at this instance", details={"retry_after_s": 1})
+        workload = self._check_call(call)
+        idempotent = workload.idempotent if call.idempotent is None else call.idempotent
+        self._n_open += 1
+        self._n_requests += 1
+        return self._serve(call, idempotent).addBoth(self._served)
+
+    def _served(self, result):
+        self._n_open -= 1
+        return result
+
+    def _reply(self, request, answer):
+        outcome = Outcome(answer.outcome)
+        self.context.metrics.outcomes.labels(outcome.value).inc()
+        if outcome is Outcome.NOT_RUN:
+            request.setHeader(b"retry-after", str(max(1, round(answer.retry_after_s))).encode())
+        return answer_json(request, answer, status=_STATUS[outcome])
+
+    def _check_ready(self):
+        if not self.context.ready:
+            raise NotReadyError("no configuration seen yet", details={"retry_after_s": 1})
+
+    def _check_call(self, call):
+        catalog = self.context.catalog
+        try:
+            catalog.customer(call.customer)
+            workload = catalog.workload(call.workload)
+        except NotFoundError as exc:
+            raise CallError(exc.message) from exc
+        if workload.work != "service":
+            raise CallError(f"$.workload: {call.workload} is {workload.work} work; submit a job")
+        return workload
+
+    @inlineCallbacks
+    def _serve(self, call, idempotent):
+        request_id = uuid.uuid4().hex
+        limit = call.deadline_s or self.context.settings.timing.default_deadline_s
+        deadline = self.now + limit
+        if idempotent or not call.idempotency_key:
+            answer = yield self._attempts(call, request_id, deadline, idempotent)
+            return answer
+        claim = yield self._claim_key(call, request_id, deadline)
+        if isinstance(claim, RequestAnswer):
+            return claim
+        answer = yield self._attempts(call, request_id, deadline, idempotent)
+        self._write_key(call, claim, answer)
+        return answer
+
+    @inlineCallbacks
+    def _attempts(self, call, request_id, deadline, idempotent):
+        self.context.retries.earn()
+        tried = []
+        answer = None
+        for attempt in range(_MAX_ATTEMPTS):
+            owner = self._choose_owner(tried)
+            if owner is None:
+                return answer or _not_run(request_id, "no owner has a worker", 0.5)
+            tried.append(owner)
+            answer = yield self._attempt(call, f"{request_id}#{attempt}", owner, deadline)
+            answer.request_id = request_id
+            if not self._try_again(answer, idempotent, deadline):
+                return answer
+            self.context.metrics.retries.inc()
+        return answer
+
+    def _try_again(self, answer, idempotent, deadline):
+        return (
+            can_retry(Outcome(answer.outcome), idempotent=idempotent)
+            and answer.reason != "queue_full"
+            and self.now + _RETRY_WAIT_S < deadline
+            and self.context.retries.spend()
+        )
+
+    @inlineCallbacks
+    def _attempt(self, call, attempt_id, owner, deadline):
+        remaining = deadline - self.now
+        pending = _Pending(owner=owner)
+        self._pending[attempt_id] = pending
+        forward = ForwardRequest(
+            request_id=attempt_id,
+            customer=call.customer,
+            workload=call.workload,
+            payload=call.payload.encode(),
+            remaining_ms=max(1, int(remaining * 1000)),
+        )
+        if not self.context.send(owner, forward):
+            self._pending.pop(attempt_id, None)
+            return _not_run(attempt_id, f"instance {owner} cannot be reached", _RETRY_WAIT_S)
+        timer = self.later(remaining + _ANSWER_GRACE_S, self._late, attempt_id)
+        answer = yield pending.answer
+        if timer.active():
+            timer.cancel()
+        return answer
+
+    def _late(self, attempt_id):
+        pending = self._pending.get(attempt_id)
+        if pending is not None:
+            self.context.send(pending.owner, CancelRequest(request_id=attempt_id))
+            self._settle(attempt_id, _unknown(attempt_id, "no answer before the deadline"))
+
+    def _request_ended(self, source, body):
+        pending = self._pending.get(body.request_id)
+        if pending is None or pending.owner != source:
+            return
+        self._settle(
+            body.request_id,
+            RequestAnswer(
+                request_id=body.request_id,
+                outcome=body.outcome,
+                result=body.result.decode("utf-8", "replace"),
+                code=body.code,
+                reason=body.reason,
+                retry_after_s=body.retry_after,
+                waited_s=body.waited,
+            ),
+        )
+
+    def _peer_down(self, _, event):
+        lost = [key for key, item in self._pending.items() if item.owner == event.instance]
+        for attempt_id in lost:
+            self._settle(attempt_id, _unknown(attempt_id, "the connection to the owner was lost"))
+
+    def _settle(self, attempt_id, answer):
+        self._pending.pop(attempt_id).answer.callback(answer)
+
+    def _choose_owner(self, tried):
+        """Choose between two owners by their last digests, leaving out those that refused."""
+        digests = self.context.digests
+        able = [
+            name
+            for name in self.context.live
+            if name not in tried and name in digests and digests[name].n_workers
+        ]
+        if not able:
+            return None
+        if len(able) > 2:
+            able = self.context.random_state.sample(able, 2)
+        best = max(able, key=lambda name: _service_room(digests[name]))
+        digests[best].free_service_slots -= 1
+        return best
+
+    # Idempotency keys
+
+    @inlineCallbacks
+    def _claim_key(self, call, request_id, deadline):
+        """Claim the key durably before anything is sent.
+
+        Returns the version of the claimed row, or an answer when the key is not ours. The claim
+        is what makes the request run at most once however often and wherever the caller repeats
+        it: of two claims only one meets the condition that the row is as it was read.
+        """
+        key = _key_of(call)
+        try:
+            [row] = yield self.context.table.read([key])
+            while row.value and not row.value["outcome"] and self.now + _KEY_POLL_S < deadline:
+                yield deferLater(self.context.clock, _KEY_POLL_S, lambda: None)
+                [row] = yield self.context.table.read([key])
+            if row.value and row.value["outcome"] != Outcome.NOT_RUN:
+                return _replay(row.value)
+            value = {"request_id": request_id, "outcome": "", "result": ""}
+            version = yield self.context.table.commit(
+                [Condition(key=key, version=row.version)], [Write(key=key, value=value)]
+            )
+        except PreconditionError:
+            return _unknown(request_id, "another request with this key is in progress")
+        except PlatformError as exc:
+            # Nothing was sent, so "not run" is certain. The claim may stand all the same; left
+            # there it would answer the caller's next try with "unknown" for ever.
+            self._release_key(key, request_id, _RELEASE_TRIES)
+            return _not_run(request_id, exc.message, 1.0, code=exc.code)
+        return version
+
+    @inlineCallbacks
+    def _release_key(self, key, request_id, tries):
+        """Take back a claim whose answer was lost, if it stands."""
+        try:
+            [row] = yield self.context.table.read([key])
+            if row.value and row.value["request_id"] == request_id and not row.value["outcome"]:
+                value = {**row.value, "outcome": Outcome.NOT_RUN.value}
+                yield self.context.table.commit(
+                    [Condition(key=key, version=row.version)], [Write(key=key, value=value)]
+                )
+        except PlatformError:
+            if tries:
+                self.later(_RELEASE_AGAIN_S, self._release_key, key, request_id, tries - 1)
+
+    def _write_key(self, call, version, answer):
+        """Write down how the request ended.
+
+        The condition keeps a repeated write, whose first answer was lost, from going over a claim
+        that was made since on the strength of "not run".
+        """
+        key = _key_of(call)
+        result = answer.result if len(answer.result) <= _KEPT_RESULT_BYTES else ""
+        value = {"request_id": answer.request_id, "outcome": answer.outcome, "result": result}
+        self.post(
+            CommitAsk(
+                conditions=[Condition(key=key, version=version)],
+                writes=[Write(key=key, value=value)],
+                done=lambda error: None,
+            )
+        )
+
+    # Jobs
+
+    @app.route("/v1/jobs", methods=["POST"])
+    @coded
+    @inlineCallbacks
+    def post_job(self, request):
+        """Submit a job: answered when it is durable."""
+        body = read_body(request, self.context.settings.limits.body_bytes * 4)
+        job = decode(body, JobCall).to_job()
+        written = yield self.submit(job)
+        return answer_json(
+            request,
+            {"customer": job.customer, "name": job.name, "revision": written.revision},
+            status=201 if written.changed else 200,
+        )
+
+    @inlineCallbacks
+    def submit(self, job):
+        """Check a job and write it down; the Deferred fires with what was written."""
+        check_resource(job)
+        self._check_ready()
+        limit = self.context.settings.limits.tasks_per_job
+        if len(job.tasks) > limit:
+            raise DeclarationError(f"$.tasks: {len(job.tasks)} tasks; allowed: 1 to {limit}")
+        check_references(job, self.context.catalog)
+        self._check_fits(job)
+
+        def same(stored):
+            """Submitting again what is there already changes nothing."""
+            if stored is not None and stored.tasks == job.tasks and stored.workload == job.workload:
+                return stored
+            return job
+
+        written = yield self.context.resources.write(
+            f"Job/{job.customer}/{job.name}", job, expected=0, check=same
+        )
+        self.context.changes.hurry()
+        return written
+
+    def _check_fits(self, job):
+        """Refuse a job whose task fits no worker that the cell has; say what it lacks."""
+        needs = self.context.catalog.workload(job.workload).needs
+        shapes = [
+            shape for digest in self.context.digests.values() for shape in digest.shapes
+        ]
+        if not shapes or any(needs.fits(shape) for shape in shapes):
+            return
+        lacking = sorted({name for shape in shapes for name in needs.lacking(shape)})
+        raise DeclarationError(
+            f"a task of workload {job.workload} fits no worker of the cell; too large: "
+            + ", ".join(f"{name} {getattr(needs, name)}" for name in lacking)
+        )
+
+    @app.route("/v1/jobs/<customer>/<name>", methods=["GET"])
+    @coded
+    @inlineCallbacks
+    def get_job(self, request, customer, name):
+        """Return where a job stands, why it waits, and on demand its results."""
+        job = self.context.catalog.get(f"Job/{customer}/{name}")
+        if job is None:
+            raise NotFoundError(f"job {customer}/{name} does not exist")
+        value = to_builtins(job)
+        value["n_tasks"] = len(value.pop("tasks"))
+        if job.phase not in _ENDED:
+            value["now"] = yield self._ask_status(customer, name)
+        if argument(request, "results"):
+            rows = yield self.context.table.scan_all(f"task/{customer}/{name}/")
+            value["results"] = {row.key.rsplit("/", 1)[1]: row.value for row in rows}
+        return answer_json(request, value)
+
+    @app.route("/v1/jobs/<customer>/<name>/cancel", methods=["POST"])
+    @coded
+    @inlineCallbacks
+    def cancel_job(self, request, customer, name):
+        """Cancel a job: it is cancelled when its phase says so."""
+        written = yield self.cancel(customer, name)
+        return answer_json(request, {"revision": written.revision}, status=202)
+
+    @inlineCallbacks
+    def cancel(self, customer, name):
+        """Have a job cancelled; the Deferred fires when that is durable."""
+
+        def cancelling(job):
+            if job is None:
+                raise NotFoundError(f"job {customer}/{name} does not exist")
+            if job.phase not in _ENDED:
+                job.phase = JobPhase.CANCELLING
+            return job
+
+        written = yield self.context.resources.write(
+            f"Job/{customer}/{name}", None, check=cancelling
+        )
+        self.context.changes.hurry()
+        return written
+
+    @inlineCallbacks
+    def _ask_status(self, customer, name):
+        home = choose_owner(self.context.live, home_key(customer))
+        self._n_calls += 1
+        call = self._n_calls
+        answer = Deferred()
+        self._status_calls[call] = answer
+        if home is None or not self.context.send(
+            home, StatusAsk(call=call, topic="job", key=f"{customer}/{name}")
+        ):
+            self._status_calls.pop(call)
+            return None
+        timer = self.later(1.0, self._status_late, call)
+        value = yield answer
+        if timer.active():
+            timer.cancel()
+        return value
+
+    def _status_late(self, call):
+        answer = self._status_calls.pop(call, None)
+        if answer is not None:
+            answer.callback(None)
+
+    def _status_answer(self, _, body):
+        answer = self._status_calls.pop(body.call, None)
+        if answer is not None:
+            answer.callback(decode_lenient(body.body))
+
+
+def _service_room(digest):
+    return digest.free_service_slots - digest.n_queued
+
+
+def _key_of(call):
+    return f"key/{call.customer}/{call.idempotency_key}"
+
+
+def _not_run(request_id, reason, retry_after, *, code="AF302"):
+    return RequestAnswer(
+        request_id=request_id,
+        outcome=Outcome.NOT_RUN.value,
+        code=code,
+        reason=reason,
+        retry_after_s=retry_after,
+    )
+
+
+def _unknown(request_id, reason):
+    return RequestAnswer(
+        request_id=request_id, outcome=Outcome.UNKNOWN.value, code="AF412", reason=reason
+    )
+
+
+def _replay(value):
+    """Answer a repeated call with what is known of the first."""
+    answer = RequestAnswer(
+        request_id=value["request_id"],
+        outcome=value["outcome"] or Outcome.UNKNOWN.value,
+        result=value["result"],
+        replayed=True,
+    )
+    if not value["outcome"]:
+        answer.code = "AF412"
+        answer.reason = "a request with this key was taken before and has no known end"
+    return answer
--- /dev/null
+++ b/anvilflow/parts/_home.py
@@ -0,0 +1,485 @@
+"""Home of customers' jobs: breaks jobs into tasks, asks owners for places and records what happens."""
+
+from twisted.internet.defer import inlineCallbacks
+
+from ..decisions import (
+    AckTask,
+    AskHold,
+    EndJob,
+    HomeBook,
+    RecordEnd,
+    RecordIntent,
+    RefuseReason,
+    ReleaseHold,
+    StartTask,
+    StopTask,
+    choose_owner,
+)
+from ..exceptions import AnvilflowError, PlatformError, PreconditionError
+from ..peers.gen.ttypes import (
+    HoldAnswer,
+    HoldAsk,
+    HoldRelease,
+    StatusAnswer,
+    StatusAsk,
+    TaskAcknowledge,
+    TaskAnswer,
+    TaskQuery,
+    TaskStart,
+    TaskStop,
+)
+from ..platform import Condition, Write
+from ..resources import JobPhase, WorkKind
+from ..utils import encode, jitter
+from ._events import CatalogChanged, CommitAsk, LeavingChanged, LiveChanged, PeerDown
+from ._part import Part
+
+#: Period of asking for places. Unit: seconds.
+_TICK_S = 0.05
+
+#: Period of asking owners what became of tasks. Unit: seconds.
+_QUERY_S = 1.0
+
+#: Wait before a home is claimed again, or a phase written again. Unit: seconds.
+_AGAIN_S = 0.5
+
+_ENDED = {JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED}
+
+
+def home_key(customer):
+    """Return the key by which the home of a customer is chosen."""
+    return f"home/{customer}"
+
+
+class _Home:
+    """One customer whose home this instance is."""
+
+    __slots__ = ("book", "epoch", "owners", "stopping")
+
+    def __init__(self, *, book, epoch):
+        self.book = book
+        self.epoch = epoch
+        self.owners = {}
+        self.stopping = {}
+
+
+class HomePart(Part):
+    """Runs the jobs of the customers that fall to this instance.
+
+    The home's row in the table fences it: each record of an intent is written on the condition
+    that the row is as this home left it. A home that was paused while another took over can
+    thereby record nothing, and what is not recorded is not started.
+    """
+
+    prefix = "home"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._homes = {}
+        self._loading = set()
+        self._submitted = {}
+        self._stopped = False
+
+    def start(self):
+        """Take messages and customers."""
+        self.on(LiveChanged, lambda *_: self._review())
+        self.on(LeavingChanged, lambda *_: self._review())
+        self.on(CatalogChanged, self._catalog_changed)
+        self.on(PeerDown, self._peer_down)
+        self.on(HoldAnswer, self._hold_answer)
+        self.on(TaskAnswer, self._task_answer)
+        self.on(StatusAsk, self._status_ask)
+        self.every(_TICK_S, self._tick, delay=_TICK_S)
+        self.every(_QUERY_S, self._query, delay=_QUERY_S)
+        self._review()
+
+    def stop(self):
+        """Give up all customers."""
+        self._stopped = True
+        self._homes.clear()
+        super().stop()
+
+    def dump(self):
+        """Return the jobs by customer."""
+        return {
+            customer: {
+                "epoch": home.epoch,
+                "jobs": {name: home.book.status(name) for name in home.book.names()},
+            }
+            for customer, home in self._homes.items()
+        }
+
+    # Which customers
+
+    def _active_jobs(self):
+        jobs = {}
+        for job in self.context.catalog.jobs():
+            if job.phase not in _ENDED:
+                jobs.setdefault(job.customer, []).append(job)
+        return jobs
+
+    def _mine(self, customer):
+        context = self.context
+        return (
+            not self._stopped
+            and choose_owner(context.live, home_key(customer)) == context.name
+        )
+
+    def _review(self):
+        for customer in [name for name in self._homes if not self._mine(name)]:
+            del self._homes[customer]
+            self.log.info("Jobs of {} given up.", customer)
+        for customer in self._active_jobs():
+            if self._mine(customer) and customer not in self._homes:
+                self._load(customer)
+
+    def _load(self, customer):
+        if customer in self._loading:
+            return
+        self._loading.add(customer)
+        done = self._take_over(customer)
+        done.addErrback(self._load_failed, customer)
+        done.addErrback(self.fail_with)
+
+    def _load_failed(self, failure, customer):
+        failure.trap(PlatformError)
+        self.log.debug("Jobs of {} not taken over: {}.", customer, failure.value)
+        self.later(jitter(self.context.random_state, _AGAIN_S), self._load_again, customer)
+
+    def _load_again(self, customer):
+        self._loading.discard(customer)
+        if self._mine(customer):
+            self._review()
+
+    @inlineCallbacks
+    def _take_over(self, customer):
+        """Become the customer's home: first the row, then the records.
+
+        Records are read after the row is taken, so that none can be written by the former home
+        between the reading and the fence.
+        """
+        table = self.context.table
+        key = home_key(customer)
+        [row] = yield table.read([key])
+        epoch = yield table.commit(
+            [Condition(key=key, version=row.version)],
+            [Write(key=key, value={"holder": self.context.name})],
+        )
+        rows = yield table.scan_all(f"task/{customer}/")
+        self._loading.discard(customer)
+        if not self._mine(customer):
+            return
+        limits = self.context.settings.limits
+        book = HomeBook(
+            customer=customer,
+            window=limits.holds_per_customer,
+            hold_s=self.context.settings.timing.hold_s,
+        )
+        home = _Home(book=book, epoch=epoch)
+        self._homes[customer] = home
+        records = {}
+        for row in rows:
+            _, _, job, index = row.key.split("/")
+            value = row.value
+            record = (int(index), value["attempt"], value["state"], value["worker"])
+            records.setdefault(job, []).append(record)
+        self.log.info("Jobs of {} taken over.", customer)
+        self._add_jobs(customer, records)
+
+    def _catalog_changed(self, _, event):
+        for customer in list(self._homes):
+            self._add_jobs(customer, {}, event.keys)
+        self._review()
+
+    def _add_jobs(self, customer, records, keys=None):
+        home = self._homes[customer]
+        declared = self.context.catalog.get(f"Customer/{customer}")
+        home.book.quota = declared.quota if declared else None
+        names = keys if keys is not None else self.context.catalog.keys(f"Job/{customer}/")
+        for key in names:
+            if not key.startswith(f"Job/{customer}/"):
+                continue
+            job = self.context.catalog.get(key)
+            if job is None or job.phase in _ENDED:
+                continue
+            if job.name in home.book:
+                if job.phase is JobPhase.CANCELLING:
+                    self._act(home, home.book.cancel_job(job.name))
+                continue
+            self._add_job(home, job, records.get(job.name, ()))
+
+    def _add_job(self, home, job, records):
+        catalog = self.context.catalog
+        try:
+            workload = catalog.workload(job.workload)
+            rules = catalog.policy_of(workload)
+        except AnvilflowError as exc:
+            self.log.warning("Job {}/{} cannot run: {}.", job.customer, job.name, exc)
+            return
+        declared = catalog.get(f"Customer/{job.customer}")
+        self._submitted.setdefault((job.customer, job.name), self.now)
+        out = home.book.add_job(
+            job,
+            age=catalog.revision_of(f"Job/{job.customer}/{job.name}"),
+            needs=workload.needs,
+            gang=workload.work is WorkKind.GANG,
+            max_attempts=rules.max_attempts,
+            weight=declared.priority if declared else 100,
+            now=self.now,
+            records=records,
+        )
+        self._act(home, out)
+
+    # Messages from owners
+
+    def _find(self, hold_id):
+        return self._homes.get(hold_id.split("/", 1)[0])
+
+    def _hold_answer(self, source, body):
+        home = self._find(body.hold_id)
+        if home is None:
+            if body.verdict == "granted":
+                self.context.send(source, HoldRelease(hold_id=body.hold_id))
+            return
+        if home.owners.get(body.hold_id) != source:
+            # An answer to an ask that was given up meanwhile and made to another owner.
+            if body.verdict == "granted":
+                self.context.send(source, HoldRelease(hold_id=body.hold_id))
+            return
+        if body.verdict == "granted":
+            out = home.book.hold_granted(body.hold_id, body.worker, self.now)
+        else:
+            home.owners.pop(body.hold_id, None)
+            out = home.book.hold_refused(body.hold_id, body.reason, self.now)
+        self._act(home, out)
+
+    def _task_answer(self, source, body):
+        home = self._find(body.hold_id)
+        if home is None:
+            return
+        home.stopping.pop(body.hold_id, None)
+        if body.verdict == "ended":
+            home.owners[body.hold_id] = source
+            out = home.book.task_ended(body.hold_id, body.ok, body.result)
+            if not out and not home.book.is_ending(body.hold_id):
+                out = [AckTask(hold_id=body.hold_id)]
+        else:
+            home.owners.pop(body.hold_id, None)
+            out = home.book.task_lost(body.hold_id)
+        self._act(home, out)
+
+    def _peer_down(self, _, event):
+        """Places asked of an owner that is gone are asked elsewhere."""
+        for home in self._homes.values():
+            lost = [key for key, owner in home.owners.items() if owner == event.instance]
+            for hold_id in lost:
+                del home.owners[hold_id]
+                self._act(
+                    home, home.book.hold_refused(hold_id, RefuseReason.EXPIRED, self.now)
+                )
+
+    def _query(self):
+        """Ask the owners of the workers what became of tasks that should run there."""
+        context = self.context
+        for home in self._homes.values():
+            by_worker = {}
+            for hold_id, worker in home.book.bound_tasks().items():
+                by_worker.setdefault(worker, []).append(hold_id)
+            for worker, hold_ids in by_worker.items():
+                owner = choose_owner(context.live, worker)
+                if owner is not None:
+                    context.send(owner, TaskQuery(worker=worker, hold_ids=hold_ids))
+            for hold_id, worker in home.stopping.items():
+                self._send_stop(hold_id, worker)
+
+    def _send_stop(self, hold_id, worker):
+        owner = choose_owner(self.context.live, worker)
+        if owner is not None:
+            self.context.send(owner, TaskStop(hold_id=hold_id, worker=worker))
+
+    # Acting on decisions
+
+    def _tick(self):
+        for home in list(self._homes.values()):
+            self._act(home, home.book.tick(self.now))
+
+    def _act(self, home, messages):
+        for message in messages:
+            match message:
+                case AskHold():
+                    self._ask_hold(home, message)
+                case ReleaseHold(hold_id=hold_id):
+                    owner = home.owners.pop(hold_id, None)
+                    if owner is not None:
+                        self.context.send(owner, HoldRelease(hold_id=hold_id))
+                case RecordIntent():
+                    self._record_intent(home, message)
+                case StartTask():
+                    self._start_task(home, message)
+                case StopTask(hold_id=hold_id, worker=worker):
+                    home.stopping[hold_id] = worker
+                    self._send_stop(hold_id, worker)
+                case RecordEnd():
+                    self._record_end(home, message)
+                case AckTask(hold_id=hold_id):
+                    self._acknowledge(home, hold_id)
+                case EndJob():
+                    self._write_phase(home, message)
+
+    def _ask_hold(self, home, message):
+        hold = message.hold
+        owner = home.owners.get(hold.hold_id) if message.again else self._choose_owner(hold)
+        if owner is None:
+            self._act(home, home.book.hold_refused(hold.hold_id, RefuseReason.NO_WORKER, self.now))
+            return
+        home.owners[hold.hold_id] = owner
+        ask = HoldAsk(
+            hold_id=hold.hold_id,
+            customer=hold.customer,
+            workload=message.workload,
+            age=hold.age,
+            gang=hold.gang,
+        )
+        if not self.context.send(owner, ask):
+            home.owners.pop(hold.hold_id, None)
+            self._act(home, home.book.hold_refused(hold.hold_id, RefuseReason.NO_WORKER, self.now))
+
+    def _choose_owner(self, hold):
+        """Choose between two owners by their last digests (Mitzenmacher's power of two choices)."""
+        digests = self.context.digests
+        able = [
+            name
+            for name in self.context.live
+            if name in digests and any(_fits(hold.needs, shape) for shape in digests[name].shapes)
+        ]
+        if not able:
+            return None
+        some = self.context.random_state.sample(able, min(2, len(able)))
+        best = max(some, key=lambda name: _task_room(digests[name]))
+        # Until the next digest the place counts as taken, or all tasks of a burst would be sent to
+        # the one owner that looked emptiest.
+        digests[best].free_task_slots -= hold.needs.slots
+        return best
+
+    def _record_intent(self, home, message):
+        customer = message.customer
+        hold_ids = []
+        writes = []
+        for task in message.tasks:
+            hold_ids.append(f"{customer}/{message.job}/{task.index}/{task.attempt}")
+            value = {"attempt": task.attempt, "state": "placed", "worker": task.worker}
+            writes.append(Write(key=f"task/{customer}/{message.job}/{task.index}", value=value))
+
+        def done(error):
+            if self._check_written(customer, home, error):
+                self._act(home, home.book.intent_recorded(message.job, hold_ids))
+
+        self._commit(home, customer, writes, done)
+
+    def _record_end(self, home, message):
+        value = {
+            "attempt": message.attempt,
+            "state": "done" if message.ok else "failed",
+            "worker": "",
+            "result": message.result,
+        }
+        key = f"task/{message.customer}/{message.job}/{message.index}"
+
+        def done(error):
+            if self._check_written(message.customer, home, error):
+                self._acknowledge(home, message.hold_id)
+                self._act(home, home.book.end_recorded(message.hold_id, message.ok))
+
+        self._commit(home, message.customer, [Write(key=key, value=value)], done)
+
+    def _commit(self, home, customer, writes, done):
+        condition = Condition(key=home_key(customer), version=home.epoch)
+        self.post(CommitAsk(conditions=[condition], writes=writes, done=done))
+
+    def _check_written(self, customer, home, error):
+        """Give the customer up when another home has taken it over."""
+        if self._homes.get(customer) is not home:
+            return False
+        if error is None:
+            return True
+        if not isinstance(error, PreconditionError):
+            return False
+        self.log.warning("Jobs of {} were taken over by another instance.", customer)
+        del self._homes[customer]
+        self.later(jitter(self.context.random_state, _AGAIN_S), self._load_again, customer)
+        return False
+
+    def _start_task(self, home, message):
+        customer, job, _, _ = message.hold_id.split("/")
+        submitted = self._submitted.get((customer, job), self.now)
+        kind = "gang" if home.book.is_gang(job) else "batch"
+        self.context.metrics.waited(customer, kind, self.now - submitted)
+        owner = home.owners.get(message.hold_id)
+        start = TaskStart(
+            hold_id=message.hold_id, workload=message.workload, payload=message.payload
+        )
+        if owner is not None:
+            # Where the message is lost the owner's answer to the next query says so.
+            self.context.send(owner, start)
+
+    def _acknowledge(self, home, hold_id):
+        owner = home.owners.pop(hold_id, None)
+        if owner is not None:
+            self.context.send(owner, TaskAcknowledge(hold_id=hold_id))
+
+    def _write_phase(self, home, message):
+        key = f"Job/{message.customer}/{message.job}"
+
+        def changed(job):
+            if job is None or job.phase in _ENDED:
+                return job
+            if job.phase is JobPhase.CANCELLING and message.phase is JobPhase.RUNNING:
+                return job
+            job.phase = message.phase
+            job.n_done = message.n_done
+            job.n_failed = message.n_failed
+            job.reason = message.reason
+            return job
+
+        done = self.context.resources.write(key, None, check=changed)
+        done.addCallbacks(
+            lambda _: self._phase_written(home, message),
+            lambda failure: self._phase_failed(failure, home, message),
+        )
+        done.addErrback(self.fail_with)
+
+    def _phase_written(self, home, message):
+        home.book.phase_recorded(message.job, message.phase)
+        self.context.changes.hurry()
+
+    def _phase_failed(self, failure, home, message):
+        if self._homes.get(message.customer) is not home:
+            return
+        if not failure.check(PlatformError):
+            home.book.phase_recorded(message.job, JobPhase.CANCELLED)
+            return
+        delay = jitter(self.context.random_state, _AGAIN_S)
+        self.later(delay, self._write_phase, home, message)
+
+    # Status
+
+    def _status_ask(self, source, body):
+        if body.topic != "job":
+            return
+        customer, job = body.key.split("/", 1)
+        home = self._homes.get(customer)
+        status = home.book.status(job) if home else None
+        self.context.send(source, StatusAnswer(call=body.call, body=encode(status)))
+
+
+def _fits(needs, shape):
+    return (
+        needs.cpu_milli <= shape.cpu_milli
+        and needs.memory_mb <= shape.memory_mb
+        and needs.accelerators <= shape.accelerators
+        and needs.slots <= shape.slots
+    )
+
+
+def _task_room(digest):
+    return digest.free_task_slots - digest.n_holds_queued
--- /dev/null
+++ b/anvilflow/parts/_members.py
@@ -0,0 +1,106 @@
+"""Which instances are live, from the platform's lagging list and from what is heard."""
+
+from ..exceptions import PlatformError
+from ._events import LeavingChanged, LiveChanged, MembersListed, PeerDown, PeerLeaving, PeerUp
+from ._part import Part
+
+
+class MembersPart(Part):
+    """Merges the membership list with the connections.
+
+    An instance is live when it is connected, or when it is listed and was connected or first
+    listed less than the suspect time ago. The list alone shows a dead instance for a minute; a
+    connection alone would move all work away at each short break.
+
+    This is a view and no more: two instances may hold different ones for a while. What they do
+    with it is fenced at the workers and in the table.
+    """
+
+    prefix = "members"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._listed = {}
+        self._since = {}
+        self._connected = set()
+        self._leaving = set()
+        self._known = None
+
+    def start(self):
+        """Follow the list and the connections."""
+        timing = self.context.settings.timing
+        self.on(PeerUp, self._peer_up)
+        self.on(PeerDown, self._peer_down)
+        self.on(PeerLeaving, self._peer_leaving)
+        self.on(LeavingChanged, lambda *_: self._evaluate())
+        self.every(timing.membership_poll_s, self._poll)
+        self.every(timing.heartbeat_s, self._evaluate, delay=timing.heartbeat_s)
+
+    def dump(self):
+        """Return the view."""
+        return {
+            "live": list(self.context.live),
+            "leaving": sorted(self._leaving),
+            "connected": sorted(self._connected),
+            "listed": sorted(self._listed),
+        }
+
+    def _poll(self):
+        done = self.context.membership.read()
+        done.addCallbacks(self._listed_anew, self._poll_failed)
+        return done
+
+    def _poll_failed(self, failure):
+        failure.trap(PlatformError)
+        self.log.debug("Membership list not read: {}.", failure.value)
+
+    def _listed_anew(self, listing):
+        now = self.now
+        self._listed = {member.name: member for member in listing.members}
+        for name in self._listed:
+            self._since.setdefault(name, now)
+        self.post(MembersListed(members=listing.members))
+        self._evaluate()
+
+    def _peer_up(self, _, event):
+        self._connected.add(event.instance)
+        self._leaving.discard(event.instance)
+        self._evaluate()
+
+    def _peer_down(self, _, event):
+        self._connected.discard(event.instance)
+        self._since[event.instance] = self.now
+
+    def _peer_leaving(self, _, event):
+        if event.instance not in self._leaving:
+            self._leaving.add(event.instance)
+            self._evaluate()
+
+    def _evaluate(self):
+        live = tuple(sorted(name for name in self._candidates() if self._is_live(name)))
+        workers = {
+            name: member for name, member in self._listed.items() if member.role == "worker"
+        }
+        view = (live, workers)
+        if view == self._known:
+            return
+        self._known = view
+        self.context.live = live
+        self.context.workers = workers
+        self.post(LiveChanged(live=live, workers=workers))
+
+    def _candidates(self):
+        instances = {name for name, member in self._listed.items() if member.role == "instance"}
+        return instances | self._connected | {self.context.name}
+
+    def _is_live(self, name):
+        if name == self.context.name:
+            return not self.context.leaving
+        if name in self._leaving:
+            return False
+        member = self._listed.get(name)
+        if member is not None and member.state == "leaving":
+            return False
+        if name in self._connected:
+            return True
+        return self.now - self._since.get(name, 0.0) < self.context.settings.timing.suspect_s
--- /dev/null
+++ b/anvilflow/parts/_operators.py
@@ -0,0 +1,267 @@
+"""Operators' resource API, watch, metrics, health and dump."""
+
+from klein import Klein
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from ..exceptions import CallError, DeclarationError, NotFoundError, NotReadyError
+from ..history import ConfigAccepted
+from ..resources import DECLARED_KINDS, check_references, parse_resource, resource_key
+from ..utils import decode, to_builtins
+from ._events import CatalogChanged
+from ._http_api import LimitedSite, answer_json, argument, coded, read_body
+from ._part import Part
+
+_MAX_CONNECTIONS = 200
+_MAX_DECLARATION_BYTES = 256 * 1024
+_DEFAULT_PAGE = 100
+_MAX_PAGE = 500
+_DEFAULT_WATCH_S = 10.0
+_MAX_WATCH_S = 60.0
+_MAX_WATCHES = 100
+
+#: Kinds that can be listed and watched.
+_KINDS = {*DECLARED_KINDS, "Job"}
+
+
+class OperatorsPart(Part):
+    """Serves operators."""
+
+    prefix = "operators"
+    app = Klein()
+
+    def __init__(self, *, context, dump_all):
+        super().__init__(context=context)
+        self.dump_all = dump_all
+        self._watches = set()
+
+    def start(self):
+        """Listen."""
+        site = LimitedSite(self.app.resource(), max_connections=_MAX_CONNECTIONS)
+        port, self.context.operators_address = self.context.network.listen(
+            self.context.settings.listen.operators, site
+        )
+        self._stack.callback(port.stopListening)
+        self.on(CatalogChanged, self._wake)
+
+    def stop(self):
+        """Answer the open watches and stop."""
+        self._wake(None, None)
+        super().stop()
+
+    def dump(self):
+        """Return the open watches."""
+        return {"watches": len(self._watches)}
+
+    # Resources
+
+    @app.route("/v1/resources/<kind>", methods=["GET"])
+    @coded
+    def list_resources(self, request, kind):
+        """Return a page of resources, sorted by key."""
+        self._check_ready()
+        match kind:
+            case "Worker":
+                return answer_json(request, {"items": self._workers()})
+            case "Instance":
+                return answer_json(request, {"items": self._instances()})
+        _check_kind(kind)
+        catalog = self.context.catalog
+        limit = _number(request, "limit", _DEFAULT_PAGE, _MAX_PAGE)
+        after = argument(request, "after")
+        customer = argument(request, "customer")
+        prefix = f"{kind}/{customer}/" if customer and kind == "Job" else f"{kind}/"
+        keys = [key for key in catalog.keys(prefix) if key > after]
+        page = keys[: int(limit)]
+        return answer_json(
+            request,
+            {
+                "revision": catalog.revision,
+                "items": [self._shown(key) for key in page],
+                "next": page[-1] if len(keys) > len(page) else None,
+            },
+        )
+
+    @app.route("/v1/resources/<kind>/<path:name>", methods=["GET"])
+    @coded
+    def get_resource(self, request, kind, name):
+        """Return one resource with its revision."""
+        self._check_ready()
+        _check_kind(kind)
+        return answer_json(request, self._shown(f"{kind}/{name}"))
+
+    @app.route("/v1/resources/<kind>/<path:name>", methods=["PUT"])
+    @coded
+    @inlineCallbacks
+    def put_resource(self, request, kind, name):
+        """Create or replace a resource; ``?revision=N`` makes a write on a stale basis fail."""
+        self._check_ready()
+        value = decode(read_body(request, _MAX_DECLARATION_BYTES), dict, error=DeclarationError)
+        resource = parse_resource(value)
+        if type(resource).__name__ not in DECLARED_KINDS:
+            raise DeclarationError(f"$.kind: {kind} is not declared; allowed: {_allowed()}")
+        if resource_key(resource) != f"{kind}/{name}":
+            raise DeclarationError(f"the body declares {resource_key(resource)}, not {kind}/{name}")
+        check_references(resource, self.context.catalog)
+        expected = _revision(request)
+        written = yield self.context.resources.write(
+            resource_key(resource), resource, expected=expected
+        )
+        self._accepted(written)
+        return answer_json(request, {"revision": written.revision, "changed": written.changed})
+
+    @app.route("/v1/resources/<kind>/<path:name>", methods=["DELETE"])
+    @coded
+    @inlineCallbacks
+    def delete_resource(self, request, kind, name):
+        """Delete a resource that nothing refers to."""
+        self._check_ready()
+        if kind not in DECLARED_KINDS:
+            raise NotFoundError(f"{kind} cannot be deleted; allowed: {_allowed()}")
+        self._check_unused(kind, name)
+        written = yield self.context.resources.write(
+            f"{kind}/{name}", None, expected=_revision(request)
+        )
+        self._accepted(written)
+        return answer_json(request, {"revision": written.revision, "changed": written.changed})
+
+    @app.route("/v1/watch", methods=["GET"])
+    @coded
+    @inlineCallbacks
+    def watch(self, request):
+        """Return the changes after a revision, as soon as there is one or when the wait is over."""
+        self._check_ready()
+        after = _number(request, "after", self.context.catalog.revision, None)
+        wait = _number(request, "timeout_s", _DEFAULT_WATCH_S, _MAX_WATCH_S)
+        changes = self.context.changes.changes_after(int(after), _MAX_PAGE)
+        if not changes and len(self._watches) < _MAX_WATCHES:
+            yield self._changed_within(request, wait)
+            changes = self.context.changes.changes_after(int(after), _MAX_PAGE)
+        revision = changes[-1].revision if changes else int(after)
+        return answer_json(request, {"revision": revision, "changes": changes})
+
+    # The instance
+
+    @app.route("/health", methods=["GET"])
+    @coded
+    def health(self, request):
+        """Say whether callers may be sent here; the balancer asks."""
+        if self.context.leaving:
+            raise NotReadyError("the instance is leaving")
+        self._check_ready()
+        return answer_json(request, {"ready": True})
+
+    @app.route("/v1/status", methods=["GET"])
+    @coded
+    def status(self, request):
+        """Return the instance's view of the cell in short."""
+        context = self.context
+        return answer_json(
+            request,
+            {
+                "instance": context.name,
+                "revision": context.catalog.revision,
+                "ready": context.ready,
+                "leaving": context.leaving,
+                "live": list(context.live),
+                "workers": len(context.workers),
+            },
+        )
+
+    @app.route("/metrics", methods=["GET"])
+    @coded
+    def metrics(self, request):
+        """Return the metrics page."""
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        return self.context.metrics.page()
+
+    @app.route("/dump", methods=["GET"])
+    @coded
+    def dump_state(self, request):
+        """Return the state of every part."""
+        return answer_json(request, self.dump_all())
+
+    # Internals
+
+    def _check_ready(self):
+        if not self.context.ready:
+            raise NotReadyError("no configuration seen yet", details={"retry_after_s": 1})
+
+    def _accepted(self, written):
+        if written.changed and self.context.history is not None:
+            self.context.history.add(ConfigAccepted, revision=written.revision)
+        self.context.changes.hurry()
+
+    def _check_unused(self, kind, name):
+        catalog = self.context.catalog
+        field = {"Policy": "policy", "Workload": "workload", "Customer": "customer"}[kind]
+        users = ("Workload/",) if kind == "Policy" else ("Job/",)
+        for prefix in users:
+            for key in catalog.keys(prefix):
+                item = catalog.get(key)
+                over = getattr(item, "phase", "") in ("completed", "failed", "cancelled")
+                if getattr(item, field) == name and not over:
+                    raise DeclarationError(f"{kind}/{name} is used by {key}")
+
+    def _shown(self, key):
+        resource = self.context.catalog.get(key)
+        if resource is None:
+            raise NotFoundError(f"{key} does not exist")
+        value = to_builtins(resource)
+        if "tasks" in value:
+            value["n_tasks"] = len(value.pop("tasks"))
+        return {"key": key, "revision": self.context.catalog.revision_of(key), "value": value}
+
+    def _workers(self):
+        return [to_builtins(member) for _, member in sorted(self.context.workers.items())]
+
+    def _instances(self):
+        return [{"name": name, "live": True} for name in self.context.live]
+
+    def _changed_within(self, request, seconds):
+        """Return a Deferred that fires at the next change, after `seconds`, or when the client goes."""
+        waiting = Deferred()
+        timer = self.later(seconds, self._wake_one, waiting)
+        self._watches.add(waiting)
+        request.notifyFinish().addErrback(lambda _: self._wake_one(waiting))
+
+        def done(_):
+            if timer.active():
+                timer.cancel()
+
+        return waiting.addCallback(done)
+
+    def _wake_one(self, waiting):
+        if waiting in self._watches:
+            self._watches.discard(waiting)
+            waiting.callback(None)
+
+    def _wake(self, _, __):
+        for waiting in list(self._watches):
+            self._wake_one(waiting)
+
+
+def _allowed():
+    return ", ".join(sorted(DECLARED_KINDS))
+
+
+def _check_kind(kind):
+    if kind not in _KINDS:
+        raise NotFoundError(f"no kind {kind}; allowed: {', '.join(sorted(_KINDS))}, Worker, Instance")
+
+
+def _number(request, name, default, limit):
+    text = argument(request, name)
+    if not text:
+        return default
+    try:
+        value = float(text)
+    except ValueError as exc:
+        raise CallError(f"?{name}={text} is no number") from exc
+    if value < 0 or (limit is not None and value > limit) or value != value:
+        raise CallError(f"?{name}={text} is out of range; allowed: 0 to {limit or 'any'}")
+    return value
+
+
+def _revision(request):
+    text = argument(request, "revision")
+    return int(_number(request, "revision", 0, None)) if text else None
--- /dev/null
+++ b/anvilflow/parts/_owner.py
@@ -0,0 +1,609 @@
+"""Owns workers: the only one that places work on them, renews their leases and reads their reports."""
+
+from twisted.internet.defer import inlineCallbacks
+
+from ..decisions import (
+    Dispatch,
+    Hold,
+    HoldGranted,
+    HoldRefused,
+    HoldRevoked,
+    LeaseClock,
+    Outcome,
+    OwnerBook,
+    Refuse,
+    RefuseReason,
+    Request,
+    Room,
+    choose_owner,
+)
+from ..exceptions import NotFoundError, WorkerRefusedError, WorkerUnreachableError
+from ..peers.gen.ttypes import (
+    CancelRequest,
+    Digest,
+    ForwardRequest,
+    HoldAnswer,
+    HoldAsk,
+    HoldRelease,
+    RequestEnded,
+    Shape,
+    TaskAcknowledge,
+    TaskAnswer,
+    TaskQuery,
+    TaskStart,
+    TaskStop,
+)
+from ..resources import ServicePolicy
+from ..utils import jitter
+from ._events import CatalogChanged, DigestReady, LeavingChanged, LiveChanged
+from ._part import Part
+
+#: Wait before a worker is claimed again after a failure. Unit: seconds.
+_CLAIM_AGAIN_S = 0.5
+
+#: Period of the sweep for what has waited too long. Unit: seconds.
+_SWEEP_S = 0.05
+
+#: Failed syncs in a row after which a worker gets no new work.
+_SILENT_SYNCS = 2
+
+#: Shapes of workers that a digest names at the most.
+_MAX_SHAPES = 8
+
+#: Time a request may take beyond its deadline before its connection is given up. Unit: seconds.
+_REQUEST_GRACE_S = 0.05
+
+
+class _Owned:
+    """One worker under this owner, in one epoch."""
+
+    __slots__ = (
+        "bars",
+        "client",
+        "clock",
+        "ended",
+        "foreign",
+        "forget",
+        "member",
+        "missing",
+        "n_failed",
+        "overdue",
+        "room",
+        "starting",
+        "ticker",
+    )
+
+    def __init__(self, *, member, client):
+        self.member = member
+        self.client = client
+        self.clock = None
+        self.room = None
+        self.ticker = None
+        self.n_failed = 0
+        self.starting = set()
+        self.bars = set()
+        self.missing = set()
+        self.ended = {}
+        self.forget = set()
+        self.foreign = set()
+        self.overdue = set()
+
+
+class OwnerPart(Part):
+    """Claims the workers that fall to this instance and places work on them.
+
+    Safety does not rest on the view of who is live: a claim makes the worker refuse every call
+    under an earlier epoch, so a former owner that was paused in the middle of a send, or holds
+    another view, places nothing.
+    """
+
+    prefix = "owner"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._book = OwnerBook(hold_s=context.settings.timing.hold_s)
+        self._owned = {}
+        self._claiming = set()
+        self._origins = {}
+        self._arrived = {}
+        self._hold_homes = {}
+        self._stopped = False
+
+    @property
+    def n_in_progress(self):
+        """Requests that wait or run here."""
+        return len(self._origins)
+
+    @property
+    def book(self):
+        """Queues and accounts."""
+        return self._book
+
+    def start(self):
+        """Take messages and claim workers."""
+        self.on(LiveChanged, lambda *_: self._review())
+        self.on(LeavingChanged, lambda *_: self._review())
+        self.on(CatalogChanged, self._catalog_changed)
+        self.on(ForwardRequest, self._forward)
+        self.on(CancelRequest, self._cancel)
+        self.on(HoldAsk, self._hold_ask)
+        self.on(HoldRelease, self._hold_release)
+        self.on(TaskStart, self._task_start)
+        self.on(TaskStop, self._task_stop)
+        self.on(TaskQuery, self._task_query)
+        self.on(TaskAcknowledge, self._task_acknowledge)
+        timing = self.context.settings.timing
+        self.every(_SWEEP_S, self._sweep, delay=_SWEEP_S)
+        self.every(timing.heartbeat_s, self._tell_digest, delay=timing.heartbeat_s / 2)
+        self._catalog_changed(None, None)
+        self._review()
+
+    def stop(self):
+        """Give up all workers."""
+        self._stopped = True
+        for name in list(self._owned):
+            self._drop(name)
+        super().stop()
+
+    def dump(self):
+        """Return queues and workers."""
+        book = self._book
+        return {
+            "queued": book.n_queued,
+            "running": book.n_running,
+            "holds_queued": book.n_holds_queued,
+            "tasks": book.n_tasks,
+            "workers": {
+                name: {
+                    "epoch": owned.client.epoch,
+                    "failed_syncs": owned.n_failed,
+                    "free": list(owned.room.free) if owned.room else None,
+                }
+                for name, owned in self._owned.items()
+            },
+        }
+
+    # Ownership
+
+    def _review(self):
+        """Claim what falls to this instance, give up what does not."""
+        context = self.context
+        for name, member in context.workers.items():
+            mine = choose_owner(context.live, name) == context.name
+            if mine and name not in self._owned and name not in self._claiming:
+                self._claim(member).addErrback(self.fail_with)
+            elif not mine and name in self._owned:
+                self._drop(name)
+        for name in [name for name in self._owned if name not in context.workers]:
+            self._drop(name)
+        self._close_leaving()
+
+    def _still_mine(self, name):
+        context = self.context
+        return (
+            not self._stopped
+            and name in context.workers
+            and choose_owner(context.live, name) == context.name
+        )
+
+    @inlineCallbacks
+    def _claim(self, member):
+        name = member.name
+        self._claiming.add(name)
+        client = self.context.make_worker(member)
+        sent = self.now
+        try:
+            report = yield client.claim(self.context.name)
+        except (WorkerRefusedError, WorkerUnreachableError) as exc:
+            self.log.debug("Worker {} not claimed: {}.", name, exc)
+            delay = jitter(self.context.random_state, _CLAIM_AGAIN_S)
+            self.later(delay, self._claim_again, name)
+            return
+        self._claiming.discard(name)
+        if not self._still_mine(name):
+            return
+        self._take_over(member, client, report, sent)
+
+    def _claim_again(self, name):
+        self._claiming.discard(name)
+        if self._still_mine(name):
+            self._review()
+
+    def _take_over(self, member, client, report, sent):
+        """Start from what the worker itself says that runs there."""
+        owned = _Owned(member=member, client=client)
+        owned.clock = LeaseClock(worker_time=report.clock, sent=sent, received=self.now)
+        owned.room = Room(
+            worker=member.name,
+            capacity=report.capacity,
+            rack=member.rack,
+            failure_domain=member.failure_domain,
+        )
+        owned.foreign = {request_id for request_id, _ in report.requests}
+        self._owned[member.name] = owned
+        out = self._book.add_worker(
+            owned.room, self.now, tasks=report.tasks, requests=report.requests
+        )
+        timing = self.context.settings.timing
+        owned.ticker = self.every(timing.worker_sync_s, lambda: self._sync(owned))
+        self._close_leaving()
+        self._act(out)
+        self.log.info("Worker {} owned, {} tasks run there.", member.name, len(report.tasks))
+
+    def _drop(self, name):
+        owned = self._owned.pop(name, None)
+        if owned is None:
+            return
+        owned.ticker.stop()
+        self._act(self._book.remove_worker(name))
+        self.log.info("Worker {} given up.", name)
+
+    def _close_leaving(self):
+        """Give no new work to workers that leave: their room is taken out of the book."""
+        for name, owned in self._owned.items():
+            member = self.context.workers.get(name)
+            if member is not None and member.state == "leaving":
+                owned.member = member
+                self._act(self._book.close_worker(name))
+
+    # Reports and leases
+
+    @inlineCallbacks
+    def _sync(self, owned):
+        name = owned.member.name
+        if self._owned.get(name) is not owned:
+            return
+        settings = self.context.settings
+        sent = self.now
+        until = owned.clock.until(sent, settings.lease.task_s)
+        started = self._book.tasks_on(name)
+        settled = {hold_id for hold_id in started if hold_id not in owned.starting}
+        bars = set(owned.bars)
+        forget = set(owned.forget)
+        overdue = set(owned.overdue)
+        foreign = set(owned.foreign)
+        try:
+            report = yield owned.client.sync(
+                renew=[(hold_id, until) for hold_id in started if hold_id not in bars],
+                stop=sorted(bars),
+                forget=sorted(forget),
+            )
+        except WorkerUnreachableError as exc:
+            self._sync_failed(owned, exc)
+            return
+        except WorkerRefusedError as exc:
+            self._sync_refused(owned, exc)
+            return
+        if self._owned.get(name) is not owned:
+            return
+        owned.clock = LeaseClock(worker_time=report.clock, sent=sent, received=self.now)
+        if owned.n_failed >= _SILENT_SYNCS:
+            self._act(self._book.reopen_worker(name, self.now))
+        owned.n_failed = 0
+        owned.forget -= forget
+        self._take_report(owned, report, settled, bars, overdue | foreign)
+
+    def _sync_failed(self, owned, exc):
+        owned.n_failed += 1
+        if owned.n_failed == _SILENT_SYNCS:
+            self.log.warning("Worker {} is silent: {}.", owned.member.name, exc)
+            self._act(self._book.close_worker(owned.member.name))
+
+    def _sync_refused(self, owned, exc):
+        """The worker has another owner, came back without memory, or is not there any more."""
+        name = owned.member.name
+        if self._owned.get(name) is not owned:
+            return
+        self.log.info("Worker {} refused its owner: {}.", name, exc)
+        self._drop(name)
+        self._claiming.add(name)
+        delay = jitter(self.context.random_state, _CLAIM_AGAIN_S)
+        self.later(delay, self._claim_again, name)
+
+    def _take_report(self, owned, report, settled, bars, gone_candidates):
+        now = self.now
+        name = owned.member.name
+        running = set(report.tasks)
+        ended = {task.hold_id: task for task in report.finished}
+        for hold_id, task in ended.items():
+            if hold_id in owned.forget:
+                continue
+            owned.missing.discard(hold_id)
+            owned.ended[hold_id] = task
+            self._act(self._book.task_ended(hold_id, now))
+            self._tell_home(hold_id, "ended", ok=task.ok, result=task.result)
+        for hold_id in settled - running - set(ended):
+            if hold_id in bars:
+                # The worker has confirmed that it does not run and that it never will.
+                self._lost(owned, hold_id)
+            else:
+                owned.bars.add(hold_id)
+        for hold_id in bars - settled:
+            if hold_id not in running:
+                owned.bars.discard(hold_id)
+                self._tell_home(hold_id, "lost")
+        for request_id in gone_candidates - set(report.requests):
+            owned.foreign.discard(request_id)
+            owned.overdue.discard(request_id)
+            self._act(self._book.release_foreign(name, request_id, now))
+
+    def _lost(self, owned, hold_id):
+        owned.bars.discard(hold_id)
+        self._act(self._book.task_ended(hold_id, self.now))
+        self._tell_home(hold_id, "lost")
+
+    # Requests
+
+    def _forward(self, source, body):
+        if body.request_id in self._origins:
+            return
+        context = self.context
+        now = self.now
+        try:
+            customer = context.catalog.customer(body.customer)
+            workload = context.catalog.workload(body.workload)
+            rules = context.catalog.policy_of(workload)
+        except NotFoundError as exc:
+            self._answer(source, body.request_id, Outcome.NOT_RUN, code=exc.code, reason=exc.message)
+            return
+        request = Request(
+            request_id=body.request_id,
+            customer=customer.name,
+            workload=workload.name,
+            needs=workload.needs,
+            run_time=workload.run_time_s,
+            deadline=now + body.remaining_ms / 1000,
+            weight=customer.priority,
+            queue_limit=rules.queue_limit,
+            customer_share=rules.customer_share,
+        )
+        self._origins[body.request_id] = (source, body.payload)
+        self._arrived[body.request_id] = now
+        self._act(self._book.submit(request, now))
+
+    def _cancel(self, source, body):
+        if self._book.cancel(body.request_id):
+            self._end_request(
+                body.request_id, Outcome.NOT_RUN, code="AF302", reason=RefuseReason.CANCELLED
+            )
+
+    @inlineCallbacks
+    def _run_request(self, request, worker):
+        owned = self._owned[worker]
+        began = self.now
+        waited = began - self._arrived[request.request_id]
+        _, payload = self._origins[request.request_id]
+        self.context.metrics.waited(request.customer, "service", waited)
+        self.context.metrics.placements.labels("service").inc()
+        timeout = max(_REQUEST_GRACE_S, request.deadline - began + _REQUEST_GRACE_S)
+        run_time = None
+        try:
+            ok, result = yield owned.client.request(
+                request_id=request.request_id,
+                workload=request.workload,
+                needs=request.needs,
+                payload=payload,
+                timeout=timeout,
+            )
+        except WorkerRefusedError as exc:
+            end = (Outcome.NOT_RUN, b"", exc.code, exc.message)
+        except WorkerUnreachableError as exc:
+            # It may run on: its place stays taken until the worker's report no longer names it.
+            owned.overdue.add(request.request_id)
+            end = (Outcome.UNKNOWN, b"", exc.code, exc.message)
+        else:
+            run_time = self.now - began
+            end = (Outcome.COMPLETED if ok else Outcome.FAILED, result, "", "")
+        outcome, result, code, reason = end
+        self._end_request(
+            request.request_id,
+            outcome,
+            result=result,
+            code=code,
+            reason=reason,
+            waited=waited,
+            run_time=run_time or 0.0,
+        )
+        if outcome is Outcome.UNKNOWN:
+            self._act(self._book.overdue(request.request_id))
+        else:
+            self._act(self._book.finished(request.request_id, self.now, run_time=run_time))
+
+    def _end_request(self, request_id, outcome, **values):
+        source, _ = self._origins.pop(request_id)
+        self._arrived.pop(request_id, None)
+        self._answer(source, request_id, outcome, **values)
+
+    def _answer(
+        self,
+        source,
+        request_id,
+        outcome,
+        *,
+        result=b"",
+        code="",
+        reason="",
+        retry_after=0.0,
+        waited=0.0,
+        run_time=0.0,
+    ):
+        self.context.send(
+            source,
+            RequestEnded(
+                request_id=request_id,
+                outcome=outcome.value,
+                result=result,
+                code=code,
+                reason=str(reason),
+                retry_after=retry_after,
+                waited=waited,
+                run_time=run_time,
+            ),
+        )
+
+    # Holds and tasks
+
+    def _hold_ask(self, source, body):
+        try:
+            customer = self.context.catalog.customer(body.customer)
+            workload = self.context.catalog.workload(body.workload)
+        except NotFoundError:
+            self._answer_hold(source, body.hold_id, "refused", reason=RefuseReason.EXPIRED)
+            return
+        hold = Hold(
+            hold_id=body.hold_id,
+            customer=customer.name,
+            needs=workload.needs,
+            age=body.age,
+            gang=body.gang,
+            weight=customer.priority,
+        )
+        self._hold_homes[body.hold_id] = source
+        self._act(self._book.ask_hold(hold, self.now))
+
+    def _hold_release(self, _, body):
+        self._hold_homes.pop(body.hold_id, None)
+        self._act(self._book.release_hold(body.hold_id, self.now))
+
+    def _task_start(self, source, body):
+        worker = self._book.start(body.hold_id)
+        if worker is None:
+            self.context.send(source, _task_answer(body.hold_id, "lost"))
+            return
+        self._hold_homes[body.hold_id] = source
+        self.context.metrics.placements.labels("task").inc()
+        self._start_on(self._owned[worker], body).addErrback(self.fail_with)
+
+    @inlineCallbacks
+    def _start_on(self, owned, body):
+        hold_id = body.hold_id
+        workload = self.context.catalog.workload(body.workload)
+        until = owned.clock.until(self.now, self.context.settings.lease.task_s)
+        owned.starting.add(hold_id)
+        try:
+            yield owned.client.start(
+                hold_id=hold_id,
+                needs=workload.needs,
+                until=until,
+                workload=workload.name,
+                payload=body.payload,
+            )
+        except WorkerRefusedError:
+            self._act(self._book.task_ended(hold_id, self.now))
+            self._tell_home(hold_id, "lost")
+        except WorkerUnreachableError as exc:
+            # It may have started. The next reports tell; until then its place stays taken.
+            self.log.info("Start of {} unanswered: {}.", hold_id, exc)
+        finally:
+            owned.starting.discard(hold_id)
+
+    def _task_stop(self, source, body):
+        owned = self._owned.get(body.worker)
+        if owned is None:
+            return
+        self._hold_homes[body.hold_id] = source
+        self._act(self._book.release_hold(body.hold_id, self.now))
+        if body.hold_id in owned.ended:
+            return
+        owned.bars.add(body.hold_id)
+        owned.ticker.hurry()
+
+    def _task_query(self, source, body):
+        """Say what became of attempts; only the worker's present owner can."""
+        owned = self._owned.get(body.worker)
+        if owned is None:
+            return
+        for hold_id in body.hold_ids:
+            self._hold_homes[hold_id] = source
+            if hold_id in owned.ended:
+                task = owned.ended[hold_id]
+                self._tell_home(hold_id, "ended", ok=task.ok, result=task.result)
+            elif self._book.worker_of(hold_id) is None:
+                # Nothing starts it any more: a start needs the hold, and that is given up here.
+                self._act(self._book.release_hold(hold_id, self.now))
+                self.context.send(source, _task_answer(hold_id, "lost"))
+
+    def _task_acknowledge(self, _, body):
+        self._hold_homes.pop(body.hold_id, None)
+        for owned in self._owned.values():
+            if owned.ended.pop(body.hold_id, None) is not None:
+                owned.forget.add(body.hold_id)
+
+    def _tell_home(self, hold_id, verdict, *, ok=False, result=""):
+        home = self._hold_homes.get(hold_id)
+        customer = hold_id.split("/", 1)[0]
+        home = choose_owner(self.context.live, f"home/{customer}") or home
+        if home is not None:
+            self.context.send(home, _task_answer(hold_id, verdict, ok=ok, result=result))
+
+    def _answer_hold(self, home, hold_id, verdict, *, worker="", reason=""):
+        if home is not None:
+            self.context.send(
+                home,
+                HoldAnswer(hold_id=hold_id, verdict=verdict, worker=worker, reason=str(reason)),
+            )
+
+    # Acting on decisions
+
+    def _act(self, messages):
+        for message in messages:
+            match message:
+                case Dispatch(request=request, worker=worker):
+                    self._run_request(request, worker).addErrback(self.fail_with)
+                case Refuse():
+                    self._end_request(
+                        message.request_id,
+                        Outcome.NOT_RUN,
+                        code="AF302",
+                        reason=message.reason,
+                        retry_after=message.retry_after,
+                    )
+                case HoldGranted(hold=hold, worker=worker):
+                    home = self._hold_homes.get(hold.hold_id)
+                    self._answer_hold(home, hold.hold_id, "granted", worker=worker)
+                case HoldRefused(hold=hold, reason=reason):
+                    home = self._hold_homes.pop(hold.hold_id, None)
+                    self._answer_hold(home, hold.hold_id, "refused", reason=reason)
+                case HoldRevoked(hold=hold):
+                    home = self._hold_homes.pop(hold.hold_id, None)
+                    self._answer_hold(
+                        home, hold.hold_id, "refused", reason=RefuseReason.EXPIRED
+                    )
+
+    def _sweep(self):
+        self._act(self._book.tick(self.now))
+
+    def _catalog_changed(self, _, __):
+        catalog = self.context.catalog
+        reserves = [
+            policy.rules.reserve
+            for policy in map(catalog.get, catalog.keys("Policy/"))
+            if isinstance(policy.rules, ServicePolicy)
+        ]
+        if reserves:
+            self._act(self._book.set_reserve(max(reserves), self.now))
+
+    def _tell_digest(self):
+        book = self._book
+        shapes = {room.capacity for room in book.rooms}
+        digest = Digest(
+            n_workers=len(book.rooms),
+            free_service_slots=book.free_service_slots,
+            free_task_slots=book.free_task_slots,
+            n_queued=book.n_queued,
+            n_holds_queued=book.n_holds_queued,
+            shapes=[
+                Shape(
+                    cpu_milli=shape.cpu_milli,
+                    memory_mb=shape.memory_mb,
+                    accelerators=shape.accelerators,
+                    slots=shape.slots,
+                )
+                for shape in list(shapes)[:_MAX_SHAPES]
+            ],
+        )
+        self.post(DigestReady(digest=digest))
+
+
+def _task_answer(hold_id, verdict, *, ok=False, result=""):
+    return TaskAnswer(hold_id=hold_id, verdict=verdict, ok=ok, result=result)
--- /dev/null
+++ b/anvilflow/peers/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/anvilflow/peers/messages.thrift
@@ -0,0 +1,135 @@
+// Messages between instances. Regenerate: make thrift
+namespace py anvilflow.peers.gen
+
+struct Hello {
+  1: string instance,
+  2: string incarnation,
+  3: string failure_domain,
+}
+
+struct Shape {
+  1: i32 cpu_milli,
+  2: i32 memory_mb,
+  3: i32 accelerators,
+  4: i32 slots,
+}
+
+struct Digest {
+  1: i32 n_workers,
+  2: i32 free_service_slots,
+  3: i32 free_task_slots,
+  4: i32 n_queued,
+  5: i32 n_holds_queued,
+  6: list<Shape> shapes,
+}
+
+struct Heartbeat {
+  1: i64 sequence,
+  2: i64 revision,
+  3: bool leaving,
+  4: optional Digest digest,
+}
+
+struct ForwardRequest {
+  1: string request_id,
+  2: string customer,
+  3: string workload,
+  4: binary payload,
+  5: i32 remaining_ms,
+}
+
+struct RequestEnded {
+  1: string request_id,
+  2: string outcome,
+  3: binary result,
+  4: string code,
+  5: string reason,
+  6: double retry_after,
+  7: double waited,
+  8: double run_time,
+}
+
+struct CancelRequest {
+  1: string request_id,
+}
+
+struct HoldAsk {
+  1: string hold_id,
+  2: string customer,
+  3: string workload,
+  4: i64 age,
+  5: bool gang,
+}
+
+struct HoldAnswer {
+  1: string hold_id,
+  2: string verdict,
+  3: string worker,
+  4: string reason,
+}
+
+struct HoldRelease {
+  1: string hold_id,
+}
+
+struct TaskStart {
+  1: string hold_id,
+  2: string workload,
+  3: string payload,
+}
+
+struct TaskAnswer {
+  1: string hold_id,
+  2: string verdict,
+  3: bool ok,
+  4: string result,
+}
+
+struct TaskAcknowledge {
+  1: string hold_id,
+}
+
+struct TaskStop {
+  1: string hold_id,
+  2: string worker,
+}
+
+struct TaskQuery {
+  1: string worker,
+  2: list<string> hold_ids,
+}
+
+struct StatusAsk {
+  1: i64 call,
+  2: string topic,
+  3: string key,
+}
+
+struct StatusAnswer {
+  1: i64 call,
+  2: binary body,
+}
+
+// Exactly one field is set.
+struct Message {
+  1: optional Hello hello,
+  2: optional Heartbeat heartbeat,
+  3: optional ForwardRequest forward_request,
+  4: optional RequestEnded request_ended,
+  5: optional CancelRequest cancel_request,
+  6: optional HoldAsk hold_ask,
+  7: optional HoldAnswer hold_answer,
+  8: optional HoldRelease hold_release,
+  9: optional TaskStart task_start,
+  10: optional TaskAnswer task_answer,
+  11: optional TaskAcknowledge task_acknowledge,
+  12: optional TaskStop task_stop,
+  13: optional TaskQuery task_query,
+  14: optional StatusAsk status_ask,
+  15: optional StatusAnswer status_answer,
+}
+
+// Messages that are written together, in order.
+struct Frame {
+  1: list<Message> messages,
+}
--- /dev/null
+++ b/anvilflow/platform/__init__.py
@@ -0,0 +1,25 @@
+"""Clients of what the platform gives: table, membership list and workers."""
+
+from ._http import HttpClient
+from ._membership import MemberInfo, MembershipClient, MembershipList
+from ._resource_store import LOG_KEPT, ResourceStore, Written
+from ._table import Condition, Row, TableClient, Write
+from ._worker import ClaimReport, FinishedTask, SyncReport, WorkerClient
+
+__all__ = [
+    "LOG_KEPT",
+    "ClaimReport",
+    "Condition",
+    "FinishedTask",
+    "HttpClient",
+    "MemberInfo",
+    "MembershipClient",
+    "MembershipList",
+    "ResourceStore",
+    "Row",
+    "SyncReport",
+    "TableClient",
+    "WorkerClient",
+    "Write",
+    "Written",
+]
--- /dev/null
+++ b/anvilflow/platform/_http.py
@@ -0,0 +1,85 @@
+"""HTTP calls with a time limit, over connections that are kept open."""
+
+import treq
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, TimeoutError, inlineCallbacks
+from twisted.internet.error import ConnectError, DNSLookupError
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseNeverReceived,
+)
+
+from ..utils import encode
+
+#: Failures before anything of the request left the process: it certainly had no effect.
+NOT_SENT = (ConnectError, DNSLookupError, RequestNotSent)
+
+
+class HttpClient:
+    """Sends requests to one kind of service.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        The reactor.
+    connections : int, default=8
+        Idle connections kept per address.
+    connect_timeout : float, default=1.0
+        Unit: seconds.
+    """
+
+    def __init__(self, *, clock, connections=8, connect_timeout=1.0):
+        self.clock = clock
+        self.connections = connections
+        self.connect_timeout = connect_timeout
+        self._pool = HTTPConnectionPool(clock, persistent=True)
+        self._pool.maxPersistentPerHost = connections
+        # A request that fails on a kept connection must not be sent again behind our back: it may
+        # have run already, and whether it may run twice is not for the transport to decide.
+        self._pool.retryAutomatically = False
+        self._client = HTTPClient(Agent(clock, connectTimeout=connect_timeout, pool=self._pool))
+
+    @inlineCallbacks
+    def post(self, url, body, *, timeout, headers=None):
+        """Post bytes; the Deferred fires with the status and the body, whole.
+
+        Parameters
+        ----------
+        url : str
+        body : bytes
+        timeout : float
+            For the whole exchange, the answer's body included. Unit: seconds.
+        headers : dict, default=None
+        """
+        response = self._client.post(url, data=body, headers=headers, unbuffered=True)
+        call = response.addCallback(_read)
+        call.addTimeout(timeout, self.clock)
+        result = yield call
+        return result
+
+    def post_json(self, url, value, *, timeout):
+        """Post a value as JSON."""
+        return self.post(url, encode(value), timeout=timeout)
+
+    def close(self):
+        """Close the kept connections."""
+        return self._pool.closeCachedConnections()
+
+
+@inlineCallbacks
+def _read(response):
+    body = yield treq.content(response)
+    return response.code, body
+
+
+#: Failures after which a request may or may not have had its effect.
+MAYBE_SENT = (
+    TimeoutError,
+    CancelledError,
+    ResponseNeverReceived,
+    RequestTransmissionFailed,
+    ConnectionError,
+)
--- /dev/null
+++ b/anvilflow/standins/_balancer.py
@@ -0,0 +1,28 @@
+"""Stand-in for the platform's balancer: spreads callers over instances that report health."""
+
+
+class Balancer:
+    """Chooses an entry instance for each connection, in turn.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        Callers' address of each instance.
+    """
+
+    def __init__(self, *, addresses):
+        self.addresses = dict(addresses)
+        self._healthy = list(addresses)
+        self._turn = 0
+
+    def set_healthy(self, names):
+        """Take the result of a health check."""
+        self._healthy = [name for name in self.addresses if name in names]
+
+    def choose(self):
+        """Return the name and address of the next instance, or None when none is healthy."""
+        if not self._healthy:
+            return None
+        self._turn += 1
+        name = self._healthy[self._turn % len(self._healthy)]
+        return name, self.addresses[name]
--- /dev/null
+++ b/anvilflow/standins/_faults.py
@@ -0,0 +1,53 @@
+"""Fault switches of a stand-in."""
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..exceptions import PlatformUnavailableError
+
+
+class Faults:
+    """What a stand-in does wrong just now.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+
+    Attributes
+    ----------
+    down : bool
+        Answers nothing but an error, and does nothing.
+    slow_s : float
+        Waits before it acts. Unit: seconds.
+    lose_answer : bool
+        Acts, and then answers with an error.
+    silent : bool
+        Neither acts nor answers.
+    fail_runs : bool
+        A worker fails everything that it starts, fast.
+    size_factor : float
+        A worker's tasks run this much longer than declared.
+    """
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_answer = False
+        self.silent = False
+        self.fail_runs = False
+        self.size_factor = 1.0
+
+    @inlineCallbacks
+    def around(self, act, *args, **kwargs):
+        """Call `act` as the switches say."""
+        if self.slow_s:
+            yield deferLater(self.clock, self.slow_s, lambda: None)
+        if self.silent:
+            yield Deferred()
+        if self.down:
+            raise PlatformUnavailableError("down")
+        result = yield act(*args, **kwargs)
+        if self.lose_answer:
+            raise PlatformUnavailableError("answer lost")
+        return result
--- /dev/null
+++ b/anvilflow/standins/_membership.py
@@ -0,0 +1,54 @@
+"""Stand-in for the platform's membership list, which lags."""
+
+from ..platform import MembershipList
+from ..utils import to_builtins
+from ._server import make_app
+
+
+class MembershipState:
+    """The list, shown as it was `lag_s` ago.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+    lag_s : float, default=0.5
+        Unit: seconds.
+    """
+
+    def __init__(self, *, clock, lag_s=0.5):
+        self.clock = clock
+        self.lag_s = lag_s
+        self._members = {}
+        self._shown = {}
+        self._pending = []
+
+    def put(self, member):
+        """Add or change a member."""
+        self._pending.append((self.clock.seconds() + self.lag_s, member.name, member))
+
+    def remove(self, name):
+        """Take a member off the list."""
+        self._pending.append((self.clock.seconds() + self.lag_s, name, None))
+
+    def settle(self):
+        """Show all changes now."""
+        self._pending = [(0.0, name, member) for _, name, member in self._pending]
+
+    def read(self):
+        """Return the list as shown now."""
+        now = self.clock.seconds()
+        while self._pending and self._pending[0][0] <= now:
+            _, name, member = self._pending.pop(0)
+            if member is None:
+                self._shown.pop(name, None)
+            else:
+                self._shown[name] = member
+        return MembershipList(members=list(self._shown.values()))
+
+
+class MembershipServer:
+    """Serves a :class:`MembershipState` over HTTP."""
+
+    def __init__(self, *, state, faults):
+        self.state = state
+        self.app = make_app({"members": lambda value: to_builtins(state.read())}, faults)
--- /dev/null
+++ b/anvilflow/standins/_network.py
@@ -0,0 +1,150 @@
+"""Connections in memory, under a virtual clock, that can be cut and silenced."""
+
+from twisted.internet.defer import fail, succeed
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionRefusedError
+from twisted.python.failure import Failure
+
+
+class _Pipe:
+    """One end's transport: what is written arrives at the other end after the delay, in order."""
+
+    disconnecting = False
+
+    def __init__(self, *, network, here, there):
+        self.network = network
+        self.here = here
+        self.there = there
+        self.other = None
+        self.protocol = None
+        self.closed = False
+
+    def write(self, data):
+        """Send bytes; over a silenced way they vanish."""
+        if not self.closed and not self.network.is_silent(self.here, self.there):
+            self.network.later(self.here, self.other.receive, data)
+
+    def receive(self, data):
+        """Hand bytes to this end's protocol."""
+        if not self.closed:
+            self.protocol.dataReceived(data)
+
+    def abortConnection(self):
+        """Close both ends; a silenced way carries no end either."""
+        if self.closed:
+            return
+        self._close(ConnectionAborted())
+        if not self.network.is_silent(self.here, self.there):
+            self.network.later(self.here, self.other.peer_closed)
+
+    loseConnection = abortConnection
+
+    def peer_closed(self):
+        """The other end closed."""
+        if not self.closed:
+            self._close(ConnectionDone())
+
+    def setTcpNoDelay(self, enabled):
+        """Nothing to do in memory."""
+
+    def registerProducer(self, producer, streaming):
+        """Never asks the producer to pause."""
+
+    def _close(self, reason):
+        self.closed = True
+        self.network.pipes.discard(self)
+        self.protocol.connectionLost(Failure(reason))
+
+
+class MemoryNetwork:
+    """Listens and dials between instances of one process.
+
+    Parameters
+    ----------
+    clock : Clock
+    random_state : random.Random
+    delay_s : float, default=0.001
+        Least delay one way; up to as much again is added at random. Unit: seconds.
+    """
+
+    def __init__(self, *, clock, random_state, delay_s=0.001):
+        self.clock = clock
+        self.random_state = random_state
+        self.delay_s = delay_s
+        self.pipes = set()
+        self._listeners = {}
+        self._silent = set()
+        self._arrivals = {}
+
+    def at(self, name):
+        """Return the network as seen by the instance `name`."""
+        return _View(network=self, name=name)
+
+    def silence(self, here, there):
+        """Let nothing through from `here` to `there` any more, on old and new connections."""
+        self._silent.add((here, there))
+
+    def heal(self):
+        """Let everything through again."""
+        self._silent.clear()
+
+    def is_silent(self, here, there):
+        """Whether the way is silenced."""
+        return (here, there) in self._silent
+
+    def later(self, here, call, *args):
+        """Call after the delay, not before what was sent earlier from the same place."""
+        now = self.clock.seconds()
+        arrival = now + self.delay_s * (1 + self.random_state.random())
+        arrival = max(arrival, self._arrivals.get(here, 0.0))
+        self._arrivals[here] = arrival
+        self.clock.callLater(arrival - now, call, *args)
+
+    def listen(self, name, factory):
+        """Accept connections to `name`."""
+        self._listeners[name] = factory
+        return _Port(network=self, name=name)
+
+    def forget(self, name):
+        """Accept no more."""
+        self._listeners.pop(name, None)
+
+    def dial(self, here, there, protocol):
+        """Connect `protocol` to the instance `there`."""
+        if there not in self._listeners or self.is_silent(here, there):
+            return fail(ConnectionRefusedError())
+        near = _Pipe(network=self, here=here, there=there)
+        far = _Pipe(network=self, here=there, there=here)
+        near.other, far.other = far, near
+        near.protocol, far.protocol = protocol, self._listeners[there].buildProtocol(None)
+        self.pipes |= {near, far}
+        for pipe in (near, far):
+            pipe.protocol.makeConnection(pipe)
+        return succeed(protocol)
+
+
+class _Port:
+    def __init__(self, *, network, name):
+        self.network = network
+        self.name = name
+
+    def stopListening(self):
+        """Accept no more."""
+        self.network.forget(self.name)
+
+
+class _View:
+    """The network as one instance uses it."""
+
+    def __init__(self, *, network, name):
+        self.network = network
+        self.name = name
+
+    def listen(self, address, factory):
+        """Listen for peers; the HTTP listeners are not part of the virtual network."""
+        if not hasattr(factory, "make_link"):
+            return _Port(network=self.network, name=""), address
+        return self.network.listen(self.name, factory), self.name
+
+    def dial(self, address, protocol, timeout):
+        """Connect to the instance whose address is its name."""
+        return self.network.dial(self.name, address, protocol)
--- /dev/null
+++ b/anvilflow/standins/_virtual_cell.py
@@ -0,0 +1,181 @@
+"""A whole cell under a virtual clock: the real parts on stand-ins in memory."""
+
+from random import Random
+
+from twisted.internet.task import Clock
+
+from ..history import Answered, History, Sent, TargetLeaving
+from ..parts import Bus, Context, Daemon, RequestCall
+from ..platform import MemberInfo, ResourceStore
+from ..settings import InstanceSettings, ListenSettings, PlatformSettings, Settings
+from ..utils import decode_lenient, encode
+from ._faults import Faults
+from ._membership import MembershipState
+from ._network import MemoryNetwork
+from ._table import MemoryTable, TableState
+from ._worker import MemoryWorker, WorkerState
+
+#: Step of the virtual clock. Unit: seconds.
+STEP_S = 0.005
+
+_ANY = "127.0.0.1:0"
+
+
+class _MemoryMembership:
+    """The interface of :class:`MembershipClient` on a :class:`MembershipState`."""
+
+    def __init__(self, *, state, faults):
+        self.state = state
+        self.faults = faults
+
+    def read(self):
+        """Return the list."""
+        return self.faults.around(self.state.read)
+
+
+class VirtualCell:
+    """Instances, workers and the platform in one process and virtual time.
+
+    Parameters
+    ----------
+    n_instances, n_workers : int
+    capacity : Amounts
+        Of each worker.
+    declarations : list of resources
+        In the table from the start.
+    random_state : int, default=0
+        The same seed gives the same run, event by event.
+    sections : dict, default=None
+        Settings sections that differ from the defaults.
+    """
+
+    def __init__(
+        self, *, n_instances, n_workers, capacity, declarations, random_state=0, sections=None
+    ):
+        self.n_instances = n_instances
+        self.n_workers = n_workers
+        self.capacity = capacity
+        self.declarations = declarations
+        self.random_state = Random(random_state)
+        self.sections = sections or {}
+        self.clock = Clock()
+        self.history = History(clock=self.clock)
+        self.network = MemoryNetwork(clock=self.clock, random_state=self.random_state)
+        self.table = TableState()
+        self.table_faults = Faults(clock=self.clock)
+        self.membership = MembershipState(clock=self.clock)
+        self.membership_faults = Faults(clock=self.clock)
+        self.daemons = {}
+        self.workers = {}
+        self.errors = []
+        self._n_tokens = 0
+
+    def start(self):
+        """Start everything and let it settle."""
+        self.table.declare(self.declarations)
+        for number in range(self.n_workers):
+            self._start_worker(f"w{number + 1:02d}")
+        for number in range(self.n_instances):
+            self.start_instance(f"a{number + 1}")
+        self.membership.settle()
+        self.advance(2.0)
+
+    def start_instance(self, name):
+        """Start an instance and put it on the list."""
+        settings = Settings(
+            instance=InstanceSettings(name=name, failure_domain="d1"),
+            listen=ListenSettings(callers=_ANY, operators=_ANY, peers=_ANY),
+            platform=PlatformSettings(table=_ANY, membership=_ANY),
+            **self.sections,
+        )
+        table = MemoryTable(state=self.table, faults=self.table_faults)
+        context = Context(
+            settings=settings,
+            clock=self.clock,
+            bus=Bus(on_failure=None),
+            network=self.network.at(name),
+            table=table,
+            membership=_MemoryMembership(state=self.membership, faults=self.membership_faults),
+            resources=ResourceStore(table=table),
+            make_worker=lambda member: MemoryWorker(state=self.workers[member.name]),
+            random_state=Random(self.random_state.getrandbits(64)),
+            history=self.history,
+        )
+        daemon = Daemon(context=context, give_up=self.errors.append)
+        daemon.start()
+        self.daemons[name] = daemon
+        self.membership.put(
+            MemberInfo(name=name, role="instance", address=name, failure_domain="d1")
+        )
+        return daemon
+
+    def crash_instance(self, name):
+        """Cut an instance off; the list learns of it late."""
+        daemon = self.daemons.pop(name)
+        daemon.crash()
+        self.membership.remove(name)
+
+    def worker_leaves(self, name):
+        """Mark a worker as leaving on the list."""
+        member = self._worker_info(name)
+        member.state = "leaving"
+        self.membership.put(member)
+        self.history.add(TargetLeaving, worker=name)
+
+    def advance(self, seconds):
+        """Let virtual time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def owner_of(self, worker):
+        """Return the name of the instance whose epoch the worker accepts."""
+        return self.workers[worker].owner
+
+    def part(self, instance, name):
+        """Return a part of an instance."""
+        return self.daemons[instance].supervisor.part(name)
+
+    def request(self, entry, customer, workload, *, seconds=0.01, token=None, **values):
+        """Send a request to an entry instance; return a list that gets the answer."""
+        if token is None:
+            self._n_tokens += 1
+            token = f"t{self._n_tokens}"
+        payload = encode({"token": token, "seconds": seconds}).decode()
+        call = RequestCall(customer=customer, workload=workload, payload=payload, **values)
+        idempotent = values.get("idempotent", True)
+        self.history.add(Sent, token=token, idempotent=idempotent)
+        answers = []
+        done = self.part(entry, "entry").serve(call)
+        done.addCallback(self._answered, token, answers)
+        return answers
+
+    def submit(self, entry, job):
+        """Submit a job at an entry instance; return a list that gets the answer or the error."""
+        answers = []
+        self.part(entry, "entry").submit(job).addBoth(answers.append)
+        return answers
+
+    def job(self, customer, name):
+        """Return a job as the first instance sees it."""
+        daemon = next(iter(self.daemons.values()))
+        return daemon.context.catalog.get(f"Job/{customer}/{name}")
+
+    def _answered(self, answer, token, answers):
+        echoed = decode_lenient(answer.result)["token"] if answer.outcome == "completed" else ""
+        self.history.add(Answered, token=token, outcome=answer.outcome, echoed=echoed)
+        answers.append(answer)
+
+    def _start_worker(self, name):
+        self.workers[name] = WorkerState(
+            clock=self.clock,
+            name=name,
+            capacity=self.capacity,
+            faults=Faults(clock=self.clock),
+            history=self.history,
+        )
+        self.membership.put(self._worker_info(name))
+
+    def _worker_info(self, name):
+        return MemberInfo(
+            name=name, role="worker", address=name, failure_domain="d1", capacity=self.capacity
+        )
--- /dev/null
+++ b/anvilflow/utils/_timing.py
@@ -0,0 +1,61 @@
+"""Repeating calls on an injected clock."""
+
+
+def jitter(random_state, delay, *, spread=0.2):
+    """Return `delay` moved by up to `spread` either way, so that instances do not act in step."""
+    return delay * (1 + spread * (2 * random_state.random() - 1))
+
+
+class Ticker:
+    """Call a function again and again, each time a while after the last call ended.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Source of time and delayed calls.
+    period : float
+        Seconds between the end of one call and the next.
+    call : callable
+        Called without arguments; may return a Deferred, whose end is awaited.
+    on_error : callable
+        Called with the Failure when `call` fails; the ticker goes on.
+    """
+
+    def __init__(self, *, clock, period, call, on_error):
+        self.clock = clock
+        self.period = period
+        self.call = call
+        self.on_error = on_error
+        self._delayed = None
+        self._stopped = True
+
+    def start(self, *, delay=0):
+        """Make the first call after `delay` seconds."""
+        self._stopped = False
+        self._delayed = self.clock.callLater(delay, self._run)
+
+    def stop(self):
+        """Make no further call."""
+        self._stopped = True
+        if self._delayed is not None and self._delayed.active():
+            self._delayed.cancel()
+        self._delayed = None
+
+    def hurry(self):
+        """Make the next call now unless one is running."""
+        if self._delayed is not None and self._delayed.active():
+            self._delayed.reset(0)
+
+    def _run(self):
+        # The import is here because twisted.internet.defer pulls in the whole of Twisted, which
+        # the pure packages that import `utils` do without.
+        from twisted.internet.defer import maybeDeferred
+
+        self._delayed = None
+        done = maybeDeferred(self.call)
+        done.addErrback(self.on_error)
+        done.addBoth(self._again)
+
+    def _again(self, _):
+        if not self._stopped:
+            self._delayed = self.clock.callLater(self.period, self._run)
