Failure tests under virtual time, and each safeguard taken out once

Cause: the promises had a mechanism but nothing that caused their failure. Found on the way: the in-memory network answered for a paused process (its far end said hello), which kept it live for ever; calls to a stand-in returned into a paused process.

--- /dev/null
+++ b/anvilflow/parts/tests/test_safeguards.py
@@ -0,0 +1,197 @@
+"""Each safeguard earns its place: the same failure with it, and with it taken out."""
+
+import pytest
+
+from anvilflow.decisions import LeaseClock, OwnerBook, Rooms
+from anvilflow.history import check_history
+from anvilflow.parts import HomePart, StorePart
+from anvilflow.parts._events import CommitAsk
+from anvilflow.standins import WorkerState
+
+from ._helpers import make_cell, make_job, phase_of
+
+
+def broken_promises(cell):
+    """Return the promises that the history shows broken."""
+    verdicts = check_history(cell.history.events, ended_at=cell.clock.seconds())
+    return [verdict.promise for verdict in verdicts if not verdict.held]
+
+
+def expected(safeguard, promise):
+    """Return the promises that are broken without the safeguard."""
+    return [] if safeguard else [promise]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_epoch_refuses_the_start_of_a_former_owner(monkeypatch, safeguard):
+    """A start is under way to a worker for longer than it takes to replace its sender.
+
+    The next owner claims the worker and does not see the task there; its home places it again.
+    Then the old start arrives. The worker refuses it only because of its epoch.
+    """
+    if not safeguard:
+        monkeypatch.setattr(WorkerState, "_check_epoch", lambda self, epoch: None)
+    cell = make_cell()
+    lost = [name for name in cell.workers if cell.owner_of(name) == "a2"]
+    job = make_job("j1", "refresh", 36, seconds=6.0)
+    cell.submit("a1", job)
+    while not any(cell.workers[name].tasks for name in set(cell.workers) - set(lost)):
+        for name in lost:
+            cell.workers[name].faults.slow_s = 6.0
+        cell.advance(0.005)
+    cell.advance(0.02)
+    cell.crash_instance("a2")
+    for name in lost:
+        cell.workers[name].faults.slow_s = 0.0
+    cell.advance(30.0)
+    assert ("no task in two places" in broken_promises(cell)) is not safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_row_of_the_home_refuses_intents_of_a_former_home(monkeypatch, safeguard):
+    """A home is paused with its intents on the way to a slow table.
+
+    Another home takes the jobs over, sees no intent, and places and starts the tasks. Then the
+    old intents arrive. Written over the new ones they would lead the next home to the wrong
+    workers: it would find nothing there and start the tasks a second time.
+    """
+    if not safeguard:
+
+        def commit(self, home, customer, writes, done):
+            self.post(CommitAsk(conditions=[], writes=writes, done=done))
+
+        monkeypatch.setattr(HomePart, "_commit", commit)
+    cell = make_cell(n_instances=5, n_workers=12)
+    cell.submit("a1", make_job("j1", "refresh", 24, seconds=9.0))
+    first = wait_for_home(cell)
+    cell.table_faults.slow_s = 2.5
+    cell.advance(0.1)
+    cell.pause_instance(first)
+    cell.table_faults.slow_s = 0.0
+    cell.advance(2.6)
+    cell.daemons.pop(first)
+    cell.crash_instance(wait_for_home(cell))
+    cell.advance(30.0)
+    assert broken_promises(cell) == expected(safeguard, "no task in two places")
+
+
+def wait_for_home(cell):
+    """Let time pass until an instance is home of the large customer; return its name."""
+    while True:
+        for name, daemon in cell.daemons.items():
+            if daemon.supervisor.part("home").dump().get("large"):
+                return name
+        cell.advance(0.005)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_unanswered_request_keeps_its_place(monkeypatch, safeguard):
+    """Requests run far longer than declared; their callers' deadlines pass, they run on.
+
+    Their places must stay taken until the worker's report no longer names them, or the next
+    requests would be placed on top of them.
+    """
+    if not safeguard:
+
+        def overdue(self, request_id):
+            return self.finished(request_id, 0.0)
+
+        monkeypatch.setattr(OwnerBook, "overdue", overdue)
+    cell = make_cell(n_workers=2)
+    for _ in range(40):
+        for customer in ("small", "large"):
+            cell.request("a1", customer, "lookup", seconds=20.0, deadline_s=0.5)
+        cell.advance(0.1)
+    cell.advance(1.0)
+    assert broken_promises(cell) == expected(safeguard, "no worker over its capacity")
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_new_owner_accounts_what_it_finds(monkeypatch, safeguard):
+    """An owner dies while its workers are full of running tasks.
+
+    The next owner must count what the worker says that runs there before it places anything.
+    """
+    if not safeguard:
+        add_worker = OwnerBook.add_worker
+
+        def forgetful(self, room, now, *, tasks=(), requests=()):
+            return add_worker(self, room, now)
+
+        monkeypatch.setattr(OwnerBook, "add_worker", forgetful)
+    cell = make_cell()
+    for number in range(2):
+        cell.submit("a1", make_job(f"j{number}", "refresh", 60, seconds=9.0))
+    cell.advance(2.0)
+    cell.crash_instance("a2")
+    cell.advance(4.0)
+    assert ("no worker over its capacity" in broken_promises(cell)) is not safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_lease_on_the_workers_clock_is_not_made_longer_by_delay(safeguard):
+    """A renewal is under way for 20 s. It names a moment on the worker's clock, so it is stale.
+
+    A renewal of the form "15 s from now" would let the task run on after its sender reckoned it
+    over and placed it elsewhere.
+    """
+    sent, delay, lease = 100.0, 20.0, 15.0
+    clock = LeaseClock(worker_time=50.0, sent=sent - 1, received=sent)
+    until = clock.until(now=sent, lease_s=lease) if safeguard else 50.0 + delay + lease
+    over_at = clock.own_time_of(clock.until(now=sent, lease_s=lease), drift=0.01)
+    worker_time_then = 50.0 + (over_at - sent) * 0.99
+    assert (until <= worker_time_then + 0.01 * lease) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_group_commit_splits_a_refused_group(monkeypatch, safeguard):
+    """Two customers' records share a transaction, and one customer's home was taken over.
+
+    The one refused condition refuses the whole transaction. Apart, the other's records go through
+    and its job completes.
+    """
+    if not safeguard:
+
+        def commit_group(self, group):
+            def settle(error):
+                for ask in group:
+                    ask.done(error)
+
+            return self._commit(group).addCallback(settle)
+
+        monkeypatch.setattr(StorePart, "_commit_group", commit_group)
+    cell = make_cell(n_instances=1)
+    results = []
+    good = CommitAsk(conditions=[], writes=[], done=results.append)
+    stale = CommitAsk(conditions=[_stale_condition()], writes=[], done=lambda error: None)
+    for ask in (good, stale):
+        cell.daemons["a1"].context.bus.post(ask)
+    cell.advance(1.0)
+    assert (results == [None]) is safeguard
+
+
+def _stale_condition():
+    from anvilflow.platform import Condition
+
+    return Condition(key="home/other", version=7)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_reserve_keeps_room_for_requests(safeguard):
+    """A batch fills the cell; a small customer's request still finds a place at once."""
+    rooms = Rooms(reserve=0.25 if safeguard else 0.0)
+    book = OwnerBook(reserve=rooms.reserve)
+    cell = make_cell(n_instances=1)
+    from anvilflow.resources import Policy, ServicePolicy
+
+    policy = Policy(name="interactive", rules=ServicePolicy(reserve=book.rooms.reserve))
+    done = cell.daemons["a1"].context.resources.write("Policy/interactive", policy)
+    cell.advance(2.0)
+    assert done.called
+    job = make_job("j1", "refresh", 100, seconds=30.0)
+    cell.submit("a1", job)
+    cell.advance(3.0)
+    answers = cell.request("a1", "small", "lookup", deadline_s=2.0)
+    cell.advance(1.0)
+    assert phase_of(cell, job)[0] == "running"
+    assert bool(answers) is safeguard
--- a/anvilflow/peers/_codec.py
+++ b/anvilflow/peers/_codec.py
@@ -12,7 +12,8 @@
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES, container_length_limit=1_000_000
 )
-_FIELD_OF = {spec[3][0]: spec[2] for spec in ttypes.Message.thrift_spec if spec is not None}
+_SPEC = ttypes.Message.thrift_spec  # type: ignore[attr-defined]
+_FIELD_OF = {spec[3][0]: spec[2] for spec in _SPEC if spec is not None}
 _FIELDS = tuple(_FIELD_OF.values())
 
 
--- a/anvilflow/standins/_faults.py
+++ b/anvilflow/standins/_faults.py
@@ -20,7 +20,7 @@
     slow_s : float
         Waits before it acts. Unit: seconds.
     lose_answer : bool
-        Acts, and then answers with an error.
+        Acts, and then answers with an error; only for calls that change something.
     silent : bool
         Neither acts nor answers.
     fail_runs : bool
@@ -39,15 +39,20 @@
         self.size_factor = 1.0
 
     @inlineCallbacks
-    def around(self, act, *args, **kwargs):
-        """Call `act` as the switches say."""
+    def around(self, act, *args, changes=True):
+        """Call `act` as the switches say; `changes`: whether it changes anything."""
         if self.slow_s:
             yield deferLater(self.clock, self.slow_s, lambda: None)
         if self.silent:
             yield Deferred()
         if self.down:
             raise PlatformUnavailableError("down")
-        result = yield act(*args, **kwargs)
-        if self.lose_answer:
+        result = yield act(*args)
+        if self.lose_answer and changes:
             raise PlatformUnavailableError("answer lost")
         return result
+
+
+def answered_on(clock, done):
+    """Deliver the result of `done` on the caller's own clock, so that its pause holds it back."""
+    return done.addBoth(lambda result: deferLater(clock, 0, lambda: result))
--- a/anvilflow/standins/_network.py
+++ b/anvilflow/standins/_network.py
@@ -21,7 +21,7 @@
     def write(self, data):
         """Send bytes; over a silenced way they vanish."""
         if not self.closed and not self.network.is_silent(self.here, self.there):
-            self.network.later(self.here, self.other.receive, data)
+            self.network.later(self.here, self.there, self.other.receive, data)
 
     def receive(self, data):
         """Hand bytes to this end's protocol."""
@@ -34,7 +34,7 @@
             return
         self._close(ConnectionAborted())
         if not self.network.is_silent(self.here, self.there):
-            self.network.later(self.here, self.other.peer_closed)
+            self.network.later(self.here, self.there, self.other.peer_closed)
 
     loseConnection = abortConnection
 
@@ -52,7 +52,8 @@
     def _close(self, reason):
         self.closed = True
         self.network.pipes.discard(self)
-        self.protocol.connectionLost(Failure(reason))
+        if self.protocol.transport is not None:
+            self.protocol.connectionLost(Failure(reason))
 
 
 class MemoryNetwork:
@@ -74,6 +75,7 @@
         self._listeners = {}
         self._silent = set()
         self._arrivals = {}
+        self._clocks = {}
 
     def at(self, name):
         """Return the network as seen by the instance `name`."""
@@ -91,13 +93,17 @@
         """Whether the way is silenced."""
         return (here, there) in self._silent
 
-    def later(self, here, call, *args):
+    def add_clock(self, name, clock):
+        """Deliver to the instance `name` on its own clock, so that its pause holds back bytes."""
+        self._clocks[name] = clock
+
+    def later(self, here, there, call, *args):
         """Call after the delay, not before what was sent earlier from the same place."""
         now = self.clock.seconds()
         arrival = now + self.delay_s * (1 + self.random_state.random())
         arrival = max(arrival, self._arrivals.get(here, 0.0))
         self._arrivals[here] = arrival
-        self.clock.callLater(arrival - now, call, *args)
+        self._clocks.get(there, self.clock).callLater(arrival - now, call, *args)
 
     def listen(self, name, factory):
         """Accept connections to `name`."""
@@ -117,10 +123,15 @@
         near.other, far.other = far, near
         near.protocol, far.protocol = protocol, self._listeners[there].buildProtocol(None)
         self.pipes |= {near, far}
-        for pipe in (near, far):
-            pipe.protocol.makeConnection(pipe)
+        near.protocol.makeConnection(near)
+        # The kernel accepts for a paused process; its side of the connection begins on its clock.
+        self.later(here, there, self._accept, far)
         return succeed(protocol)
 
+    def _accept(self, pipe):
+        if not pipe.closed:
+            pipe.protocol.makeConnection(pipe)
+
 
 class _Port:
     def __init__(self, *, network, name):
--- /dev/null
+++ b/anvilflow/standins/_pausable_clock.py
@@ -0,0 +1,76 @@
+"""A clock whose calls can be held back, as those of a paused process are."""
+
+
+class _Call:
+    """A delayed call that is held back while the clock is paused."""
+
+    __slots__ = ("_clock", "_inner", "_state", "args", "call", "kwargs")
+
+    def __init__(self, *, clock, delay, call, args, kwargs):
+        self.call = call
+        self.args = args
+        self.kwargs = kwargs
+        self._clock = clock
+        self._state = "waiting"
+        self._inner = clock.inner.callLater(delay, self._fire)
+
+    def active(self):
+        """Whether the call is still to come."""
+        return self._state != "over"
+
+    def cancel(self):
+        """Do not call."""
+        if self._inner.active():
+            self._inner.cancel()
+        self._state = "over"
+
+    def reset(self, delay):
+        """Call after `delay` from now instead."""
+        if self._state == "waiting":
+            self._inner.reset(delay)
+
+    def run(self):
+        """Call, unless cancelled while held back."""
+        if self._state != "over":
+            self._state = "over"
+            self.call(*self.args, **self.kwargs)
+
+    def _fire(self):
+        if self._clock.paused:
+            self._state = "held"
+            self._clock.held.append(self)
+        else:
+            self.run()
+
+
+class PausableClock:
+    """One instance's view of the shared virtual clock.
+
+    Parameters
+    ----------
+    inner : Clock
+    """
+
+    def __init__(self, *, inner):
+        self.inner = inner
+        self.paused = False
+        self.held = []
+
+    def seconds(self):
+        """Return the shared time: a paused process finds on waking that time went on."""
+        return self.inner.seconds()
+
+    def callLater(self, delay, call, *args, **kwargs):
+        """Call after `delay`, or as soon as the pause is over."""
+        return _Call(clock=self, delay=delay, call=call, args=args, kwargs=kwargs)
+
+    def pause(self):
+        """Hold back all calls."""
+        self.paused = True
+
+    def resume(self):
+        """Make the calls that were held back, in their order."""
+        self.paused = False
+        held, self.held = self.held, []
+        for call in held:
+            call.run()
--- a/anvilflow/standins/_table.py
+++ b/anvilflow/standins/_table.py
@@ -8,6 +8,7 @@
 from ..platform import Row
 from ..resources import resource_key
 from ..utils import to_builtins
+from ._faults import answered_on
 from ._server import make_app
 
 
@@ -130,9 +131,10 @@
 class MemoryTable:
     """The interface of :class:`TableClient` on a :class:`TableState` in the same process."""
 
-    def __init__(self, *, state, faults):
+    def __init__(self, *, state, faults, clock):
         self.state = state
         self.faults = faults
+        self.clock = clock
         self.n_reads = 0
         self.n_commits = 0
         self.n_written = 0
@@ -141,14 +143,14 @@
     def read(self, keys):
         """Return the rows at `keys`."""
         self.n_reads += 1
-        rows = yield self.faults.around(self.state.read, list(keys))
+        rows = yield self._call(self.state.read, list(keys), changes=False)
         return [Row(key=key, version=version, value=value) for key, version, value in rows]
 
     @inlineCallbacks
     def scan(self, prefix, *, after="", limit=500):
         """Return a page of the rows under `prefix`."""
         self.n_reads += 1
-        rows = yield self.faults.around(self.state.scan, prefix, after, limit)
+        rows = yield self.faults.around(self.state.scan, prefix, after, limit, changes=False)
         return [Row(key=key, version=version, value=value) for key, version, value in rows]
 
     @inlineCallbacks
@@ -162,9 +164,12 @@
         """Write all or nothing."""
         self.n_commits += 1
         self.n_written += len(writes)
-        version = yield self.faults.around(
+        version = yield self._call(
             self.state.commit,
             [(item.key, item.version) for item in conditions],
             [(item.key, to_builtins(item.value)) for item in writes],
         )
         return version
+
+    def _call(self, act, *args, changes=True):
+        return answered_on(self.clock, self.faults.around(act, *args, changes=changes))
--- a/anvilflow/standins/_virtual_cell.py
+++ b/anvilflow/standins/_virtual_cell.py
@@ -12,6 +12,7 @@
 from ._faults import Faults
 from ._membership import MembershipState
 from ._network import MemoryNetwork
+from ._pausable_clock import PausableClock
 from ._table import MemoryTable, TableState
 from ._worker import MemoryWorker, WorkerState
 
@@ -67,6 +68,7 @@
         self.membership_faults = Faults(clock=self.clock)
         self.daemons = {}
         self.workers = {}
+        self.clocks = {}
         self.errors = []
         self._n_tokens = 0
 
@@ -88,16 +90,19 @@
             platform=PlatformSettings(table=_ANY, membership=_ANY),
             **self.sections,
         )
-        table = MemoryTable(state=self.table, faults=self.table_faults)
+        clock = PausableClock(inner=self.clock)
+        table = MemoryTable(state=self.table, faults=self.table_faults, clock=clock)
+        self.clocks[name] = clock
+        self.network.add_clock(name, clock)
         context = Context(
             settings=settings,
-            clock=self.clock,
+            clock=clock,
             bus=Bus(on_failure=None),
             network=self.network.at(name),
             table=table,
             membership=_MemoryMembership(state=self.membership, faults=self.membership_faults),
             resources=ResourceStore(table=table),
-            make_worker=lambda member: MemoryWorker(state=self.workers[member.name]),
+            make_worker=lambda member: MemoryWorker(state=self.workers[member.name], clock=clock),
             random_state=Random(self.random_state.getrandbits(64)),
             history=self.history,
         )
@@ -115,6 +120,14 @@
         daemon.crash()
         self.membership.remove(name)
 
+    def pause_instance(self, name):
+        """Stop an instance in its tracks, as SIGSTOP does."""
+        self.clocks[name].pause()
+
+    def resume_instance(self, name):
+        """Let it go on; it does not know that time has passed."""
+        self.clocks[name].resume()
+
     def worker_leaves(self, name):
         """Mark a worker as leaving on the list."""
         member = self._worker_info(name)
--- a/anvilflow/standins/_worker.py
+++ b/anvilflow/standins/_worker.py
@@ -6,7 +6,7 @@
 
 from random import Random
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from ..exceptions import AnvilflowError, WorkerRefusedError, WorkerUnreachableError
@@ -14,6 +14,7 @@
 from ..platform import ClaimReport, FinishedTask, SyncReport
 from ..resources import Amounts
 from ..utils import decode_lenient, encode
+from ._faults import answered_on
 from ._server import make_app
 
 
@@ -215,8 +216,9 @@
 class MemoryWorker:
     """The interface of :class:`WorkerClient` on a :class:`WorkerState` in the same process."""
 
-    def __init__(self, *, state):
+    def __init__(self, *, state, clock):
         self.state = state
+        self.clock = clock
         self.epoch = 0
 
     @inlineCallbacks
@@ -244,9 +246,16 @@
 
     @inlineCallbacks
     def request(self, *, request_id, workload, needs, payload, timeout):
-        """Run a request."""
+        """Run a request; after `timeout` it runs on, unanswered."""
+        answer = Deferred()
+        self._call(self.state.request, self.epoch, request_id, needs, payload).addBoth(
+            answer.callback
+        )
+        answer.addTimeout(timeout, self.clock)
         try:
-            result = yield self._call(self.state.request, self.epoch, request_id, needs, payload)
+            result = yield answer
+        except TimeoutError as exc:
+            raise WorkerUnreachableError("no answer in time") from exc
         except (WorkerRefusedError, WorkerUnreachableError):
             raise
         except AnvilflowError as exc:
@@ -256,7 +265,7 @@
     @inlineCallbacks
     def _call(self, act, *args):
         try:
-            result = yield self.state.faults.around(act, *args)
+            result = yield answered_on(self.clock, self.state.faults.around(act, *args))
         except WorkerRefusedError:
             raise
         except AnvilflowError as exc:
