--- a/anvilflow/decisions/_owner.py
+++ b/anvilflow/decisions/_owner.py
@@ -120,7 +120,7 @@
 
     # Workers
 
-    def add_worker(self, room, now, *, tasks=(), requests=()):
+    def add_worker(self, room, now, *, tasks=(), requests=(), leaving=False):
         """Place work on a worker from now on.
 
         Parameters
@@ -129,8 +129,12 @@
         now : float
         tasks, requests : iterable of (str, Amounts)
             What already runs there, as the worker itself says.
+        leaving : bool, default=False
+            Account what runs there, and place nothing.
         """
         self.rooms.add(room)
+        if leaving:
+            self.rooms.close(room.worker)
         self._total_slots += room.capacity.slots
         for hold_id, needs in tasks:
             self._account_task(hold_id, needs, room.worker)
--- a/anvilflow/decisions/_rooms.py
+++ b/anvilflow/decisions/_rooms.py
@@ -279,10 +279,12 @@
         return sum(getattr(room.capacity, name) for room in self._rooms.values())
 
     def total_free(self, name, *, task):
-        """Return the free amount of resource `name` over all workers."""
+        """Return the free amount of resource `name` over the workers that are open."""
         number = RESOURCE_NAMES.index(name)
         return sum(
-            max(0, (room.task_free if task else room.free)[number]) for room in self._rooms.values()
+            max(0, (room.task_free if task else room.free)[number])
+            for room in self._rooms.values()
+            if room.bit & self._live
         )
 
     def _bounds(self, room, task):
--- a/anvilflow/history/_checker.py
+++ b/anvilflow/history/_checker.py
@@ -130,15 +130,22 @@
 
 
 def _check_not_run(events):
-    """A request that was answered "not run" did not run, before or after the answer."""
+    """A request that was answered "not run" did not run, before or after the answer.
+
+    Of one that the caller repeated under its key another call may have run; it is not judged.
+    """
     refused = {}
     ran = set()
+    n_sent = defaultdict(int)
     for event in events:
         match event:
+            case Sent(token=token):
+                n_sent[token] += 1
             case Answered(outcome=Outcome.NOT_RUN, token=token):
                 refused[token] = event.at
             case RunBegan(token=token) if token:
                 ran.add(token)
+    refused = {token: at for token, at in refused.items() if n_sent[token] == 1}
     broken = [f"{token} ran although answered not run" for token in refused if token in ran]
     return Verdict(promise="not run is certain", n_checked=len(refused), broken=broken)
 
@@ -175,19 +182,22 @@
 def _check_nothing_cut_off(events):
     """No request in progress is cut off: each that was sent got exactly one final answer."""
     answers = defaultdict(int)
+    n_sent = defaultdict(int)
     broken = []
     n_checked = 0
     for event in events:
         match event:
             case Sent():
                 n_checked += 1
-                answers[event.token] += 0
+                n_sent[event.token] += 1
             case Answered(token=token):
                 answers[token] += 1
                 if event.outcome == "cut":
                     broken.append(f"{token} was cut off at {event.at:.3f}")
     broken += [
-        f"{token} was answered {count} times" for token, count in answers.items() if count != 1
+        f"{token} was sent {count} times and answered {answers[token]} times"
+        for token, count in n_sent.items()
+        if answers[token] != count
     ]
     return Verdict(promise="no request is cut off", n_checked=n_checked, broken=broken)
 
--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -162,7 +162,7 @@
 
     @inlineCallbacks
     def _serve(self, call, idempotent):
-        request_id = uuid.uuid4().hex
+        request_id = uuid.UUID(int=self.context.random_state.getrandbits(128)).hex
         limit = call.deadline_s or self.context.settings.timing.default_deadline_s
         deadline = self.now + limit
         if idempotent or not call.idempotency_key:
@@ -180,6 +180,7 @@
         self.context.retries.earn()
         tried = []
         answer = None
+        may_have_run = False
         for attempt in range(_MAX_ATTEMPTS):
             owner = self._choose_owner(tried)
             if owner is None:
@@ -187,6 +188,10 @@
             tried.append(owner)
             answer = yield self._attempt(call, f"{request_id}#{attempt}", owner, deadline)
             answer.request_id = request_id
+            may_have_run = may_have_run or answer.outcome == Outcome.UNKNOWN
+            if may_have_run and answer.outcome == Outcome.NOT_RUN:
+                # Only this attempt did not run: an earlier one gave no answer and may have.
+                answer.outcome = Outcome.UNKNOWN.value
             if not self._try_again(answer, idempotent, deadline):
                 return answer
             self.context.metrics.retries.inc()
--- a/anvilflow/parts/_home.py
+++ b/anvilflow/parts/_home.py
@@ -1,5 +1,7 @@
 """Home of customers' jobs: asks owners for places and records what happens to tasks."""
 
+from collections import deque
+
 from twisted.internet.defer import inlineCallbacks
 
 from ..decisions import (
@@ -79,6 +81,8 @@
         self._loading = set()
         self._submitted = {}
         self._stopped = False
+        self._actions = deque()
+        self._acting = False
 
     def start(self):
         """Take messages and customers."""
@@ -299,27 +303,38 @@
             self._act(home, home.book.tick(self.now))
 
     def _act(self, home, messages):
-        for message in messages:
-            match message:
-                case AskHold():
-                    self._ask_hold(home, message)
-                case ReleaseHold(hold_id=hold_id):
-                    owner = home.owners.pop(hold_id, None)
-                    if owner is not None:
-                        self.context.send(owner, HoldRelease(hold_id=hold_id))
-                case RecordIntent():
-                    self._record_intent(home, message)
-                case StartTask():
-                    self._start_task(home, message)
-                case StopTask(hold_id=hold_id, worker=worker):
-                    home.stopping[hold_id] = worker
-                    self._send_stop(hold_id, worker)
-                case RecordEnd():
-                    self._record_end(home, message)
-                case AckTask(hold_id=hold_id):
-                    self._acknowledge(home, hold_id)
-                case EndJob():
-                    self._write_phase(home, message)
+        """Carry out decisions in the order in which they were made, see ``OwnerPart._act``."""
+        self._actions.extend((home, message) for message in messages)
+        if self._acting:
+            return
+        self._acting = True
+        try:
+            while self._actions:
+                self._carry_out(*self._actions.popleft())
+        finally:
+            self._acting = False
+
+    def _carry_out(self, home, message):
+        match message:
+            case AskHold():
+                self._ask_hold(home, message)
+            case ReleaseHold(hold_id=hold_id):
+                owner = home.owners.pop(hold_id, None)
+                if owner is not None:
+                    self.context.send(owner, HoldRelease(hold_id=hold_id))
+            case RecordIntent():
+                self._record_intent(home, message)
+            case StartTask():
+                self._start_task(home, message)
+            case StopTask(hold_id=hold_id, worker=worker):
+                home.stopping[hold_id] = worker
+                self._send_stop(hold_id, worker)
+            case RecordEnd():
+                self._record_end(home, message)
+            case AckTask(hold_id=hold_id):
+                self._acknowledge(home, hold_id)
+            case EndJob():
+                self._write_phase(home, message)
 
     def _ask_hold(self, home, message):
         hold = message.hold
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -1,5 +1,7 @@
 """Owner of workers: places work on them, renews leases and reads reports."""
 
+from collections import deque
+
 from twisted.internet.defer import inlineCallbacks
 
 from ..decisions import (
@@ -108,6 +110,8 @@
         self._arrived = {}
         self._hold_homes = {}
         self._stopped = False
+        self._actions = deque()
+        self._acting = False
 
     @property
     def n_in_progress(self):
@@ -222,11 +226,14 @@
         owned.foreign = {request_id for request_id, _ in report.requests}
         self._owned[member.name] = owned
         out = self._book.add_worker(
-            owned.room, self.now, tasks=report.tasks, requests=report.requests
+            owned.room,
+            self.now,
+            tasks=report.tasks,
+            requests=report.requests,
+            leaving=self._is_leaving(member.name),
         )
         timing = self.context.settings.timing
         owned.ticker = self.every(timing.worker_sync_s, lambda: self._sync(owned))
-        self._close_leaving()
         self._act(out)
         self.log.info("Worker {} owned, {} tasks run there.", member.name, len(report.tasks))
 
@@ -240,12 +247,14 @@
 
     def _close_leaving(self):
         """Give no new work to workers that leave: their room is taken out of the book."""
-        for name, owned in self._owned.items():
-            member = self.context.workers.get(name)
-            if member is not None and member.state == "leaving":
-                owned.member = member
+        for name in self._owned:
+            if self._is_leaving(name):
                 self._act(self._book.close_worker(name))
 
+    def _is_leaving(self, name):
+        member = self.context.workers.get(name)
+        return member is not None and member.state == "leaving"
+
     # Reports and leases
 
     @inlineCallbacks
@@ -277,7 +286,7 @@
         if self._owned.get(name) is not owned:
             return
         owned.clock = LeaseClock(worker_time=report.clock, sent=sent, received=self.now)
-        if owned.n_failed >= _SILENT_SYNCS:
+        if owned.n_failed >= _SILENT_SYNCS and not self._is_leaving(name):
             self._act(self._book.reopen_worker(name, self.now))
         owned.n_failed = 0
         owned.forget -= forget
@@ -548,27 +557,43 @@
     # Acting on decisions
 
     def _act(self, messages):
-        for message in messages:
-            match message:
-                case Dispatch(request=request, worker=worker):
-                    self._run_request(request, worker).addErrback(self.fail_with)
-                case Refuse():
-                    self._end_request(
-                        message.request_id,
-                        Outcome.NOT_RUN,
-                        code="AF302",
-                        reason=message.reason,
-                        retry_after=message.retry_after,
-                    )
-                case HoldGranted(hold=hold, worker=worker):
-                    home = self._hold_homes.get(hold.hold_id)
-                    self._answer_hold(home, hold.hold_id, "granted", worker=worker)
-                case HoldRefused(hold=hold, reason=reason):
-                    home = self._hold_homes.pop(hold.hold_id, None)
-                    self._answer_hold(home, hold.hold_id, "refused", reason=reason)
-                case HoldRevoked(hold=hold):
-                    home = self._hold_homes.pop(hold.hold_id, None)
-                    self._answer_hold(home, hold.hold_id, "refused", reason=RefuseReason.EXPIRED)
+        """Carry out decisions in the order in which they were made.
+
+        Carrying one out may lead straight to the next decision, where a message goes to a part of
+        the same process. That one is queued behind those that were made before it: carried out at
+        once it would, for example, answer a request whose dispatch is still to come.
+        """
+        self._actions.extend(messages)
+        if self._acting:
+            return
+        self._acting = True
+        try:
+            while self._actions:
+                self._carry_out(self._actions.popleft())
+        finally:
+            self._acting = False
+
+    def _carry_out(self, message):
+        match message:
+            case Dispatch(request=request, worker=worker):
+                self._run_request(request, worker).addErrback(self.fail_with)
+            case Refuse():
+                self._end_request(
+                    message.request_id,
+                    Outcome.NOT_RUN,
+                    code="AF302",
+                    reason=message.reason,
+                    retry_after=message.retry_after,
+                )
+            case HoldGranted(hold=hold, worker=worker):
+                home = self._hold_homes.get(hold.hold_id)
+                self._answer_hold(home, hold.hold_id, "granted", worker=worker)
+            case HoldRefused(hold=hold, reason=reason):
+                home = self._hold_homes.pop(hold.hold_id, None)
+                self._answer_hold(home, hold.hold_id, "refused", reason=reason)
+            case HoldRevoked(hold=hold):
+                home = self._hold_homes.pop(hold.hold_id, None)
+                self._answer_hold(home, hold.hold_id, "refused", reason=RefuseReason.EXPIRED)
 
     def _sweep(self):
         self._act(self._book.tick(self.now))
--- a/anvilflow/parts/tests/test_failures.py
+++ b/anvilflow/parts/tests/test_failures.py
@@ -209,6 +209,48 @@
     assert late is None
 
 
+def test_silent_worker_that_leaves_is_not_opened_again():
+    """A worker falls silent, is marked as leaving, and is heard of again.
+
+    Its owner had closed it for its silence. Hearing of it must not open it: it still leaves.
+    (Found by chaos seed 12.)
+    """
+    cell = make_cell(n_instances=1, n_workers=2)
+    cell.workers["w01"].faults.down = True
+    cell.advance(3.0)
+    cell.worker_leaves("w01")
+    cell.advance(3.0)
+    cell.workers["w01"].faults.down = False
+    for _ in range(40):
+        for customer in ("small", "large"):
+            cell.request("a1", customer, "lookup", seconds=2.0)
+        cell.advance(0.1)
+    cell.advance(10.0)
+    assert_promises(cell)
+
+
+def test_not_run_is_said_only_when_no_attempt_may_have_run():
+    """An owner is cut off with a request in hand; the retry elsewhere is refused.
+
+    The caller must hear "unknown": the last attempt did not run, but the first may have. (Found
+    by chaos seed 6.)
+    """
+    cell = make_cell(n_instances=2, n_workers=4)
+    owners = {name: cell.owner_of(name) for name in cell.workers}
+    assert set(owners.values()) == {"a1", "a2"}
+    for name, owner in owners.items():
+        cell.workers[name].faults.down = owner == "a1"
+    cell.advance(5.0)
+    answers = [cell.request("a1", "small", "lookup", seconds=3.0, deadline_s=4.0)]
+    cell.advance(0.1)
+    for state in cell.workers.values():
+        state.faults.down = True
+    cell.crash_instance("a2")
+    cell.advance(10.0)
+    assert outcomes(answers) == ["unknown"]
+    assert_promises(cell)
+
+
 def test_rolling_restart_fails_no_request():
     """All instances are drained and replaced one after the other under load.
 
--- a/anvilflow/parts/tests/test_safeguards.py
+++ b/anvilflow/parts/tests/test_safeguards.py
@@ -115,16 +115,16 @@
     if not safeguard:
         add_worker = OwnerBook.add_worker
 
-        def forgetful(self, room, now, *, tasks=(), requests=()):
+        def forgetful(self, room, now, *, tasks=(), requests=(), leaving=False):
             return add_worker(self, room, now)
 
         monkeypatch.setattr(OwnerBook, "add_worker", forgetful)
     cell = make_cell()
-    for number in range(2):
-        cell.submit("a1", make_job(f"j{number}", "refresh", 60, seconds=9.0))
-    cell.advance(2.0)
+    for customer in ("small", "large"):
+        cell.submit("a1", make_job("j1", "refresh", 60, seconds=9.0, customer=customer))
+    cell.advance(1.0)
     cell.crash_instance("a2")
-    cell.advance(4.0)
+    cell.advance(7.0)
     assert ("no worker over its capacity" in broken_promises(cell)) is not safeguard
 
 
--- a/anvilflow/standins/_faults.py
+++ b/anvilflow/standins/_faults.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from ..exceptions import PlatformUnavailableError
 
@@ -53,6 +54,32 @@
         return result
 
 
-def answered_on(clock, done):
-    """Deliver the result of `done` on the caller's own clock, so that its pause holds it back."""
-    return done.addBoth(lambda result: deferLater(clock, 0, lambda: result))
+def answered_on(clock, done, *, timeout, error):
+    """Deliver the result of `done` on the caller's own clock, so that its pause holds it back.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        The caller's.
+    done : Deferred
+    timeout : float
+        After which the caller gives up; what was asked may still happen. Unit: seconds.
+    error : type
+        What the Deferred then fails with.
+    """
+    answer = Deferred()
+    late = clock.callLater(timeout, _settle, answer, Failure(error("no answer in time")))
+    done.addBoth(lambda result: clock.callLater(0, _settle, answer, result))
+    answer.addBoth(_stop_timer, late)
+    return answer
+
+
+def _settle(answer, result):
+    if not answer.called:
+        answer.callback(result)
+
+
+def _stop_timer(result, late):
+    if late.active():
+        late.cancel()
+    return result
--- a/anvilflow/standins/_network.py
+++ b/anvilflow/standins/_network.py
@@ -51,7 +51,7 @@
 
     def _close(self, reason):
         self.closed = True
-        self.network.pipes.discard(self)
+        self.network.pipes.pop(self, None)
         if self.protocol.transport is not None:
             self.protocol.connectionLost(Failure(reason))
 
@@ -71,7 +71,7 @@
         self.clock = clock
         self.random_state = random_state
         self.delay_s = delay_s
-        self.pipes = set()
+        self.pipes = {}
         self._listeners = {}
         self._silent = set()
         self._arrivals = {}
@@ -81,10 +81,23 @@
         """Return the network as seen by the instance `name`."""
         return _View(network=self, name=name)
 
+    def cut(self, name):
+        """Close every connection of a killed instance, as its kernel does."""
+        self.forget(name)
+        for pipe in [pipe for pipe in self.pipes if pipe.here == name]:
+            pipe.closed = True
+            self.pipes.pop(pipe, None)
+            if not self.is_silent(pipe.here, pipe.there):
+                self.later(name, pipe.there, pipe.other.peer_closed)
+
     def silence(self, here, there):
         """Let nothing through from `here` to `there` any more, on old and new connections."""
         self._silent.add((here, there))
 
+    def unsilence(self, here, there):
+        """Let everything through that way again."""
+        self._silent.discard((here, there))
+
     def heal(self):
         """Let everything through again."""
         self._silent.clear()
@@ -122,7 +135,7 @@
         far = _Pipe(network=self, here=there, there=here)
         near.other, far.other = far, near
         near.protocol, far.protocol = protocol, self._listeners[there].buildProtocol(None)
-        self.pipes |= {near, far}
+        self.pipes.update({near: None, far: None})
         near.protocol.makeConnection(near)
         # The kernel accepts for a paused process; its side of the connection begins on its clock.
         self.later(here, there, self._accept, far)
--- a/anvilflow/standins/_pausable_clock.py
+++ b/anvilflow/standins/_pausable_clock.py
@@ -38,7 +38,8 @@
     def _fire(self):
         if self._clock.paused:
             self._state = "held"
-            self._clock.held.append(self)
+            if not self._clock.dead:
+                self._clock.held.append(self)
         else:
             self.run()
 
@@ -54,6 +55,7 @@
     def __init__(self, *, inner):
         self.inner = inner
         self.paused = False
+        self.dead = False
         self.held = []
 
     def seconds(self):
@@ -68,8 +70,15 @@
         """Hold back all calls."""
         self.paused = True
 
+    def kill(self):
+        """Make no call ever again, as a process does that is killed."""
+        self.paused = True
+        self.dead = True
+
     def resume(self):
         """Make the calls that were held back, in their order."""
+        if self.dead:
+            return
         self.paused = False
         held, self.held = self.held, []
         for call in held:
--- a/anvilflow/standins/_table.py
+++ b/anvilflow/standins/_table.py
@@ -4,13 +4,16 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from ..exceptions import PreconditionError
+from ..exceptions import PlatformUnavailableError, PreconditionError
 from ..platform import Row
 from ..resources import resource_key
 from ..utils import to_builtins
 from ._faults import answered_on
 from ._server import make_app
 
+#: Wait of a client in memory for an answer. Unit: seconds.
+_TIMEOUT_S = 2.0
+
 
 class TableState:
     """Rows with versions; a version is the number of the transaction that wrote the row."""
@@ -172,4 +175,9 @@
         return version
 
     def _call(self, act, *args, changes=True):
-        return answered_on(self.clock, self.faults.around(act, *args, changes=changes))
+        return answered_on(
+            self.clock,
+            self.faults.around(act, *args, changes=changes),
+            timeout=_TIMEOUT_S,
+            error=PlatformUnavailableError,
+        )
--- a/anvilflow/standins/_virtual_cell.py
+++ b/anvilflow/standins/_virtual_cell.py
@@ -2,10 +2,13 @@
 
 from random import Random
 
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.task import Clock
 
+from ..decisions import Outcome
+from ..exceptions import AnvilflowError
 from ..history import Answered, History, Sent, TargetLeaving
-from ..parts import Bus, Context, Daemon, RequestCall
+from ..parts import Bus, Context, Daemon, RequestAnswer, RequestCall
 from ..platform import MemberInfo, ResourceStore
 from ..settings import InstanceSettings, ListenSettings, PlatformSettings, Settings
 from ..utils import decode_lenient, encode
@@ -71,6 +74,8 @@
         self.clocks = {}
         self.errors = []
         self._n_tokens = 0
+        self._n_calls = 0
+        self._open = {}
 
     def start(self):
         """Start everything and let it settle."""
@@ -109,16 +114,25 @@
         daemon = Daemon(context=context, give_up=self.errors.append)
         daemon.start()
         self.daemons[name] = daemon
+        self.list_instance(name)
+        return daemon
+
+    def list_instance(self, name):
+        """Put an instance on the list."""
         self.membership.put(
             MemberInfo(name=name, role="instance", address=name, failure_domain="d1")
         )
-        return daemon
 
     def crash_instance(self, name):
         """Cut an instance off; the list learns of it late."""
-        daemon = self.daemons.pop(name)
-        daemon.crash()
+        self.daemons.pop(name)
+        self.clocks[name].kill()
+        self.network.cut(name)
         self.membership.remove(name)
+        for call in [call for call in self._open if call[0] == name]:
+            # The caller sees its connection break: it cannot know what became of its request.
+            token = self._open.pop(call)
+            self.history.add(Answered, token=token, outcome="unknown")
 
     def pause_instance(self, name):
         """Stop an instance in its tracks, as SIGSTOP does."""
@@ -158,10 +172,26 @@
         idempotent = values.get("idempotent", True)
         self.history.add(Sent, token=token, idempotent=idempotent)
         answers = []
-        done = self.part(entry, "entry").serve(call)
-        done.addCallback(self._answered, token, answers)
+        self._n_calls += 1
+        call_id = (entry, self._n_calls)
+        self._open[call_id] = token
+        done = maybeDeferred(self.part(entry, "entry").serve, call)
+        done.addErrback(_refused)
+        done.addCallback(self._answered, call_id, answers)
         return answers
 
+    def request_keyed(self, entry, customer, workload, key, **values):
+        """Send a non-idempotent request with a key; its token is the key."""
+        return self.request(
+            entry,
+            customer,
+            workload,
+            token=key,
+            idempotent=False,
+            idempotency_key=key,
+            **values,
+        )
+
     def submit(self, entry, job):
         """Submit a job at an entry instance; return a list that gets the answer or the error."""
         answers = []
@@ -173,7 +203,10 @@
         daemon = next(iter(self.daemons.values()))
         return daemon.context.catalog.get(f"Job/{customer}/{name}")
 
-    def _answered(self, answer, token, answers):
+    def _answered(self, answer, call_id, answers):
+        token = self._open.pop(call_id, None)
+        if token is None:
+            return
         echoed = decode_lenient(answer.result)["token"] if answer.outcome == "completed" else ""
         self.history.add(Answered, token=token, outcome=answer.outcome, echoed=echoed)
         answers.append(answer)
@@ -192,3 +225,9 @@
         return MemberInfo(
             name=name, role="worker", address=name, failure_domain="d1", capacity=self.capacity
         )
+
+
+def _refused(failure):
+    """Return the answer that a caller reads out of a coded error."""
+    failure.trap(AnvilflowError)
+    return RequestAnswer(request_id="", outcome=Outcome.NOT_RUN.value, code=failure.value.code)
--- a/anvilflow/standins/_worker.py
+++ b/anvilflow/standins/_worker.py
@@ -6,7 +6,7 @@
 
 from random import Random
 
-from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
+from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
 from ..exceptions import AnvilflowError, WorkerRefusedError, WorkerUnreachableError
@@ -17,6 +17,9 @@
 from ._faults import answered_on
 from ._server import make_app
 
+#: Wait of a client in memory for the answer to a control call. Unit: seconds.
+_TIMEOUT_S = 2.0
+
 
 class _Run:
     """A task in progress."""
@@ -247,15 +250,9 @@
     @inlineCallbacks
     def request(self, *, request_id, workload, needs, payload, timeout):
         """Run a request; after `timeout` it runs on, unanswered."""
-        answer = Deferred()
-        self._call(self.state.request, self.epoch, request_id, needs, payload).addBoth(
-            answer.callback
-        )
-        answer.addTimeout(timeout, self.clock)
+        args = (self.state.request, self.epoch, request_id, needs, payload)
         try:
-            result = yield answer
-        except TimeoutError as exc:
-            raise WorkerUnreachableError("no answer in time") from exc
+            result = yield self._call(*args, timeout=timeout)
         except (WorkerRefusedError, WorkerUnreachableError):
             raise
         except AnvilflowError as exc:
@@ -263,9 +260,14 @@
         return True, encode(result)
 
     @inlineCallbacks
-    def _call(self, act, *args):
+    def _call(self, act, *args, timeout=_TIMEOUT_S):
         try:
-            result = yield answered_on(self.clock, self.state.faults.around(act, *args))
+            result = yield answered_on(
+                self.clock,
+                self.state.faults.around(act, *args),
+                timeout=timeout,
+                error=WorkerUnreachableError,
+            )
         except WorkerRefusedError:
             raise
         except AnvilflowError as exc:
