Requests that come late are refused; records are kept for jobs heard of late

Change: records read at the take-over are kept until the job is heard of; each request names the moment on the worker's clock up to which it may begin, and its place is kept until then. Conclusion: fencing needs a time at the receiver as well as an epoch.

--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -255,7 +255,10 @@
             self._settle(attempt_id, _unknown(attempt_id, "the connection to the owner was lost"))
 
     def _settle(self, attempt_id, answer):
-        self._pending.pop(attempt_id).answer.callback(answer)
+        # A cancel sent to this very instance is answered before the call that sent it returns.
+        pending = self._pending.pop(attempt_id, None)
+        if pending is not None:
+            pending.answer.callback(answer)
 
     def _choose_owner(self, tried):
         """Choose between two owners by their last digests, leaving out those that refused."""
--- a/anvilflow/parts/_home.py
+++ b/anvilflow/parts/_home.py
@@ -56,11 +56,12 @@
 class _Home:
     """One customer whose home this instance is."""
 
-    __slots__ = ("book", "epoch", "owners", "stopping")
+    __slots__ = ("book", "epoch", "owners", "records", "stopping")
 
     def __init__(self, *, book, epoch):
         self.book = book
         self.epoch = epoch
+        self.records = {}
         self.owners = {}
         self.stopping = {}
 
@@ -178,21 +179,20 @@
         )
         home = _Home(book=book, epoch=epoch)
         self._homes[customer] = home
-        records = {}
         for row in rows:
             _, _, job, index = row.key.split("/")
             value = row.value
             record = (int(index), value["attempt"], value["state"], value["worker"])
-            records.setdefault(job, []).append(record)
+            home.records.setdefault(job, []).append(record)
         self.log.info("Jobs of {} taken over.", customer)
-        self._add_jobs(customer, records)
+        self._add_jobs(customer)
 
     def _catalog_changed(self, _, event):
         for customer in list(self._homes):
-            self._add_jobs(customer, {}, event.keys)
+            self._add_jobs(customer, event.keys)
         self._review()
 
-    def _add_jobs(self, customer, records, keys=None):
+    def _add_jobs(self, customer, keys=None):
         home = self._homes[customer]
         declared = self.context.catalog.get(f"Customer/{customer}")
         home.book.quota = declared.quota if declared else None
@@ -207,9 +207,11 @@
                 if job.phase is JobPhase.CANCELLING:
                     self._act(home, home.book.cancel_job(job.name))
                 continue
-            self._add_job(home, job, records.get(job.name, ()))
+            self._add_job(home, job)
 
-    def _add_job(self, home, job, records):
+    def _add_job(self, home, job):
+        # The configuration may lag behind the records: a job that this instance hears of only now
+        # may have been run by a former home. Its records, read at the take-over, are kept for it.
         catalog = self.context.catalog
         try:
             workload = catalog.workload(job.workload)
@@ -227,7 +229,7 @@
             max_attempts=rules.max_attempts,
             weight=declared.priority if declared else 100,
             now=self.now,
-            records=records,
+            records=home.records.pop(job.name, ()),
         )
         self._act(home, out)
 
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -88,7 +88,7 @@
         self.ended = {}
         self.forget = set()
         self.foreign = set()
-        self.overdue = set()
+        self.overdue = {}
 
 
 class OwnerPart(Part):
@@ -269,7 +269,6 @@
         settled = {hold_id for hold_id in started if hold_id not in owned.starting}
         bars = set(owned.bars)
         forget = set(owned.forget)
-        overdue = set(owned.overdue)
         foreign = set(owned.foreign)
         try:
             report = yield owned.client.sync(
@@ -290,7 +289,8 @@
             self._act(self._book.reopen_worker(name, self.now))
         owned.n_failed = 0
         owned.forget -= forget
-        self._take_report(owned, report, settled, bars, overdue | foreign)
+        arrived = {key for key, until in owned.overdue.items() if until < report.clock}
+        self._take_report(owned, report, settled, bars, arrived | foreign)
 
     def _sync_failed(self, owned, exc):
         owned.n_failed += 1
@@ -333,7 +333,7 @@
                 self._tell_home(hold_id, "lost")
         for request_id in gone_candidates - set(report.requests):
             owned.foreign.discard(request_id)
-            owned.overdue.discard(request_id)
+            owned.overdue.pop(request_id, None)
             self._act(self._book.release_foreign(name, request_id, now))
 
     def _lost(self, owned, hold_id):
@@ -386,7 +386,8 @@
         _, payload = self._origins[request.request_id]
         self.context.metrics.waited(request.customer, "service", waited)
         self.context.metrics.placements.labels("service").inc()
-        timeout = max(_REQUEST_GRACE_S, request.deadline - began + _REQUEST_GRACE_S)
+        remaining = max(0.0, request.deadline - began)
+        until = owned.clock.until(began, remaining)
         run_time = None
         try:
             ok, result = yield owned.client.request(
@@ -394,13 +395,15 @@
                 workload=request.workload,
                 needs=request.needs,
                 payload=payload,
-                timeout=timeout,
+                until=until,
+                timeout=remaining + _REQUEST_GRACE_S,
             )
         except WorkerRefusedError as exc:
             end = (Outcome.NOT_RUN, b"", exc.code, exc.message)
         except WorkerUnreachableError as exc:
-            # It may run on: its place stays taken until the worker's report no longer names it.
-            owned.overdue.add(request.request_id)
+            # It may run on, or be on its way still. Its place stays taken until a report that was
+            # made after the worker would refuse it as late no longer names it.
+            owned.overdue[request.request_id] = until
             end = (Outcome.UNKNOWN, b"", exc.code, exc.message)
         else:
             run_time = self.now - began
--- a/anvilflow/parts/tests/test_failures.py
+++ b/anvilflow/parts/tests/test_failures.py
@@ -251,6 +251,34 @@
     assert_promises(cell)
 
 
+def test_home_that_hears_late_of_a_job_uses_its_records():
+    """A home takes jobs over before its configuration shows one of them, which already runs.
+
+    When the configuration catches up, the job must not look new: the records that were read at
+    the take-over say where its tasks run. (Found by chaos seed 38, as tasks in two places.)
+    """
+    cell = make_cell()
+    job = make_job("j1", "refresh", 12, seconds=6.0)
+    cell.submit("a1", job)
+    cell.submit("a1", make_job("j0", "refresh", 1, seconds=20.0))
+    cell.advance(2.0)
+    [home] = [
+        name
+        for name, daemon in cell.daemons.items()
+        if daemon.supervisor.part("home").dump().get("large")
+    ]
+    for name, daemon in cell.daemons.items():
+        if name != home:
+            late = daemon.context.catalog
+            late._items.pop("Job/large/j1")
+    cell.crash_instance(home)
+    cell.advance(2.0)
+    for daemon in cell.daemons.values():
+        daemon.supervisor.part("config")._listed = False
+    cell.advance(20.0)
+    assert_promises(cell)
+
+
 def test_rolling_restart_fails_no_request():
     """All instances are drained and replaced one after the other under load.
 
--- a/anvilflow/parts/tests/test_safeguards.py
+++ b/anvilflow/parts/tests/test_safeguards.py
@@ -106,6 +106,32 @@
     assert broken_promises(cell) == expected(safeguard, "no worker over its capacity")
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_request_that_comes_late_is_refused(monkeypatch, safeguard):
+    """Requests are under way to a worker for longer than their callers wait.
+
+    The report names none of them, so their places are given to others. Arriving then, they would
+    run on top. The worker refuses them: each names the moment up to which it may begin, and its
+    place is kept until that moment has passed on the worker's clock. (Chaos seed 186.)
+    """
+    if not safeguard:
+        monkeypatch.setattr(WorkerState, "_check_in_time", lambda self, request_id, until: None)
+    cell = make_cell(n_instances=1, n_workers=1)
+    worker = cell.workers["w01"]
+    worker.faults.slow_s = 1.9
+    for _ in range(3):
+        for customer in ("small", "large"):
+            cell.request("a1", customer, "lookup", seconds=8.0, deadline_s=0.5)
+    cell.advance(0.1)
+    worker.faults.slow_s = 0.0
+    for _ in range(20):
+        for customer in ("small", "large"):
+            cell.request("a1", customer, "lookup", seconds=8.0, deadline_s=9.0)
+        cell.advance(0.1)
+    cell.advance(12.0)
+    assert broken_promises(cell) == expected(safeguard, "no worker over its capacity")
+
+
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_new_owner_accounts_what_it_finds(monkeypatch, safeguard):
     """An owner dies while its workers are full of running tasks.
--- a/anvilflow/platform/_worker.py
+++ b/anvilflow/platform/_worker.py
@@ -99,9 +99,12 @@
         )
 
     @inlineCallbacks
-    def request(self, *, request_id, workload, needs, payload, timeout):
-        """Run a service request; return whether it succeeded and the answer's bytes."""
-        call = encode([self.epoch, request_id, workload, needs])
+    def request(self, *, request_id, workload, needs, payload, until, timeout):
+        """Run a service request; return whether it succeeded and the answer's bytes.
+
+        The worker refuses it when it arrives after `until` on the worker's clock.
+        """
+        call = encode([self.epoch, request_id, workload, needs, until])
         status, body = yield self._exchange(
             self._request_url, payload, timeout, {b"x-anvilflow-call": [call]}
         )
--- a/anvilflow/standins/_worker.py
+++ b/anvilflow/standins/_worker.py
@@ -122,9 +122,10 @@
         return {}
 
     @inlineCallbacks
-    def request(self, epoch, request_id, needs, payload):
-        """Run a service request; return the answer."""
+    def request(self, epoch, request_id, needs, payload, until):
+        """Run a service request, unless it comes late; return the answer."""
         self._check_epoch(epoch)
+        self._check_in_time(request_id, until)
         token, seconds = _read_payload(payload)
         self.requests[request_id] = needs
         self._began(request_id, needs, token, task=False)
@@ -158,6 +159,10 @@
         if epoch != self.epoch:
             raise WorkerRefusedError(f"epoch {epoch} is not {self.epoch}")
 
+    def _check_in_time(self, request_id, until):
+        if self.clock.seconds() > until:
+            raise WorkerRefusedError(f"{request_id} came too late")
+
     def _seconds(self, seconds):
         return seconds * self.faults.size_factor
 
@@ -204,11 +209,11 @@
 
     @inlineCallbacks
     def _request(self, request):
-        epoch, request_id, _, needs = decode_lenient(request.getHeader("x-anvilflow-call"))
+        epoch, request_id, _, needs, until = decode_lenient(request.getHeader("x-anvilflow-call"))
         payload = request.content.read()
         try:
             result = yield self.state.faults.around(
-                self.state.request, epoch, request_id, _amounts(needs), payload
+                self.state.request, epoch, request_id, _amounts(needs), payload, until
             )
         except AnvilflowError as exc:
             request.setResponseCode(exc.http_status)
@@ -248,9 +253,9 @@
         return self._call(self.state.start, value)
 
     @inlineCallbacks
-    def request(self, *, request_id, workload, needs, payload, timeout):
+    def request(self, *, request_id, workload, needs, payload, until, timeout):
         """Run a request; after `timeout` it runs on, unanswered."""
-        args = (self.state.request, self.epoch, request_id, needs, payload)
+        args = (self.state.request, self.epoch, request_id, needs, payload, until)
         try:
             result = yield self._call(*args, timeout=timeout)
         except (WorkerRefusedError, WorkerUnreachableError):
