--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -523,7 +523,12 @@
         owned.ticker.hurry()
 
     def _task_query(self, source, body):
-        """Say what became of attempts; only the worker's present owner can."""
+        """Say what became of attempts; only the worker's present owner can.
+
+        An attempt that is not known here is not said to be lost before the worker has confirmed
+        it: an owner that was paused may answer from a book that is no longer true, while the
+        attempt runs under the next owner. The worker refuses the call of the former owner.
+        """
         owned = self._owned.get(body.worker)
         if owned is None:
             return
@@ -533,9 +538,9 @@
                 task = owned.ended[hold_id]
                 self._tell_home(hold_id, "ended", ok=task.ok, result=task.result)
             elif self._book.worker_of(hold_id) is None:
-                # Nothing starts it any more: a start needs the hold, and that is given up here.
                 self._act(self._book.release_hold(hold_id, self.now))
-                self.context.send(source, _task_answer(hold_id, "lost"))
+                owned.bars.add(hold_id)
+                owned.ticker.hurry()
 
     def _task_acknowledge(self, _, body):
         self._hold_homes.pop(body.hold_id, None)
