--- a/anvilflow/decisions/_owner.py
+++ b/anvilflow/decisions/_owner.py
@@ -192,6 +192,11 @@
         refusal = self._refusal(request, now)
         if refusal is not None:
             return [refusal]
+        if not len(self._queue):
+            # Nobody waits, so there is nobody to be fair to: the queue would only cost time.
+            placed = self._place(request)
+            if placed is not None:
+                return [placed]
         self._queue.push(
             QueuedItem(
                 item_id=request.request_id,
@@ -376,31 +381,37 @@
         out += self._pump_holds(now)
         return out
 
+    def _place(self, request):
+        """Return a dispatch of the request if it has a place now."""
+        worker = self._place_for(request)
+        if worker is None:
+            return None
+        self.rooms.take(worker, request.request_id, request.needs, task=False)
+        self._slots_of[request.customer] += request.needs.slots
+        self._running[request.request_id] = (request, worker)
+        return Dispatch(request=request, worker=worker)
+
+    def _place_for(self, request):
+        if request.needs in self._misfits:
+            return None
+        if self._slots_of.get(request.customer, 0) >= self._share_limit(request):
+            return None
+        worker = self.rooms.best_fit(request.needs, task=False)
+        if worker is None:
+            self._misfits.add(request.needs)
+        return worker
+
     def _pump_requests(self):
         out = []
-        found = None
+        placed = None
 
         def accepts(item):
-            nonlocal found
-            request = item.value
-            if request.needs in self._misfits:
-                return False
-            if self._slots_of[request.customer] >= self._share_limit(request):
-                return False
-            found = self.rooms.best_fit(request.needs, task=False)
-            if found is None:
-                self._misfits.add(request.needs)
-            return found is not None
+            nonlocal placed
+            placed = self._place(item.value)
+            return placed is not None
 
-        while len(self._queue):
-            item = self._queue.pop_first(accepts)
-            if item is None:
-                break
-            request = item.value
-            self.rooms.take(found, request.request_id, request.needs, task=False)
-            self._slots_of[request.customer] += request.needs.slots
-            self._running[request.request_id] = (request, found)
-            out.append(Dispatch(request=request, worker=found))
+        while len(self._queue) and self._queue.pop_first(accepts) is not None:
+            out.append(placed)
         return out
 
     def _pump_holds(self, now):
--- a/anvilflow/decisions/_rooms.py
+++ b/anvilflow/decisions/_rooms.py
@@ -36,6 +36,7 @@
         "position",
         "rack",
         "taken",
+        "task_bounds",
         "task_free",
         "task_used",
         "worker",
@@ -50,6 +51,7 @@
         self.bit = 0
         self.taken = {}
         self.free = [getattr(capacity, name) for name in RESOURCE_NAMES]
+        self.task_bounds = list(self.free)
         self.task_free = list(self.free)
         self.task_used = [0] * len(RESOURCE_NAMES)
 
@@ -64,38 +66,60 @@
 
     def move(self, bit, old, new):
         """Note that the worker `bit` has `new` free where it had `old`."""
-        for number, step in enumerate(_STEP_SIZES):
-            before = _level(old[number], step)
-            after = _level(new[number], step)
+        for number in _NUMBERS:
+            before, after = old[number], new[number]
+            if before == after:
+                continue
+            step = _STEP_SIZES[number]
+            before = before // step if before > 0 else 0
+            after = after // step if after > 0 else 0
             if before != after:
-                self._shift(number, bit, before, after)
+                self._shift(number, bit, min(before, _MAX_LEVEL), min(after, _MAX_LEVEL))
 
     def candidates(self, need):
         """Return the bit set of workers that may hold `need`."""
         found = -1
-        for number, step in enumerate(_STEP_SIZES):
+        for number in _NUMBERS:
+            level = need[number] // _STEP_SIZES[number]
+            if not level:
+                continue
             levels = self._at_least[number]
-            level = min(need[number] // step, _MAX_LEVEL)
             if level >= len(levels):
                 return 0
-            if level:
-                found &= levels[level]
+            found &= levels[level]
         return found
 
     def fullest(self, candidates, start):
         """Yield single bits of `candidates`, those with the least free processor time first."""
         levels = self._at_least[0]
-        level = min(start, len(levels) - 1)
+        last = len(levels) - 1
+        level = min(start, last)
         while candidates:
-            above = levels[level + 1] if level + 1 < len(levels) else 0
-            here = candidates & ~above
-            candidates &= above
+            level = self._first_level(levels, candidates, level, last)
+            above = candidates & levels[level + 1] if level < last else 0
+            here = candidates ^ above
+            candidates = above
             while here:
                 lowest = here & -here
                 yield lowest
                 here ^= lowest
             level += 1
 
+    @staticmethod
+    def _first_level(levels, candidates, low, high):
+        """Return the lowest level at which a candidate stands, by bisection.
+
+        The sets shrink from level to level, so whether all candidates are still above a level
+        changes once. Walking the levels one by one was most of a decision's time.
+        """
+        while low < high:
+            middle = (low + high) // 2
+            if candidates & levels[middle + 1] != candidates:
+                high = middle
+            else:
+                low = middle + 1
+        return low
+
     def _shift(self, number, bit, before, after):
         levels = self._at_least[number]
         while len(levels) <= max(before, after):
@@ -108,23 +132,36 @@
                 levels[level] &= ~bit
 
 
+_NUMBERS = range(len(RESOURCE_NAMES))
 _STEP_SIZES = [_STEPS[name] for name in RESOURCE_NAMES]
 _CPU = RESOURCE_NAMES.index("cpu_milli")
 _ACCELERATORS = RESOURCE_NAMES.index("accelerators")
 _SLOTS = RESOURCE_NAMES.index("slots")
 
 
-def _level(amount, step):
-    return min(amount // step, _MAX_LEVEL) if amount > 0 else 0
-
-
 def as_list(amounts):
     """Return the amounts in the order of ``RESOURCE_NAMES``."""
     return [amounts.cpu_milli, amounts.memory_mb, amounts.accelerators, amounts.slots]
 
 
-def _sum(amounts, others, sign):
-    return [one + sign * other for one, other in zip(amounts, others, strict=True)]
+def _plus(amounts, others):
+    """Return the sums; written out, since this runs several times in each decision."""
+    a, b, c, d = amounts
+    p, q, r, s = others
+    return [a + p, b + q, c + r, d + s]
+
+
+def _minus(amounts, others):
+    a, b, c, d = amounts
+    p, q, r, s = others
+    return [a - p, b - q, c - r, d - s]
+
+
+def _holds(have, need):
+    """Whether each amount of `have` is at least that of `need`."""
+    a, b, c, d = have
+    p, q, r, s = need
+    return a >= p and b >= q and c >= r and d >= s
 
 
 class Rooms:
@@ -142,12 +179,22 @@
     a worker whose task share is used up costs a task's decision nothing.
     """
 
-    __slots__ = ("_by_bit", "_index", "_live", "_plain", "_rooms", "_task_index", "reserve")
+    __slots__ = (
+        "_by_bit",
+        "_fitting",
+        "_index",
+        "_live",
+        "_plain",
+        "_rooms",
+        "_task_index",
+        "reserve",
+    )
 
     def __init__(self, *, reserve=0.25):
         self.reserve = reserve
         self._rooms = {}
         self._by_bit = {}
+        self._fitting = {}
         self._live = 0
         self._plain = 0
         self._index = _LevelIndex()
@@ -180,8 +227,10 @@
             self._plain |= room.bit
         nothing = [0] * len(RESOURCE_NAMES)
         self._index.move(room.bit, nothing, room.free)
+        room.task_bounds = self._bounds(room, True)
         room.task_free = self._task_room(room)
         self._task_index.move(room.bit, nothing, room.task_free)
+        self._fitting.clear()
 
     def remove(self, worker):
         """Forget a worker; return its room or None."""
@@ -194,6 +243,7 @@
         del self._by_bit[room.bit]
         self._live &= ~room.bit
         self._plain &= ~room.bit
+        self._fitting.clear()
         return room
 
     def close(self, worker):
@@ -216,7 +266,9 @@
     def set_reserve(self, reserve):
         """Change the share that tasks leave free; what already runs stays."""
         self.reserve = reserve
+        self._fitting.clear()
         for room in self._rooms.values():
+            room.task_bounds = self._bounds(room, True)
             self._reindex(room, room.free)
 
     def best_fit(self, needs, *, task):
@@ -249,8 +301,8 @@
         need = as_list(needs)
         room.taken[item_id] = (need, task)
         if task:
-            room.task_used = _sum(room.task_used, need, 1)
-        self._reindex(room, _sum(room.free, need, -1))
+            room.task_used = _plus(room.task_used, need)
+        self._reindex(room, _minus(room.free, need))
 
     def release(self, worker, item_id):
         """Give back what the item took; return whether it had anything."""
@@ -262,17 +314,18 @@
             return False
         need, task = taken
         if task:
-            room.task_used = _sum(room.task_used, need, -1)
-        self._reindex(room, _sum(room.free, need, 1))
+            room.task_used = _minus(room.task_used, need)
+        self._reindex(room, _plus(room.free, need))
         return True
 
     def ever_fits(self, needs, *, task):
-        """Whether an empty worker would hold `needs`."""
-        need = as_list(needs)
-        return any(
-            all(want <= have for want, have in zip(need, self._bounds(room, task), strict=True))
-            for room in self._rooms.values()
-        )
+        """Whether an empty worker would hold `needs`; remembered until the workers change."""
+        known = self._fitting.get((needs, task))
+        if known is None:
+            need = as_list(needs)
+            known = any(_holds(self._bounds(room, task), need) for room in self._rooms.values())
+            self._fitting[needs, task] = known
+        return known
 
     def total(self, name):
         """Return the capacity of resource `name` over all workers."""
@@ -297,8 +350,14 @@
         ]
 
     def _task_room(self, room):
-        left = _sum(self._bounds(room, True), room.task_used, -1)
-        return [min(own, free) for own, free in zip(left, room.free, strict=True)]
+        a, b, c, d = _minus(room.task_bounds, room.task_used)
+        p, q, r, s = room.free
+        return [
+            a if a < p else p,
+            b if b < q else q,
+            c if c < r else r,
+            d if d < s else s,
+        ]
 
     def _reindex(self, room, free):
         self._index.move(room.bit, room.free, free)
@@ -314,6 +373,6 @@
                 return None
             room = self._by_bit[bit]
             have = room.task_free if task else room.free
-            if all(want <= there for want, there in zip(need, have, strict=True)):
+            if _holds(have, need):
                 return room.worker
         return None
--- a/anvilflow/metrics/__init__.py
+++ b/anvilflow/metrics/__init__.py
@@ -1,5 +1,5 @@
 """Waiting times and counts of a process."""
 
-from ._metrics import Metrics
+from ._metrics import Metrics, summarize
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "summarize"]
