HTTP APIs under test in memory; generated operators' pages; slopes of a daemon

Cause: the doors had no test, and pages written by hand drift. Change: tests of conflicts, repeated writes, watches, paging, malformed calls and readiness over the real klein resources; pages of settings, declarations, errors and metrics written from the code with a test that they match; unserved paths get a coded answer; a script that samples daemons.

--- a/anvilflow/parts/_daemon.py
+++ b/anvilflow/parts/_daemon.py
@@ -34,10 +34,13 @@
     context : Context
     give_up : callable
         Called with the coded error when a part keeps failing.
+    clients : dict of str to HttpClient, default=None
+        Whose traffic the dump shows.
     """
 
-    def __init__(self, *, context, give_up):
+    def __init__(self, *, context, give_up, clients=None):
         self.context = context
+        self.clients = clients or {}
         self.supervisor = Supervisor(clock=context.clock, name=context.name, give_up=give_up)
         context.bus.on_failure = self.supervisor.on_failure
 
@@ -61,6 +64,10 @@
             "incarnation": self.context.incarnation,
             "revision": self.context.catalog.revision,
             "restarts": self.supervisor.restarts(),
+            "http": {
+                name: {"calls": client.n_calls, "bytes": client.n_bytes}
+                for name, client in self.clients.items()
+            },
             "parts": {name: part.dump() for name, part in self.supervisor.parts().items()},
         }
 
@@ -119,4 +126,5 @@
         random_state=random_state,
         history=history,
     )
-    return Daemon(context=context, give_up=give_up)
+    clients = {"platform": http, "workers": worker_http}
+    return Daemon(context=context, give_up=give_up, clients=clients)
--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -5,6 +5,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
+from werkzeug.exceptions import HTTPException
 
 from ..decisions import Outcome, can_retry, choose_owner
 from ..exceptions import (
@@ -29,7 +30,15 @@
 from ._calls import JobCall, RequestAnswer, RequestCall
 from ._events import CommitAsk, PeerDown
 from ._home import home_key
-from ._http_api import LimitedSite, answer_json, argument, coded, read_body, shielded
+from ._http_api import (
+    LimitedSite,
+    answer_json,
+    answer_no_route,
+    argument,
+    coded,
+    read_body,
+    shielded,
+)
 from ._part import Part
 
 #: HTTP status of each outcome.
@@ -112,6 +121,11 @@
         """Return what is in progress."""
         return {"requests": self._n_open, "attempts": len(self._pending), "taken": self._n_requests}
 
+    @app.handle_errors(HTTPException)
+    def no_route(self, request, failure):
+        """Answer a path or method that is not served."""
+        return answer_no_route(request, failure)
+
     # Requests
 
     @app.route("/v1/requests", methods=["POST"])
--- a/anvilflow/parts/_http_api.py
+++ b/anvilflow/parts/_http_api.py
@@ -5,7 +5,6 @@
 from logbook import Logger
 from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.web.server import Site
-from werkzeug.exceptions import HTTPException
 
 from ..exceptions import AnvilflowError, NotFoundError, TooLargeError
 from ..utils import encode
@@ -90,14 +89,18 @@
 def _failed(failure, request):
     if failure.check(AnvilflowError):
         return answer_error(request, failure.value)
-    if failure.check(HTTPException):
-        return answer_error(request, NotFoundError(f"no such path: {request.uri.decode()}"))
     if failure.check(CancelledError):
         return b""
     _log.error("A call failed: {}", failure.getTraceback())
     return answer_error(request, AnvilflowError("internal error; see the log"))
 
 
+def answer_no_route(request, failure):
+    """Answer a call that no endpoint serves, with its own HTTP status."""
+    error = NotFoundError("no such path or method; see the page of the API")
+    return answer_json(request, {"error": error.to_dict()}, status=failure.value.code)
+
+
 def read_body(request, limit):
     """Return the body of a call; AF303 when it is over `limit` bytes."""
     body = request.content.read(limit + 1)
@@ -116,6 +119,7 @@
     "LimitedSite",
     "answer_error",
     "answer_json",
+    "answer_no_route",
     "argument",
     "coded",
     "read_body",
--- a/anvilflow/parts/_operators.py
+++ b/anvilflow/parts/_operators.py
@@ -2,13 +2,14 @@
 
 from klein import Klein
 from twisted.internet.defer import Deferred, inlineCallbacks
+from werkzeug.exceptions import HTTPException
 
 from ..exceptions import CallError, DeclarationError, NotFoundError, NotReadyError
 from ..history import ConfigAccepted
 from ..resources import DECLARED_KINDS, check_references, parse_resource, resource_key
 from ..utils import decode, to_builtins
 from ._events import CatalogChanged
-from ._http_api import LimitedSite, answer_json, argument, coded, read_body
+from ._http_api import LimitedSite, answer_json, answer_no_route, argument, coded, read_body
 from ._part import Part
 
 _MAX_CONNECTIONS = 200
@@ -52,6 +53,11 @@
         """Return the open watches."""
         return {"watches": len(self._watches)}
 
+    @app.handle_errors(HTTPException)
+    def no_route(self, request, failure):
+        """Answer a path or method that is not served."""
+        return answer_no_route(request, failure)
+
     # Resources
 
     @app.route("/v1/resources/<kind>", methods=["GET"])
--- /dev/null
+++ b/anvilflow/parts/tests/test_http.py
@@ -0,0 +1,199 @@
+"""The callers' and operators' HTTP APIs, in memory."""
+
+import json
+
+import pytest
+from treq.testing import StubTreq
+
+from anvilflow.resources import Amounts
+from anvilflow.standins import make_declarations
+
+from ._helpers import make_cell, make_job
+
+
+class Caller:
+    """Makes HTTP calls to one part of an instance under virtual time."""
+
+    def __init__(self, cell, instance, part):
+        self.cell = cell
+        self.stub = StubTreq(cell.part(instance, part).app.resource())
+
+    def call(self, method, path, body=None, *, seconds=0.5):
+        """Return status and decoded answer; None when there is none yet."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        results = []
+        done = self.stub.request(method, f"http://a{path}", data=data if body is not None else None)
+        done.addCallback(lambda response: response.json().addCallback(self._both, response))
+        done.addBoth(results.append)
+        for _ in range(10):
+            self.stub.flush()
+            self.cell.advance(seconds / 10)
+        self.stub.flush()
+        return results[0] if results else None
+
+    @staticmethod
+    def _both(value, response):
+        return response.code, value
+
+
+def operators(cell, instance="a1"):
+    """Return a caller of the resource API."""
+    return Caller(cell, instance, "operators")
+
+
+def callers(cell, instance="a1"):
+    """Return a caller of the callers' API."""
+    return Caller(cell, instance, "entry")
+
+
+def customer(**values):
+    """Return the body of a customer."""
+    return {"kind": "Customer", "name": "small", **values}
+
+
+def test_two_operators_never_overwrite_each_other_unseen():
+    """Both read revision R and write; the second hears that it is at R+1 and loses nothing."""
+    cell = make_cell()
+    path = "/v1/resources/Customer/small"
+    _, shown = operators(cell, "a1").call("GET", path)
+    at = shown["revision"]
+    first = operators(cell, "a1").call("PUT", f"{path}?revision={at}", customer(priority=1))
+    second = operators(cell, "a2").call("PUT", f"{path}?revision={at}", customer(priority=2))
+    assert first[0] == 200 and first[1]["changed"]
+    assert second[0] == 409
+    assert second[1]["error"]["code"] == "AF202"
+    assert second[1]["error"]["details"]["revision"] == first[1]["revision"]
+    assert cell.daemons["a3"].context.catalog.customer("small").priority == 1
+
+
+def test_repeated_write_changes_nothing():
+    cell = make_cell()
+    path = "/v1/resources/Customer/small?revision=0"
+    new = {"kind": "Customer", "name": "fresh"}
+    first = operators(cell).call("PUT", "/v1/resources/Customer/fresh?revision=0", new)
+    again = operators(cell, "a2").call("PUT", "/v1/resources/Customer/fresh?revision=0", new)
+    assert first[1]["changed"] and not again[1]["changed"]
+    assert first[1]["revision"] == again[1]["revision"]
+    assert operators(cell).call("PUT", path, customer(priority=5))[0] == 409
+
+
+def test_watch_resumes_at_another_instance_and_loses_nothing():
+    cell = make_cell()
+    start = operators(cell).call("GET", "/v1/resources/Customer")[1]["revision"]
+    for priority in (11, 12, 13):
+        assert operators(cell).call(
+            "PUT", "/v1/resources/Customer/small", customer(priority=priority)
+        )
+    at, seen = start, []
+    for instance in ("a1", "a2", "a3"):
+        status, page = operators(cell, instance).call("GET", f"/v1/watch?after={at}")
+        assert status == 200
+        changes = page["changes"][:1]
+        seen += [change["value"]["priority"] for change in changes]
+        at = changes[-1]["revision"]
+    assert seen == [11, 12, 13]
+
+
+def test_watch_waits_for_a_change_and_then_answers():
+    cell = make_cell()
+    at = cell.daemons["a1"].context.catalog.revision
+    watcher = operators(cell)
+    assert watcher.call("GET", f"/v1/watch?after={at}&timeout_s=30", seconds=2.0) is None
+    answer = watcher.call("GET", f"/v1/watch?after={at}&timeout_s=1", seconds=2.0)
+    assert answer == (200, {"revision": at, "changes": []})
+
+
+def test_watch_from_a_revision_too_old_says_to_list_again():
+    cell = make_cell()
+    status, answer = operators(cell).call("GET", "/v1/watch?after=1")
+    assert status == 410
+    assert answer["error"]["code"] == "AF203"
+
+
+def test_list_is_paged_in_order():
+    names = [f"c{number:02d}" for number in range(25)]
+    cell = make_cell(declarations=make_declarations(names))
+    seen, after = [], ""
+    while after is not None:
+        path = f"/v1/resources/Customer?limit=10&after={after}"
+        _, page = operators(cell).call("GET", path)
+        seen += [item["value"]["name"] for item in page["items"]]
+        after = page["next"]
+    assert seen == names
+
+
+def test_resource_in_use_is_not_deleted():
+    cell = make_cell()
+    status, answer = operators(cell).call("DELETE", "/v1/resources/Policy/interactive")
+    assert (status, answer["error"]["code"]) == (400, "AF102")
+    assert "Workload/lookup" in answer["error"]["message"]
+
+
+@pytest.mark.parametrize(
+    "body, code",
+    [
+        (b"", "AF301"),
+        (b"{", "AF301"),
+        (b"\xff\xfe", "AF301"),
+        (b"[1]", "AF301"),
+        (b'{"customer": "small"}', "AF301"),
+        (b'{"customer": "small", "workload": "lookup", "priority": 1}', "AF301"),
+        (b'{"customer": "small", "workload": "lookup", "deadline_s": -1}', "AF301"),
+        (b'{"customer": "nobody", "workload": "lookup"}', "AF301"),
+        (b'{"customer": "small", "workload": "refresh"}', "AF301"),
+        (b'{"payload": "' + b"x" * 300_000 + b'"}', "AF303"),
+    ],
+)
+def test_malformed_request_gets_a_coded_answer(body, code):
+    cell = make_cell()
+    status, answer = callers(cell).call("POST", "/v1/requests", body)
+    assert 400 <= status < 500
+    assert answer["error"]["code"] == code
+    assert cell.part("a1", "entry").n_in_progress == 0
+
+
+def test_unknown_path_is_coded():
+    cell = make_cell(n_instances=1, n_workers=1)
+    status, answer = callers(cell).call("GET", "/v1/nothing/here")
+    assert (status, answer["error"]["code"]) == (404, "AF201")
+
+
+def test_job_that_fits_no_worker_is_refused_with_the_reason():
+    declarations = make_declarations()
+    big = Amounts(cpu_milli=64_000, memory_mb=1024)
+    declarations[-1].needs = big
+    cell = make_cell(declarations=declarations)
+    job = make_job("j1", "assembly", 2)
+    call = {"name": "j1", "customer": "large", "workload": "assembly", "tasks": job.tasks}
+    status, answer = callers(cell).call("POST", "/v1/jobs", call)
+    assert (status, answer["error"]["code"]) == (400, "AF102")
+    assert "cpu_milli 64000" in answer["error"]["message"]
+
+
+def test_status_says_why_a_job_waits():
+    quota = Amounts(cpu_milli=3000, memory_mb=100_000, slots=50)
+    cell = make_cell(declarations=make_declarations(quota=quota))
+    cell.submit("a1", make_job("j1", "refresh", 10, seconds=30.0))
+    cell.advance(2.0)
+    for instance in ("a1", "a2", "a3"):
+        _, answer = callers(cell, instance).call("GET", "/v1/jobs/large/j1")
+        assert answer["now"]["tasks"]["started"] == 3
+        assert "quota of customer large is used up: cpu_milli 3000 of 3000" in answer["now"]["why"]
+
+
+def test_instance_without_a_configuration_is_not_ready():
+    """All instances restart while the table is down: alive, dumping, and honest about it."""
+    cell = make_cell(n_instances=1)
+    cell.table_faults.down = True
+    cell.crash_instance("a1")
+    cell.start_instance("a2")
+    cell.advance(3.0)
+    assert operators(cell, "a2").call("GET", "/health")[0] == 503
+    assert operators(cell, "a2").call("GET", "/dump")[0] == 200
+    status, answer = callers(cell, "a2").call(
+        "POST", "/v1/requests", {"customer": "small", "workload": "lookup"}
+    )
+    assert (status, answer["error"]["code"]) == (503, "AF204")
+    cell.table_faults.down = False
+    cell.advance(5.0)
+    assert operators(cell, "a2").call("GET", "/health")[0] == 200
--- a/anvilflow/platform/_http.py
+++ b/anvilflow/platform/_http.py
@@ -69,6 +69,9 @@
         return _Endpoint(clock=self.clock, uri=uri, timeout=self.timeout)
 
 
+#: Heads of a request and its answer, as seen on the wire with these libraries. Unit: bytes.
+HEAD_BYTES = 330
+
 #: Failures before anything of the request left the process: it certainly had no effect.
 NOT_SENT = (ConnectError, DNSLookupError, RequestNotSent)
 
@@ -90,6 +93,8 @@
         self.clock = clock
         self.connections = connections
         self.connect_timeout = connect_timeout
+        self.n_calls = 0
+        self.n_bytes = 0
         self._pool = HTTPConnectionPool(clock, persistent=True)
         self._pool.maxPersistentPerHost = connections
         # A request that fails on a kept connection must not be sent again behind our back: it may
@@ -113,7 +118,9 @@
         response = self._client.post(url, data=_Body(body=body), headers=headers, unbuffered=True)
         call = response.addCallback(_read)
         call.addTimeout(timeout, self.clock)
+        self.n_calls += 1
         result = yield call
+        self.n_bytes += len(body) + len(result[1]) + HEAD_BYTES
         return result
 
     def post_json(self, url, value, *, timeout):
--- /dev/null
+++ b/anvilflow/reference/__init__.py
@@ -0,0 +1,5 @@
+"""Pages that are written from the code, so that they cannot drift from it."""
+
+from ._pages import PAGES, render_pages
+
+__all__ = ["PAGES", "render_pages"]
--- /dev/null
+++ b/benchmarks/standins_process.py
@@ -0,0 +1,131 @@
+"""The platform and workers of a cell as one process, with load, for daemons that run beside it.
+
+Writes the daemons' settings files, lists them, and once they are ready keeps tasks running or
+starts tasks at a rate. `make slopes` and `make processes` start it; it ends when it is told to.
+"""
+
+import sys
+from pathlib import Path
+
+import fire
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from anvilflow.platform import MemberInfo
+from anvilflow.resources import Amounts
+from anvilflow.standins import Cell, make_client, make_declarations
+from anvilflow.utils import encode
+
+HOST = "127.0.0.1"
+
+SETTINGS = """{{
+  "instance": {{"name": "a{n}", "failure_domain": "d{domain}"}},
+  "listen": {{"callers": "{host}:{callers}", "operators": "{host}:{operators}",
+             "peers": "{host}:{peers}"}},
+  "platform": {{"table": "{table}", "membership": "{membership}"}},
+  "log": {{"level": "warning"}},
+}}
+"""
+
+
+class Process:
+    """Stand-ins for daemons in other processes."""
+
+    def __init__(self, *, folder, n_instances, n_workers, n_customers, base_port, slots):
+        self.folder = Path(folder)
+        self.n_instances = n_instances
+        self.base_port = base_port
+        customers = [f"c{number}" for number in range(n_customers)]
+        self.cell = Cell(
+            reactor=reactor,
+            domains=["d1", "d2", "d3"],
+            n_instances=0,
+            n_workers=n_workers,
+            workers_per_rack=8,
+            capacity=Amounts(cpu_milli=10**8, memory_mb=10**8, slots=slots),
+            declarations=make_declarations(customers),
+        )
+        self.http = make_client(reactor)
+        self.n_submitted = 0
+
+    def start(self):
+        """Start the stand-ins and write the settings of the daemons."""
+        self.cell.start_standins()
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for number in range(1, self.n_instances + 1):
+            callers, operators, peers = (self.port(number, kind) for kind in range(3))
+            text = SETTINGS.format(
+                n=number,
+                domain=1 + number % 3,
+                host=HOST,
+                callers=callers,
+                operators=operators,
+                peers=peers,
+                table=self.cell.table_address,
+                membership=self.cell.membership_address,
+            )
+            (self.folder / f"a{number}.json").write_text(text)
+            self.cell.membership.put(
+                MemberInfo(
+                    name=f"a{number}",
+                    role="instance",
+                    address=f"{HOST}:{peers}",
+                    failure_domain=f"d{1 + number % 3}",
+                )
+            )
+        self.cell.membership.settle()
+
+    def port(self, number, kind):
+        """Return a port of a daemon: 0 callers, 1 operators, 2 peers."""
+        return self.base_port + 10 * number + kind
+
+    async def submit(self, n_tasks, seconds):
+        """Submit a batch, until it is taken."""
+        self.n_submitted += 1
+        tasks = [encode({"seconds": seconds}).decode() for _ in range(n_tasks)]
+        call = {
+            "name": f"j{self.n_submitted}",
+            "customer": f"c{self.n_submitted % 8}",
+            "workload": "refresh",
+            "tasks": tasks,
+        }
+        while True:
+            try:
+                url = f"http://{HOST}:{self.port(1, 0)}/v1/jobs"
+                status, answer = await self.http.post_json(url, call, timeout=5)
+                if status in (200, 201):
+                    return
+                print(status, answer[:200], file=sys.stderr)
+            except Exception as exc:
+                print(repr(exc), file=sys.stderr)
+            await deferLater(reactor, 0.5, lambda: None)
+
+
+def main(
+    folder, instances=1, workers=8, customers=8, slots=100_000, running=0, rate=0, base_port=21000
+):
+    """Run the stand-ins until killed."""
+    process = Process(
+        folder=folder,
+        n_instances=instances,
+        n_workers=workers,
+        n_customers=customers,
+        base_port=base_port,
+        slots=slots,
+    )
+
+    def begin():
+        process.start()
+        for _ in range(running // 200):
+            reactor.callLater(4.0, lambda: ensureDeferred(process.submit(200, 600.0)))
+        if rate:
+            loop = LoopingCall(lambda: ensureDeferred(process.submit(int(rate), 0.2)))
+            reactor.callLater(4.0, loop.start, 1.0)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
