Object store for large results

Change: client, stand-in and fault switch; a result over 4 KiB is put before the task's row says done, and the worker keeps it until then.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos bench-path lock thrift
+.PHONY: install demo test lint format chaos bench-decisions bench-path fuzz reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -38,6 +38,19 @@
 		$(BIN)/python -m anvilflow.chaos run --first {} --seeds $(CHAOS_SHARE) --out out/chaos/{}.json
 	$(BIN)/python -m anvilflow.chaos total out/chaos/*.json
 
+bench-decisions: $(STAMP)
+	$(BIN)/python benchmarks/bench_decisions.py
+
+# 100,000 steps of the stateful fuzzing; CI runs 2,400.
+fuzz: $(STAMP)
+	ANVILFLOW_FUZZ_EXAMPLES=1700 $(BIN)/python -m pytest anvilflow/decisions/tests/test_oracle.py
+
+reference: $(STAMP)
+	$(BIN)/python -m anvilflow.reference docs/operators
+
+slopes: $(STAMP)
+	benchmarks/slopes.sh docs/slopes.jsonl
+
 bench-path: $(STAMP)
 	$(BIN)/python benchmarks/bench_path.py
 
--- a/anvilflow/history/_checker.py
+++ b/anvilflow/history/_checker.py
@@ -208,18 +208,19 @@
     in_force = defaultdict(list)
     newest = {}
     broken = []
+    n_checked = 0
     for event in events:
         match event:
             case ConfigAccepted(revision=revision):
                 accepted.setdefault(revision, event.at)
             case ConfigInForce(instance=instance, incarnation=life, revision=revision):
+                n_checked += 1
                 if revision < newest.get((instance, life), 0):
                     broken.append(f"{instance} went back to revision {revision}")
                 newest[instance, life] = revision
                 in_force[instance].append((event.at, revision))
     names = set(in_force) if instances is None else set(instances)
     end = ended_at if ended_at is not None else max((event.at for event in events), default=0.0)
-    n_checked = 0
     for revision, at in accepted.items():
         if at + limit > end:
             continue
--- a/anvilflow/parts/_context.py
+++ b/anvilflow/parts/_context.py
@@ -18,7 +18,7 @@
     bus : Bus
     network : object
         Listens and dials for the peers part.
-    table, membership : clients of the platform
+    table, objects, membership : clients of the platform
     resources : ResourceStore
     make_worker : callable
         Returns a worker client for a :class:`MemberInfo`.
@@ -34,6 +34,7 @@
         bus,
         network,
         table,
+        objects,
         membership,
         resources,
         make_worker,
@@ -45,6 +46,7 @@
         self.bus = bus
         self.network = network
         self.table = table
+        self.objects = objects
         self.membership = membership
         self.resources = resources
         self.make_worker = make_worker
--- a/anvilflow/parts/_daemon.py
+++ b/anvilflow/parts/_daemon.py
@@ -3,7 +3,14 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from ..platform import HttpClient, MembershipClient, ResourceStore, TableClient, WorkerClient
+from ..platform import (
+    HttpClient,
+    MembershipClient,
+    ObjectClient,
+    ResourceStore,
+    TableClient,
+    WorkerClient,
+)
 from ._bus import Bus
 from ._config import ConfigPart
 from ._context import Context
@@ -116,6 +123,9 @@
         bus=Bus(on_failure=None),
         network=ReactorNetwork(reactor=reactor),
         table=table,
+        objects=ObjectClient(
+            http=http, address=settings.platform.objects, timeout=timing.platform_timeout_s
+        ),
         membership=MembershipClient(
             http=http, address=settings.platform.membership, timeout=timing.platform_timeout_s
         ),
--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -417,9 +417,20 @@
             value["now"] = yield self._ask_status(customer, name)
         if argument(request, "results"):
             rows = yield self.context.table.scan_all(f"task/{customer}/{name}/")
-            value["results"] = {row.key.rsplit("/", 1)[1]: row.value for row in rows}
+            value["results"] = {}
+            for row in rows:
+                index = row.key.rsplit("/", 1)[1]
+                value["results"][index] = yield self._with_result(row.value)
         return answer_json(request, value)
 
+    @inlineCallbacks
+    def _with_result(self, record):
+        """Return a task's record with its result, from the object store where it is there."""
+        if "object" not in record:
+            return record
+        body = yield self.context.objects.get(record["object"])
+        return {**record, "result": body.decode()}
+
     @app.route("/v1/jobs/<customer>/<name>/cancel", methods=["POST"])
     @coded
     @inlineCallbacks
--- a/anvilflow/parts/_home.py
+++ b/anvilflow/parts/_home.py
@@ -45,6 +45,9 @@
 #: Wait before a home is claimed again, or a phase written again. Unit: seconds.
 _AGAIN_S = 0.5
 
+#: Largest result that is kept in the task's row. Unit: bytes.
+INLINE_RESULT_BYTES = 4096
+
 _ENDED = {JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED}
 
 
@@ -389,11 +392,34 @@
         self._commit(home, customer, writes, done)
 
     def _record_end(self, home, message):
+        """Write a task's end; a large result goes to the object store first.
+
+        The row is written only when the object is there. Until then the worker keeps the result,
+        and the object is put again, under the same key, until the store takes it.
+        """
+        if len(message.result) <= INLINE_RESULT_BYTES:
+            self._write_end(home, message, {"result": message.result})
+            return
+        key = f"result/{message.hold_id}"
+        done = self.context.objects.put(key, message.result.encode())
+        done.addCallbacks(
+            lambda _: self._write_end(home, message, {"object": key}),
+            lambda failure: self._put_failed(failure, home, message),
+        )
+        done.addErrback(self.fail_with)
+
+    def _put_failed(self, failure, home, message):
+        failure.trap(PlatformError)
+        if self._homes.get(message.customer) is home:
+            delay = jitter(self.context.random_state, _AGAIN_S)
+            self.later(delay, self._record_end, home, message)
+
+    def _write_end(self, home, message, result):
         value = {
             "attempt": message.attempt,
             "state": "done" if message.ok else "failed",
             "worker": "",
-            "result": message.result,
+            **result,
         }
         key = f"task/{message.customer}/{message.job}/{message.index}"
 
--- a/anvilflow/parts/tests/test_failures.py
+++ b/anvilflow/parts/tests/test_failures.py
@@ -3,6 +3,7 @@
 import pytest
 
 from anvilflow.history import RunBegan, RunEnded, check_history
+from anvilflow.utils import encode
 
 from ._helpers import assert_promises, make_cell, make_job, outcomes, phase_of
 
@@ -133,6 +134,26 @@
     assert_promises(cell)
 
 
+def test_large_results_wait_for_the_object_store():
+    """Tasks end with large results while the object store is down.
+
+    No row says that they are done before their results are safe; the workers keep them. When the
+    store answers again, each result is there once, and the job completes.
+    """
+    cell = make_cell()
+    job = make_job("j1", "refresh", 4, seconds=0.2)
+    job.tasks = [encode({"token": "x" * 9000, "seconds": 0.2}).decode() for _ in range(4)]
+    cell.objects_faults.down = True
+    cell.submit("a1", job)
+    cell.advance(5.0)
+    assert phase_of(cell, job) == ("running", 0, 0)
+    cell.objects_faults.down = False
+    cell.advance(5.0)
+    assert phase_of(cell, job) == ("completed", 4, 0)
+    assert sorted(map(len, cell.objects.objects.values())) == [9000] * 4
+    assert_promises(cell)
+
+
 def test_job_is_refused_at_once_without_the_table():
     """A job that cannot be made durable is answered with a coded error, not kept in memory."""
     cell = make_cell()
--- a/anvilflow/platform/__init__.py
+++ b/anvilflow/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from ._http import HttpClient
 from ._membership import MemberInfo, MembershipClient, MembershipList
+from ._objects import ObjectClient
 from ._resource_store import LOG_KEPT, ResourceStore, Written
 from ._table import Condition, Row, TableClient, Write
 from ._worker import ClaimReport, FinishedTask, SyncReport, WorkerClient
@@ -15,6 +16,7 @@
     "MemberInfo",
     "MembershipClient",
     "MembershipList",
+    "ObjectClient",
     "ResourceStore",
     "Row",
     "SyncReport",
--- a/anvilflow/settings/_model.py
+++ b/anvilflow/settings/_model.py
@@ -33,6 +33,7 @@
     """Addresses of the platform's services, each ``IP:PORT``."""
 
     table: Annotated[str, Meta(description="Transactional table service.")]
+    objects: Annotated[str, Meta(description="Object store.")]
     membership: Annotated[str, Meta(description="List of live and leaving instances.")]
 
 
--- a/anvilflow/settings/tests/test_settings.py
+++ b/anvilflow/settings/tests/test_settings.py
@@ -14,7 +14,7 @@
   // a comment
   "instance": {"name": "a1", "failure_domain": "d1"},
   "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
-  "platform": {"table": "127.0.0.1:4", "membership": "127.0.0.1:5"},
+  "platform": {"table": "127.0.0.1:4", "objects": "127.0.0.1:6", "membership": "127.0.0.1:5"},
 }"""
 
 BROKEN = {
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -5,6 +5,7 @@
 from ._faults import Faults
 from ._membership import MembershipServer, MembershipState
 from ._network import MemoryNetwork
+from ._objects import MemoryObjects, ObjectServer, ObjectState
 from ._samples import make_declarations
 from ._server import listen
 from ._table import MemoryTable, TableServer, TableState
@@ -18,8 +19,11 @@
     "MembershipServer",
     "MembershipState",
     "MemoryNetwork",
+    "MemoryObjects",
     "MemoryTable",
     "MemoryWorker",
+    "ObjectServer",
+    "ObjectState",
     "TableServer",
     "TableState",
     "VirtualCell",
--- a/anvilflow/standins/_cell.py
+++ b/anvilflow/standins/_cell.py
@@ -13,6 +13,7 @@
 from ._balancer import Balancer
 from ._faults import Faults
 from ._membership import MembershipServer, MembershipState
+from ._objects import ObjectServer, ObjectState
 from ._server import listen
 from ._table import TableServer, TableState
 from ._worker import WorkerServer, WorkerState
@@ -88,6 +89,10 @@
         table = TableServer(clock=self.reactor, state=self.table, faults=self.table_faults)
         self.table_address = self._listen(table.app)
         self.table.declare(self.declarations)
+        self.objects = ObjectState()
+        self.objects_faults = Faults(clock=self.reactor)
+        objects = ObjectServer(state=self.objects, faults=self.objects_faults)
+        self.objects_address = self._listen(objects.app)
         self.membership_faults = Faults(clock=self.reactor)
         self.membership = MembershipState(clock=self.reactor)
         members = MembershipServer(state=self.membership, faults=self.membership_faults)
@@ -104,7 +109,11 @@
             listen=ListenSettings(
                 callers=f"{LOOPBACK}:0", operators=f"{LOOPBACK}:0", peers=f"{LOOPBACK}:0"
             ),
-            platform=PlatformSettings(table=self.table_address, membership=self.membership_address),
+            platform=PlatformSettings(
+                table=self.table_address,
+                objects=self.objects_address,
+                membership=self.membership_address,
+            ),
             **self.sections,
         )
         daemon = make_daemon(
--- a/anvilflow/standins/_virtual_cell.py
+++ b/anvilflow/standins/_virtual_cell.py
@@ -15,6 +15,7 @@
 from ._faults import Faults
 from ._membership import MembershipState
 from ._network import MemoryNetwork
+from ._objects import MemoryObjects, ObjectState
 from ._pausable_clock import PausableClock
 from ._table import MemoryTable, TableState
 from ._worker import MemoryWorker, WorkerState
@@ -78,6 +79,8 @@
         self.network = MemoryNetwork(clock=self.clock, random_state=self.random_state)
         self.table = TableState()
         self.table_faults = Faults(clock=self.clock)
+        self.objects = ObjectState()
+        self.objects_faults = Faults(clock=self.clock)
         self.membership = MembershipState(clock=self.clock)
         self.membership_faults = Faults(clock=self.clock)
         self._list = _MemoryMembership(
@@ -106,7 +109,7 @@
         settings = Settings(
             instance=InstanceSettings(name=name, failure_domain="d1"),
             listen=ListenSettings(callers=_ANY, operators=_ANY, peers=_ANY),
-            platform=PlatformSettings(table=_ANY, membership=_ANY),
+            platform=PlatformSettings(table=_ANY, objects=_ANY, membership=_ANY),
             **self.sections,
         )
         clock = PausableClock(inner=self.clock)
@@ -119,6 +122,7 @@
             bus=Bus(on_failure=None),
             network=self.network.at(name),
             table=table,
+            objects=MemoryObjects(state=self.objects, faults=self.objects_faults, clock=clock),
             membership=self._list,
             resources=ResourceStore(table=table),
             make_worker=lambda member: MemoryWorker(state=self.workers[member.name], clock=clock),
--- a/benchmarks/standins_process.py
+++ b/benchmarks/standins_process.py
@@ -23,7 +23,8 @@
   "instance": {{"name": "a{n}", "failure_domain": "d{domain}"}},
   "listen": {{"callers": "{host}:{callers}", "operators": "{host}:{operators}",
              "peers": "{host}:{peers}"}},
-  "platform": {{"table": "{table}", "membership": "{membership}"}},
+  "platform": {{"table": "{table}", "objects": "{objects}",
+               "membership": "{membership}"}},
   "log": {{"level": "warning"}},
 }}
 """
@@ -63,6 +64,7 @@
                 operators=operators,
                 peers=peers,
                 table=self.cell.table_address,
+                objects=self.cell.objects_address,
                 membership=self.cell.membership_address,
             )
             (self.folder / f"a{number}.json").write_text(text)
