Owners whose only worker leaves refuse; a running task's waiting ask is dropped

Change: accounting a task drops its ask; only open workers count as fitting and in digests; asks that are not held expire and go elsewhere; heartbeats name leaving workers. The stand-in counts a worker as known to leave once the list showed it for 1 s: before, nobody may have read it.

--- a/Makefile
+++ b/Makefile
@@ -60,4 +60,4 @@
 		--no-header --strip-extras --allow-unsafe --generate-hashes -o requirements.lock pyproject.toml
 
 thrift:
-	thrift --gen py:slots -out . anvilflow/peers/messages.thrift
+	thrift --gen py:slots -out . anvilflow/peers/messages.thrift && rm -f __init__.py
--- a/anvilflow/decisions/_home.py
+++ b/anvilflow/decisions/_home.py
@@ -516,13 +516,22 @@
         return out
 
     def _keep_alive(self, run, collecting, now):
+        """Keep held places while the rest is collected.
+
+        What is only asked is left to expire and asked elsewhere: kept alive, it would wait for
+        ever at an owner whose only worker leaves.
+        """
         out = []
         for task in collecting:
-            if now - task.asked_at >= self.hold_s / 3:
+            if task.state is TaskState.HELD and now - task.asked_at >= self.hold_s / 3:
                 task.asked_at = now
-                out.append(
-                    AskHold(hold=self._hold(run, task), workload=run.job.workload, again=True)
-                )
+                hold = self._hold(run, task)
+                out.append(AskHold(hold=hold, workload=run.job.workload, again=True))
+        silent = _SILENT_HOLDS * self.hold_s
+        for task in collecting:
+            if task.state is TaskState.ASKED and now - task.asked_at > silent:
+                out.append(ReleaseHold(hold_id=run.hold_id(task)))
+                self.hold_refused(run.hold_id(task), RefuseReason.EXPIRED, now)
         return out
 
     def _give_up_collecting(self, run, collecting, now):
--- a/anvilflow/decisions/_owner.py
+++ b/anvilflow/decisions/_owner.py
@@ -169,7 +169,8 @@
         lost = [held for held in self._held.values() if held.worker == worker]
         for held in lost:
             self._drop_held(held.hold.hold_id)
-        return [HoldRevoked(hold=held.hold, worker=worker) for held in lost]
+        out = [HoldRevoked(hold=held.hold, worker=worker) for held in lost]
+        return out if self.rooms.open_rooms() else out + self._refuse_all()
 
     def reopen_worker(self, worker, now):
         """Place work on a closed worker again."""
@@ -442,6 +443,14 @@
         return HoldGranted(hold=hold, worker=worker)
 
     def _account_task(self, hold_id, needs, worker):
+        """Account a task that runs.
+
+        Its own ask may still wait here, made before its start through another owner was heard of.
+        Granted now, and then released by its home, it would free the running task's place.
+        """
+        self._hold_queue.remove(hold_id)
+        if hold_id in self._held:
+            self._drop_held(hold_id)
         self.rooms.take(worker, hold_id, needs, task=True)
         self._task_slots += needs.slots
         self._note_started(hold_id, worker, needs)
--- a/anvilflow/decisions/_rooms.py
+++ b/anvilflow/decisions/_rooms.py
@@ -251,12 +251,14 @@
         room = self._rooms.get(worker)
         if room is not None:
             self._live &= ~room.bit
+            self._fitting.clear()
 
     def reopen(self, worker):
         """Find places on a worker again."""
         room = self._rooms.get(worker)
         if room is not None:
             self._live |= room.bit
+            self._fitting.clear()
 
     def is_closed(self, worker):
         """Whether no place is found on the worker."""
@@ -319,14 +321,21 @@
         return True
 
     def ever_fits(self, needs, *, task):
-        """Whether an empty worker would hold `needs`; remembered until the workers change."""
+        """Whether an open worker would hold `needs` if it were empty.
+
+        Remembered until the workers change.
+        """
         known = self._fitting.get((needs, task))
         if known is None:
             need = as_list(needs)
-            known = any(_holds(self._bounds(room, task), need) for room in self._rooms.values())
+            known = any(_holds(self._bounds(room, task), need) for room in self.open_rooms())
             self._fitting[needs, task] = known
         return known
 
+    def open_rooms(self):
+        """Return the rooms on which places are found."""
+        return [room for room in self._rooms.values() if room.bit & self._live]
+
     def total(self, name):
         """Return the capacity of resource `name` over all workers."""
         return sum(getattr(room.capacity, name) for room in self._rooms.values())
@@ -335,9 +344,7 @@
         """Return the free amount of resource `name` over the workers that are open."""
         number = RESOURCE_NAMES.index(name)
         return sum(
-            max(0, (room.task_free if task else room.free)[number])
-            for room in self._rooms.values()
-            if room.bit & self._live
+            max(0, (room.task_free if task else room.free)[number]) for room in self.open_rooms()
         )
 
     def _bounds(self, room, task):
--- a/anvilflow/parts/_events.py
+++ b/anvilflow/parts/_events.py
@@ -37,6 +37,12 @@
     instance: str
 
 
+class WorkersLeaving(Struct, kw_only=True):
+    """Another instance has read on the list that these workers leave."""
+
+    workers: list
+
+
 class DigestReady(Struct, kw_only=True):
     """What the owner part tells other instances of its load."""
 
--- a/anvilflow/parts/_members.py
+++ b/anvilflow/parts/_members.py
@@ -1,9 +1,22 @@
 """Which instances are live, from the platform's lagging list and from what is heard."""
 
+from msgspec import structs
+
 from ..exceptions import PlatformError
-from ._events import LeavingChanged, LiveChanged, MembersListed, PeerDown, PeerLeaving, PeerUp
+from ._events import (
+    LeavingChanged,
+    LiveChanged,
+    MembersListed,
+    PeerDown,
+    PeerLeaving,
+    PeerUp,
+    WorkersLeaving,
+)
 from ._part import Part
 
+#: Age up to which the own reading of the list goes before a peer's word. Unit: seconds.
+_LIST_FRESH_S = 1.0
+
 
 class MembersPart(Part):
     """Merges the membership list with the connections.
@@ -25,6 +38,7 @@
         self._connected = set()
         self._leaving = set()
         self._known = None
+        self._read_at = 0.0
 
     def start(self):
         """Follow the list and the connections."""
@@ -32,6 +46,7 @@
         self.on(PeerUp, self._peer_up)
         self.on(PeerDown, self._peer_down)
         self.on(PeerLeaving, self._peer_leaving)
+        self.on(WorkersLeaving, self._workers_leaving)
         self.on(LeavingChanged, lambda *_: self._evaluate())
         self.every(timing.membership_poll_s, self._poll)
         self.every(timing.heartbeat_s, self._evaluate, delay=timing.heartbeat_s)
@@ -56,6 +71,7 @@
 
     def _listed_anew(self, listing):
         now = self.now
+        self._read_at = now
         self._listed = {member.name: member for member in listing.members}
         for name in self._listed:
             self._since.setdefault(name, now)
@@ -76,6 +92,20 @@
             self._leaving.add(event.instance)
             self._evaluate()
 
+    def _workers_leaving(self, _, event):
+        """Take a peer's word for workers that leave, when the own list is old.
+
+        Where the list can be read by some and not by others, the others would go on giving work
+        to a worker that leaves.
+        """
+        if self.now - self._read_at < _LIST_FRESH_S:
+            return
+        for name in event.workers:
+            member = self._listed.get(name)
+            if member is not None and member.state != "leaving":
+                self._listed[name] = structs.replace(member, state="leaving")
+                self._evaluate()
+
     def _evaluate(self):
         live = tuple(sorted(name for name in self._candidates() if self._is_live(name)))
         workers = {name: member for name, member in self._listed.items() if member.role == "worker"}
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -618,9 +618,10 @@
 
     def _tell_digest(self):
         book = self._book
-        shapes = {room.capacity for room in book.rooms}
+        rooms = book.rooms.open_rooms()
+        shapes = {room.capacity for room in rooms}
         digest = Digest(
-            n_workers=len(book.rooms),
+            n_workers=len(rooms),
             free_service_slots=book.free_service_slots,
             free_task_slots=book.free_task_slots,
             n_queued=book.n_queued,
--- a/anvilflow/parts/_peers.py
+++ b/anvilflow/parts/_peers.py
@@ -9,9 +9,13 @@
     PeerLeaving,
     PeerUp,
     RevisionHint,
+    WorkersLeaving,
 )
 from ._part import Part
 
+#: Leaving workers that a heartbeat names at the most.
+_MAX_LEAVING = 64
+
 
 class PeersPart(Part):
     """Keeps one connection to each instance on the membership list.
@@ -121,6 +125,8 @@
             self.context.digests[name] = beat.digest
         if beat.leaving:
             self.post(PeerLeaving(instance=name))
+        if beat.leaving_workers:
+            self.post(WorkersLeaving(workers=beat.leaving_workers))
         if beat.revision > self.context.catalog.revision:
             self.post(RevisionHint(revision=beat.revision))
 
@@ -152,6 +158,7 @@
             revision=self.context.catalog.revision,
             leaving=self.context.leaving,
             digest=self._digest,
+            leaving_workers=self._leaving_workers(),
         )
         limit = self.now - self.context.settings.timing.suspect_s
         for link in list(self._open):
@@ -160,6 +167,10 @@
             elif link.peer is not None:
                 link.send(beat)
 
+    def _leaving_workers(self):
+        workers = self.context.workers.values()
+        return [member.name for member in workers if member.state == "leaving"][:_MAX_LEAVING]
+
     def _drop_all(self):
         self.context.peers = None
         for link in list(self._open):
--- a/anvilflow/parts/tests/test_failures.py
+++ b/anvilflow/parts/tests/test_failures.py
@@ -408,6 +408,25 @@
     assert_promises(cell)
 
 
+def test_gang_is_not_kept_waiting_by_an_owner_whose_only_worker_leaves():
+    """A gang's place is asked of an owner whose only worker leaves.
+
+    That owner must refuse, and the home must ask elsewhere; the job completes. (Chaos seed 619.)
+    """
+    cell = make_cell(n_instances=3, n_workers=6)
+    owners = {name: cell.owner_of(name) for name in cell.workers}
+    least = min(set(owners.values()), key=list(owners.values()).count)
+    for name, owner in owners.items():
+        if owner == least:
+            cell.worker_leaves(name)
+    cell.advance(2.0)
+    job = make_job("g1", "assembly", 9, seconds=0.2)
+    cell.submit("a1", job)
+    cell.advance(15.0)
+    assert phase_of(cell, job) == ("completed", 9, 0)
+    assert_promises(cell)
+
+
 def test_history_shows_every_promise_checked():
     """The checks above must have had something to check."""
     cell = make_cell()
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -356,6 +356,7 @@
      - revision
      - leaving
      - digest
+     - leaving_workers
 
     """
 
@@ -364,14 +365,16 @@
         'revision',
         'leaving',
         'digest',
+        'leaving_workers',
     )
 
 
-    def __init__(self, sequence=None, revision=None, leaving=None, digest=None,):
+    def __init__(self, sequence=None, revision=None, leaving=None, digest=None, leaving_workers=None,):
         self.sequence = sequence
         self.revision = revision
         self.leaving = leaving
         self.digest = digest
+        self.leaving_workers = leaving_workers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -403,6 +406,16 @@
                     self.digest.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.leaving_workers = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving_workers.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -429,6 +442,13 @@
             oprot.writeFieldBegin('digest', TType.STRUCT, 4)
             self.digest.write(oprot)
             oprot.writeFieldEnd()
+        if self.leaving_workers is not None:
+            oprot.writeFieldBegin('leaving_workers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.leaving_workers))
+            for iter13 in self.leaving_workers:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1457,10 +1477,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.hold_ids = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.hold_ids.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hold_ids.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1481,8 +1501,8 @@
         if self.hold_ids is not None:
             oprot.writeFieldBegin('hold_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.hold_ids))
-            for iter13 in self.hold_ids:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter20 in self.hold_ids:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1960,11 +1980,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Message()
-                        _elem19.read(iprot)
-                        self.messages.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Message()
+                        _elem26.read(iprot)
+                        self.messages.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1981,8 +2001,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter20 in self.messages:
-                iter20.write(oprot)
+            for iter27 in self.messages:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2040,6 +2060,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.STRUCT, 'digest', [Digest, None], None, ),  # 4
+    (5, TType.LIST, 'leaving_workers', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(ForwardRequest)
 ForwardRequest.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -28,6 +28,7 @@
   2: i64 revision,
   3: bool leaving,
   4: optional Digest digest,
+  5: optional list<string> leaving_workers,
 }
 
 struct ForwardRequest {
--- a/anvilflow/standins/_virtual_cell.py
+++ b/anvilflow/standins/_virtual_cell.py
@@ -23,6 +23,11 @@
 #: Step of the virtual clock. Unit: seconds.
 STEP_S = 0.005
 
+#: Pause between readings of the list that shows that it could not be read, and the time after
+#: which everybody has read it. Unit: seconds.
+_LIST_GAP_S = 0.6
+_LIST_KNOWN_S = 1.0
+
 _ANY = "127.0.0.1:0"
 
 
@@ -34,18 +39,30 @@
         self.faults = faults
         self.history = history
         self._leaving = set()
+        self._shown = {}
+        self._read_at = 0.0
 
     def read(self):
         """Return the list."""
         return self.faults.around(self._read)
 
     def _read(self):
-        """Read the list; that a worker leaves is known from when the list first says so."""
+        """Read the list.
+
+        That a worker leaves can be known once the list has said so, and could be read, for longer
+        than everybody's period of reading it.
+        """
         listing = self.state.read()
+        now = self.history.clock.seconds()
+        if now - self._read_at > _LIST_GAP_S:
+            self._shown.clear()
+        self._read_at = now
         for member in listing.members:
             if member.state == "leaving" and member.name not in self._leaving:
-                self._leaving.add(member.name)
-                self.history.add(TargetLeaving, worker=member.name)
+                since = self._shown.setdefault(member.name, now)
+                if now - since >= _LIST_KNOWN_S:
+                    self._leaving.add(member.name)
+                    self.history.add(TargetLeaving, worker=member.name)
         return listing
 
 
