--- a/anvilflow/decisions/_owner.py
+++ b/anvilflow/decisions/_owner.py
@@ -108,6 +108,11 @@
         """Number of tasks running or held."""
         return len(self._started) + len(self._held)
 
+    @property
+    def n_held(self):
+        """Number of holds granted and not started."""
+        return len(self._held)
+
     @property
     def free_service_slots(self):
         """Slots that a request could take now."""
--- a/anvilflow/parts/_home.py
+++ b/anvilflow/parts/_home.py
@@ -38,6 +38,7 @@
 
 #: Period of asking for places. Unit: seconds.
 _TICK_S = 0.05
+_IDLE_TICK_S = 0.5
 
 #: Period of asking owners what became of tasks. Unit: seconds.
 _QUERY_S = 1.0
@@ -97,7 +98,7 @@
         self.on(HoldAnswer, self._hold_answer)
         self.on(TaskAnswer, self._task_answer)
         self.on(StatusAsk, self._status_ask)
-        self.every(_TICK_S, self._tick, delay=_TICK_S)
+        self.every(lambda: _TICK_S if self._homes else _IDLE_TICK_S, self._tick, delay=_TICK_S)
         self.every(_QUERY_S, self._query, delay=_QUERY_S)
         self._review()
 
--- a/anvilflow/parts/_members.py
+++ b/anvilflow/parts/_members.py
@@ -18,6 +18,10 @@
 _LIST_FRESH_S = 1.0
 
 
+#: Evaluations of the view within the suspect time.
+_EVALUATIONS = 3
+
+
 class MembersPart(Part):
     """Merges the membership list with the connections.
 
@@ -49,7 +53,8 @@
         self.on(WorkersLeaving, self._workers_leaving)
         self.on(LeavingChanged, lambda *_: self._evaluate())
         self.every(timing.membership_poll_s, self._poll)
-        self.every(timing.heartbeat_s, self._evaluate, delay=timing.heartbeat_s)
+        period = timing.suspect_s / _EVALUATIONS
+        self.every(period, self._evaluate, delay=period)
 
     def dump(self):
         """Return the view."""
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -45,6 +45,7 @@
 
 #: Period of the sweep for what has waited too long. Unit: seconds.
 _SWEEP_S = 0.05
+_IDLE_SWEEP_S = 0.5
 
 #: Failed syncs in a row after which a worker gets no new work.
 _SILENT_SYNCS = 2
@@ -137,7 +138,7 @@
         self.on(TaskQuery, self._task_query)
         self.on(TaskAcknowledge, self._task_acknowledge)
         timing = self.context.settings.timing
-        self.every(_SWEEP_S, self._sweep, delay=_SWEEP_S)
+        self.every(self._sweep_period, self._sweep, delay=_SWEEP_S)
         self.every(timing.heartbeat_s, self._tell_digest, delay=timing.heartbeat_s / 2)
         self._catalog_changed(None, None)
         self._review()
@@ -232,8 +233,7 @@
             requests=report.requests,
             leaving=self._is_leaving(member.name),
         )
-        timing = self.context.settings.timing
-        owned.ticker = self.every(timing.worker_sync_s, lambda: self._sync(owned))
+        owned.ticker = self.every(lambda: self._sync_period(owned), lambda: self._sync(owned))
         self._act(out)
         self.log.info("Worker {} owned, {} tasks run there.", member.name, len(report.tasks))
 
@@ -257,6 +257,17 @@
 
     # Reports and leases
 
+    def _sync_period(self, owned):
+        """Return the time to the next sync: a worker without anything to follow is asked less.
+
+        Syncs of idle workers were the largest part of an idle instance's processor time.
+        """
+        timing = self.context.settings.timing
+        followed = owned.bars or owned.overdue or owned.foreign or owned.forget or owned.ended
+        if followed or owned.n_failed or self._book.tasks_on(owned.member.name):
+            return timing.worker_sync_s
+        return timing.idle_sync_s
+
     @inlineCallbacks
     def _sync(self, owned):
         name = owned.member.name
@@ -404,6 +415,7 @@
             # It may run on, or be on its way still. Its place stays taken until a report that was
             # made after the worker would refuse it as late no longer names it.
             owned.overdue[request.request_id] = until
+            owned.ticker.within(self.context.settings.timing.worker_sync_s)
             end = (Outcome.UNKNOWN, b"", exc.code, exc.message)
         else:
             run_time = self.now - began
@@ -494,6 +506,7 @@
         workload = self.context.catalog.workload(body.workload)
         until = owned.clock.until(self.now, self.context.settings.lease.task_s)
         owned.starting.add(hold_id)
+        owned.ticker.within(self.context.settings.timing.worker_sync_s)
         try:
             yield owned.client.start(
                 hold_id=hold_id,
@@ -603,6 +616,11 @@
                 home = self._hold_homes.pop(hold.hold_id, None)
                 self._answer_hold(home, hold.hold_id, "refused", reason=RefuseReason.EXPIRED)
 
+    def _sweep_period(self):
+        book = self._book
+        waits = book.n_queued or book.n_holds_queued or book.n_held
+        return _SWEEP_S if waits else _IDLE_SWEEP_S
+
     def _sweep(self):
         self._act(self._book.tick(self.now))
 
--- a/anvilflow/parts/_peers.py
+++ b/anvilflow/parts/_peers.py
@@ -13,6 +13,9 @@
 )
 from ._part import Part
 
+#: Of heartbeats that say nothing new, one in so many is sent.
+_QUIET_BEATS = 2
+
 #: Leaving workers that a heartbeat names at the most.
 _MAX_LEAVING = 64
 
@@ -34,6 +37,7 @@
         self._open = set()
         self._sequence = 0
         self._digest = None
+        self._said = None
         self._port = None
 
     def start(self):
@@ -160,13 +164,26 @@
             digest=self._digest,
             leaving_workers=self._leaving_workers(),
         )
+        is_news = self._is_news(beat)
         limit = self.now - self.context.settings.timing.suspect_s
         for link in list(self._open):
             if link.heard_at < limit:
                 link.abort()
-            elif link.peer is not None:
+            elif link.peer is not None and is_news:
                 link.send(beat)
 
+    def _is_news(self, beat):
+        """Whether to send the heartbeat: it says something new, or every second one.
+
+        A peer that hears half as many heartbeats of an idle instance still hears two or more
+        within the suspect time.
+        """
+        said = (beat.revision, beat.leaving, beat.digest, beat.leaving_workers)
+        if said == self._said and self._sequence % _QUIET_BEATS:
+            return False
+        self._said = said
+        return True
+
     def _leaving_workers(self):
         workers = self.context.workers.values()
         return [member.name for member in workers if member.state == "leaving"][:_MAX_LEAVING]
--- a/anvilflow/settings/_load.py
+++ b/anvilflow/settings/_load.py
@@ -81,6 +81,11 @@
             f"$.timing.suspect_s: {timing.suspect_s} clashes with $.timing.heartbeat_s "
             f"{timing.heartbeat_s}; allowed: at least twice as long"
         )
+    if timing.idle_sync_s < timing.worker_sync_s:
+        raise SettingsError(
+            f"$.timing.idle_sync_s: {timing.idle_sync_s} clashes with $.timing.worker_sync_s "
+            f"{timing.worker_sync_s}; allowed: at least as long"
+        )
     shortest = MIN_RENEWALS_PER_LEASE * (timing.worker_sync_s + timing.worker_timeout_s)
     if settings.lease.task_s < shortest:
         raise SettingsError(
--- a/anvilflow/utils/_timing.py
+++ b/anvilflow/utils/_timing.py
@@ -13,8 +13,8 @@
     ----------
     clock : IReactorTime
         Source of time and delayed calls.
-    period : float
-        Seconds between the end of one call and the next.
+    period : float or callable
+        Seconds between the end of one call and the next, or a function that returns them.
     call : callable
         Called without arguments; may return a Deferred, whose end is awaited.
     on_error : callable
@@ -27,6 +27,7 @@
         self.call = call
         self.on_error = on_error
         self._delayed = None
+        self._due = 0.0
         self._stopped = True
 
     def start(self, *, delay=0):
@@ -46,6 +47,14 @@
         if self._delayed is not None and self._delayed.active():
             self._delayed.reset(0)
 
+    def within(self, delay):
+        """Make the next call after `delay` at the latest."""
+        if self._delayed is not None and self._delayed.active():
+            now = self.clock.seconds()
+            if self._due - now > delay:
+                self._delayed.reset(delay)
+                self._due = now + delay
+
     def _run(self):
         # The import is here because twisted.internet.defer pulls in the whole of Twisted, which
         # the pure packages that import `utils` do without.
@@ -58,4 +67,6 @@
 
     def _again(self, _):
         if not self._stopped:
-            self._delayed = self.clock.callLater(self.period, self._run)
+            period = self.period() if callable(self.period) else self.period
+            self._due = self.clock.seconds() + period
+            self._delayed = self.clock.callLater(period, self._run)
