--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos bench-decisions bench-path fuzz reference slopes lock thrift
+.PHONY: install demo test lint format chaos bench-decisions bench-path capacity fuzz idle reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -46,7 +46,13 @@
 	ANVILFLOW_FUZZ_EXAMPLES=1700 $(BIN)/python -m pytest anvilflow/decisions/tests/test_oracle.py
 
 reference: $(STAMP)
-	$(BIN)/python -m anvilflow.reference docs/operators
+	$(BIN)/python -m anvilflow.reference pages docs/operators
+
+idle: $(STAMP)
+	benchmarks/idle.sh 60
+
+capacity: $(STAMP)
+	$(BIN)/python -m anvilflow.reference capacity docs/slopes.jsonl docs/capacity.md.in docs/CAPACITY.md
 
 slopes: $(STAMP)
 	benchmarks/slopes.sh docs/slopes.jsonl
--- a/anvilflow/decisions/tests/test_oracle.py
+++ b/anvilflow/decisions/tests/test_oracle.py
@@ -94,8 +94,17 @@
                 del self.placed[item]
                 self.started.discard(item)
 
-    @rule(customer=customers, needs=amounts, patience=st.sampled_from([0.1, 1.0, 20.0]))
-    def submit(self, customer, needs, patience):
+    @rule(
+        customer=customers,
+        needs=amounts,
+        patience=st.sampled_from([0.1, 1.0, 20.0]),
+        n_requests=st.integers(1, 8),
+    )
+    def submit(self, customer, needs, patience, n_requests):
+        for _ in range(n_requests):
+            self.submit_one(customer, needs, patience)
+
+    def submit_one(self, customer, needs, patience):
         self.n_made += 1
         request = Request(
             request_id=f"r{self.n_made}",
@@ -108,7 +117,17 @@
         self.waiting.add(request.request_id)
         self.take(self.book.submit(request, self.now))
 
-    @rule(customer=customers, needs=amounts, gang=st.booleans(), age=st.integers(1, 9))
+    @rule(
+        customer=customers,
+        needs=amounts,
+        gang=st.booleans(),
+        age=st.integers(1, 9),
+        n_holds=st.integers(1, 6),
+    )
+    def ask_holds(self, customer, needs, gang, age, n_holds):
+        for _ in range(n_holds):
+            self.ask_hold(customer, needs, gang, age)
+
     def ask_hold(self, customer, needs, gang, age):
         self.n_made += 1
         hold = Hold(hold_id=f"t{self.n_made}", customer=customer, needs=needs, age=age, gang=gang)
--- a/anvilflow/parts/_events.py
+++ b/anvilflow/parts/_events.py
@@ -29,6 +29,7 @@
     """The connection to an instance is gone; what was sent over it may not have arrived."""
 
     instance: str
+    heard_at: float
 
 
 class PeerLeaving(Struct, kw_only=True):
--- a/anvilflow/parts/_members.py
+++ b/anvilflow/parts/_members.py
@@ -90,7 +90,9 @@
 
     def _peer_down(self, _, event):
         self._connected.discard(event.instance)
-        self._since[event.instance] = self.now
+        # Counted from when it was last heard: a connection that was dropped for its silence has
+        # used up the suspect time already, and waiting it out again would double the take-over.
+        self._since[event.instance] = event.heard_at
 
     def _peer_leaving(self, _, event):
         if event.instance not in self._leaving:
--- a/anvilflow/parts/_peers.py
+++ b/anvilflow/parts/_peers.py
@@ -92,7 +92,7 @@
         if name is not None and self._links.get(name) is link:
             del self._links[name]
             self.context.digests.pop(name, None)
-            self.post(PeerDown(instance=name))
+            self.post(PeerDown(instance=name, heard_at=link.heard_at))
 
     def link_heard(self, link, body):
         """A message came in."""
--- a/anvilflow/reference/__init__.py
+++ b/anvilflow/reference/__init__.py
@@ -1,5 +1,6 @@
 """Pages that are written from the code, so that they cannot drift from it."""
 
+from ._capacity import render_capacity
 from ._pages import PAGES, render_pages
 
-__all__ = ["PAGES", "render_pages"]
+__all__ = ["PAGES", "render_capacity", "render_pages"]
--- a/anvilflow/reference/__main__.py
+++ b/anvilflow/reference/__main__.py
@@ -1,17 +1,23 @@
-"""Write the generated pages: ``python -m anvilflow.reference docs/operators``."""
+"""Write the generated pages: ``python -m anvilflow.reference pages docs/operators``."""
 
 from pathlib import Path
 
 import fire
 
+from ._capacity import render_capacity
 from ._pages import render_pages
 
 
-def main(folder="docs/operators"):
-    """Write all pages into a folder."""
+def pages(folder="docs/operators"):
+    """Write the operators' pages into a folder."""
     for name, text in render_pages().items():
         Path(folder, name).write_text(text, encoding="utf-8")
 
 
+def capacity(samples, template, page):
+    """Write the page of capacity from the measured samples."""
+    Path(page).write_text(render_capacity(samples, template), encoding="utf-8")
+
+
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire({"pages": pages, "capacity": capacity})
