--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos bench-decisions bench-path capacity fuzz idle reference slopes lock thrift
+.PHONY: install demo test lint format chaos bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -48,6 +48,10 @@
 reference: $(STAMP)
 	$(BIN)/python -m anvilflow.reference pages docs/operators
 
+# Real processes under load, with SIGKILL, SIGSTOP for longer than a lease, SIGTERM: two minutes.
+processes: $(STAMP)
+	benchmarks/processes.sh
+
 idle: $(STAMP)
 	benchmarks/idle.sh 60
 
--- a/anvilflow/cli/_program.py
+++ b/anvilflow/cli/_program.py
@@ -8,7 +8,7 @@
 from logbook import StderrHandler, lookup_level
 
 from ..exceptions import AnvilflowError, CallError, RequestError
-from ..settings import load_settings
+from ..settings import load_settings, parse_address
 from ..utils import decode
 from ._api import Api
 from ._declared import find_declarations, plan_changes
@@ -141,6 +141,8 @@
             show([row], columns, output)
             return
         addresses = _address(operators, "operators").split(",")
+        for address in addresses:
+            parse_address(address, "--operators")
         rows = _run(lambda _: _statuses(addresses))
         show(rows, ["instance", "revision", "ready", "leaving", "workers", "error"], output)
 
--- /dev/null
+++ b/benchmarks/processes.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Nine daemons as plain processes under load: one killed, one stopped for longer than every lease and
+# continued, one drained, and the killed one started again. Exits with 1 when a promise was broken.
+set -euo pipefail
+bin=.venv/bin
+folder=out/processes
+port=28000
+rm -rf "$folder"
+pids=()
+trap 'kill -9 "${pids[@]}" 2> /dev/null || true' EXIT
+$bin/python benchmarks/standins_process.py "$folder" --instances 9 --workers 24 --slots 8 \
+    --base_port $port --load_s 60 2> "$folder.log" &
+judge=$!
+pids+=($judge)
+while [ ! -f "$folder/a9.json" ]; do sleep 0.2; done
+run() {
+    $bin/anvilflow run "$folder/a$1.json" &
+    pids[$1]=$!
+}
+for number in $(seq 1 9); do run "$number"; done
+sleep 14
+echo "kill -9 a2"
+kill -9 "${pids[2]}"
+sleep 4
+echo "stop a3 (SIGSTOP)"
+kill -STOP "${pids[3]}"
+sleep 8
+echo "start a2 again"
+run 2
+sleep 12
+echo "continue a3 (SIGCONT)"
+kill -CONT "${pids[3]}"
+sleep 8
+echo "drain a4 (SIGTERM)"
+kill -TERM "${pids[4]}"
+wait "${pids[4]}" && echo "a4 ended with status 0"
+wait $judge
--- a/benchmarks/standins_process.py
+++ b/benchmarks/standins_process.py
@@ -12,13 +12,19 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
+from anvilflow.decisions import Outcome
+from anvilflow.history import Answered, History, Sent, check_history
 from anvilflow.platform import MemberInfo
 from anvilflow.resources import Amounts
 from anvilflow.standins import Cell, make_client, make_declarations
-from anvilflow.utils import encode
+from anvilflow.utils import decode_lenient, encode
 
 HOST = "127.0.0.1"
 
+#: Time until the daemons are ready, and after the load until everything must have ended.
+READY_S = 8
+SETTLE_S = 25
+
 SETTINGS = """{{
   "instance": {{"name": "a{n}", "failure_domain": "d{domain}"}},
   "listen": {{"callers": "{host}:{callers}", "operators": "{host}:{operators}",
@@ -37,6 +43,7 @@
         self.folder = Path(folder)
         self.n_instances = n_instances
         self.base_port = base_port
+        self.history = History(clock=reactor)
         customers = [f"c{number}" for number in range(n_customers)]
         self.cell = Cell(
             reactor=reactor,
@@ -46,9 +53,12 @@
             workers_per_rack=8,
             capacity=Amounts(cpu_milli=10**8, memory_mb=10**8, slots=slots),
             declarations=make_declarations(customers),
+            history=self.history,
         )
         self.http = make_client(reactor)
         self.n_submitted = 0
+        self.n_sent = 0
+        self.outcomes = {}
 
     def start(self):
         """Start the stand-ins and write the settings of the daemons."""
@@ -103,11 +113,61 @@
                 print(repr(exc), file=sys.stderr)
             await deferLater(reactor, 0.5, lambda: None)
 
+    async def request(self):
+        """Send a request to an instance in turn; a connection that breaks is answered unknown."""
+        self.n_sent += 1
+        number = 1 + self.n_sent % self.n_instances
+        token = f"t{self.n_sent}"
+        idempotent = self.n_sent % 3 > 0
+        call = {
+            "customer": f"c{self.n_sent % 8}",
+            "workload": "lookup",
+            "payload": encode({"token": token, "seconds": 0.02}).decode(),
+            "deadline_s": 4.0,
+            "idempotent": idempotent,
+        }
+        self.history.add(Sent, token=token, idempotent=idempotent)
+        outcome, echoed = Outcome.UNKNOWN.value, ""
+        try:
+            url = f"http://{HOST}:{self.port(number, 0)}/v1/requests"
+            _, body = await self.http.post_json(url, call, timeout=5)
+            answer = decode_lenient(body)
+            outcome = answer.get("outcome", Outcome.NOT_RUN.value)
+            if outcome == Outcome.COMPLETED:
+                echoed = decode_lenient(answer["result"])["token"]
+        except Exception as exc:
+            outcome = "refused" if "Refused" in repr(exc) else outcome
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        self.history.add(Answered, token=token, outcome=outcome, echoed=echoed)
+
+    def judge(self):
+        """Print the verdicts on the history; return whether every promise held."""
+        verdicts = check_history(self.history.events, instances=[])
+        print(f"requests by outcome: {self.outcomes}; jobs submitted: {self.n_submitted}")
+        rows = [
+            row for key, row in self.cell.table.rows.items() if key.startswith("config/item/Job")
+        ]
+        phases = [value["value"]["phase"] for _, value in rows]
+        counts = {phase: phases.count(phase) for phase in sorted(set(phases))}
+        print(f"jobs by phase: {counts}")
+        for verdict in verdicts:
+            state = "held" if verdict.held else "BROKEN"
+            print(f"{state:7} {verdict.promise} ({verdict.n_checked} checked) {verdict.broken[:2]}")
+        return all(verdict.held for verdict in verdicts) and set(phases) == {"completed"}
+
 
 def main(
-    folder, instances=1, workers=8, customers=8, slots=100_000, running=0, rate=0, base_port=21000
+    folder,
+    instances=1,
+    workers=8,
+    customers=8,
+    slots=100_000,
+    running=0,
+    rate=0,
+    base_port=21000,
+    load_s=0,
 ):
-    """Run the stand-ins until killed."""
+    """Run the stand-ins until killed; with `load_s`, send load so long, judge it and exit."""
     process = Process(
         folder=folder,
         n_instances=instances,
@@ -125,8 +185,23 @@
             loop = LoopingCall(lambda: ensureDeferred(process.submit(int(rate), 0.2)))
             reactor.callLater(4.0, loop.start, 1.0)
 
+    held = []
+
+    def load():
+        requests = LoopingCall(lambda: ensureDeferred(process.request()))
+        jobs = LoopingCall(lambda: ensureDeferred(process.submit(12, 1.5)))
+        requests.start(1 / 50)
+        jobs.start(1.0)
+        reactor.callLater(load_s, requests.stop)
+        reactor.callLater(load_s, jobs.stop)
+        reactor.callLater(load_s + SETTLE_S, lambda: held.append(process.judge()))
+        reactor.callLater(load_s + SETTLE_S + 0.1, reactor.stop)
+
     reactor.callWhenRunning(begin)
+    if load_s:
+        reactor.callLater(READY_S, load)
     reactor.run()
+    sys.exit(0 if not held or held[0] else 1)
 
 
 if __name__ == "__main__":
