Leases are renewed three times in their length; claims of keys in a module of their own

Change: all tasks of a worker are renewed every third of the lease; claims of idempotency keys moved to their module; the slopes can be measured one series at a time. Conclusion: two renewals may be lost before a lease lapses, as before the settings demand.

--- a/anvilflow/parts/_calls.py
+++ b/anvilflow/parts/_calls.py
@@ -4,6 +4,7 @@
 
 from msgspec import Meta, Struct
 
+from ..decisions import Outcome
 from ..resources import Job
 
 MAX_DEADLINE_S = 3600
@@ -58,3 +59,21 @@
     def to_job(self):
         """Return the resource."""
         return Job(name=self.name, customer=self.customer, workload=self.workload, tasks=self.tasks)
+
+
+def not_run_answer(request_id, reason, retry_after, *, code="AF302"):
+    """Return the answer that a request certainly did not run."""
+    return RequestAnswer(
+        request_id=request_id,
+        outcome=Outcome.NOT_RUN.value,
+        code=code,
+        reason=reason,
+        retry_after_s=retry_after,
+    )
+
+
+def unknown_answer(request_id, reason):
+    """Return the answer that a request may have run."""
+    return RequestAnswer(
+        request_id=request_id, outcome=Outcome.UNKNOWN.value, code="AF412", reason=reason
+    )
--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -4,7 +4,6 @@
 
 from klein import Klein
 from twisted.internet.defer import Deferred, inlineCallbacks
-from twisted.internet.task import deferLater
 from werkzeug.exceptions import HTTPException
 
 from ..decisions import Outcome, can_retry, choose_owner
@@ -13,8 +12,6 @@
     DeclarationError,
     NotFoundError,
     NotReadyError,
-    PlatformError,
-    PreconditionError,
     RequestError,
 )
 from ..peers.gen.ttypes import (
@@ -24,11 +21,10 @@
     StatusAnswer,
     StatusAsk,
 )
-from ..platform import Condition, Write
 from ..resources import JobPhase, check_references, check_resource
 from ..utils import decode, decode_lenient, to_builtins
-from ._calls import JobCall, RequestAnswer, RequestCall
-from ._events import CommitAsk, PeerDown
+from ._calls import JobCall, RequestAnswer, RequestCall, not_run_answer, unknown_answer
+from ._events import PeerDown
 from ._home import home_key
 from ._http_api import (
     LimitedSite,
@@ -39,6 +35,7 @@
     read_body,
     shielded,
 )
+from ._keys import KeyClaims
 from ._part import Part
 
 #: HTTP status of each outcome.
@@ -58,16 +55,6 @@
 #: Wait before another attempt that was refused. Unit: seconds.
 _RETRY_WAIT_S = 0.02
 
-#: Largest result that is kept with an idempotency key. Unit: bytes.
-_KEPT_RESULT_BYTES = 4096
-
-#: Period of looking for the end of a request whose key is claimed. Unit: seconds.
-_KEY_POLL_S = 0.1
-
-#: Tries to take back a claim whose answer was lost, and the wait between them. Unit: seconds.
-_RELEASE_TRIES = 120
-_RELEASE_AGAIN_S = 5.0
-
 _ENDED = {JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED}
 
 
@@ -94,6 +81,7 @@
 
     def __init__(self, *, context):
         super().__init__(context=context)
+        self._claims = KeyClaims(part=self)
         self._pending = {}
         self._status_calls = {}
         self._n_calls = 0
@@ -182,11 +170,11 @@
         if idempotent or not call.idempotency_key:
             answer = yield self._attempts(call, request_id, deadline, idempotent)
             return answer
-        claim = yield self._claim_key(call, request_id, deadline)
+        claim = yield self._claims.claim(call, request_id, deadline)
         if isinstance(claim, RequestAnswer):
             return claim
         answer = yield self._attempts(call, request_id, deadline, idempotent)
-        self._write_key(call, claim, answer)
+        self._claims.write_end(call, claim, answer)
         return answer
 
     @inlineCallbacks
@@ -198,7 +186,7 @@
         for attempt in range(_MAX_ATTEMPTS):
             owner = self._choose_owner(tried)
             if owner is None:
-                return answer or _not_run(request_id, "no owner has a worker", 0.5)
+                return answer or not_run_answer(request_id, "no owner has a worker", 0.5)
             tried.append(owner)
             answer = yield self._attempt(call, f"{request_id}#{attempt}", owner, deadline)
             answer.request_id = request_id
@@ -233,7 +221,7 @@
         )
         if not self.context.send(owner, forward):
             self._pending.pop(attempt_id, None)
-            return _not_run(attempt_id, f"instance {owner} cannot be reached", _RETRY_WAIT_S)
+            return not_run_answer(attempt_id, f"instance {owner} cannot be reached", _RETRY_WAIT_S)
         timer = self.later(remaining + _ANSWER_GRACE_S, self._late, attempt_id)
         answer = yield pending.answer
         if timer.active():
@@ -244,7 +232,7 @@
         pending = self._pending.get(attempt_id)
         if pending is not None:
             self.context.send(pending.owner, CancelRequest(request_id=attempt_id))
-            self._settle(attempt_id, _unknown(attempt_id, "no answer before the deadline"))
+            self._settle(attempt_id, unknown_answer(attempt_id, "no answer before the deadline"))
 
     def _request_ended(self, source, body):
         pending = self._pending.get(body.request_id)
@@ -266,7 +254,10 @@
     def _peer_down(self, _, event):
         lost = [key for key, item in self._pending.items() if item.owner == event.instance]
         for attempt_id in lost:
-            self._settle(attempt_id, _unknown(attempt_id, "the connection to the owner was lost"))
+            unknown = unknown_answer(attempt_id, "the connection to the owner was lost")
+            self._settle(attempt_id, unknown)
+                attempt_id, unknown_answer(attempt_id, "the connection to the owner was lost")
+            )
 
     def _settle(self, attempt_id, answer):
         # A cancel sent to this very instance is answered before the call that sent it returns.
@@ -290,68 +281,6 @@
         digests[best].free_service_slots -= 1
         return best
 
-    # Idempotency keys
-
-    @inlineCallbacks
-    def _claim_key(self, call, request_id, deadline):
-        """Claim the key durably before anything is sent.
-
-        Returns the version of the claimed row, or an answer when the key is not ours. The claim
-        is what makes the request run at most once however often and wherever the caller repeats
-        it: of two claims only one meets the condition that the row is as it was read.
-        """
-        key = _key_of(call)
-        try:
-            [row] = yield self.context.table.read([key])
-            while row.value and not row.value["outcome"] and self.now + _KEY_POLL_S < deadline:
-                yield deferLater(self.context.clock, _KEY_POLL_S, lambda: None)
-                [row] = yield self.context.table.read([key])
-            if row.value and row.value["outcome"] != Outcome.NOT_RUN:
-                return _replay(row.value)
-            value = {"request_id": request_id, "outcome": "", "result": ""}
-            version = yield self.context.table.commit(
-                [Condition(key=key, version=row.version)], [Write(key=key, value=value)]
-            )
-        except PreconditionError:
-            return _unknown(request_id, "another request with this key is in progress")
-        except PlatformError as exc:
-            # Nothing was sent, so "not run" is certain. The claim may stand all the same; left
-            # there it would answer the caller's next try with "unknown" for ever.
-            self._release_key(key, request_id, _RELEASE_TRIES)
-            return _not_run(request_id, exc.message, 1.0, code=exc.code)
-        return version
-
-    @inlineCallbacks
-    def _release_key(self, key, request_id, tries):
-        """Take back a claim whose answer was lost, if it stands."""
-        try:
-            [row] = yield self.context.table.read([key])
-            if row.value and row.value["request_id"] == request_id and not row.value["outcome"]:
-                value = {**row.value, "outcome": Outcome.NOT_RUN.value}
-                yield self.context.table.commit(
-                    [Condition(key=key, version=row.version)], [Write(key=key, value=value)]
-                )
-        except PlatformError:
-            if tries:
-                self.later(_RELEASE_AGAIN_S, self._release_key, key, request_id, tries - 1)
-
-    def _write_key(self, call, version, answer):
-        """Write down how the request ended.
-
-        The condition keeps a repeated write, whose first answer was lost, from going over a claim
-        that was made since on the strength of "not run".
-        """
-        key = _key_of(call)
-        result = answer.result if len(answer.result) <= _KEPT_RESULT_BYTES else ""
-        value = {"request_id": answer.request_id, "outcome": answer.outcome, "result": result}
-        self.post(
-            CommitAsk(
-                conditions=[Condition(key=key, version=version)],
-                writes=[Write(key=key, value=value)],
-                done=lambda error: None,
-            )
-        )
-
     # Jobs
 
     @app.route("/v1/jobs", methods=["POST"])
@@ -487,37 +416,3 @@
 
 def _service_room(digest):
     return digest.free_service_slots - digest.n_queued
-
-
-def _key_of(call):
-    return f"key/{call.customer}/{call.idempotency_key}"
-
-
-def _not_run(request_id, reason, retry_after, *, code="AF302"):
-    return RequestAnswer(
-        request_id=request_id,
-        outcome=Outcome.NOT_RUN.value,
-        code=code,
-        reason=reason,
-        retry_after_s=retry_after,
-    )
-
-
-def _unknown(request_id, reason):
-    return RequestAnswer(
-        request_id=request_id, outcome=Outcome.UNKNOWN.value, code="AF412", reason=reason
-    )
-
-
-def _replay(value):
-    """Answer a repeated call with what is known of the first."""
-    answer = RequestAnswer(
-        request_id=value["request_id"],
-        outcome=value["outcome"] or Outcome.UNKNOWN.value,
-        result=value["result"],
-        replayed=True,
-    )
-    if not value["outcome"]:
-        answer.code = "AF412"
-        answer.reason = "a request with this key was taken before and has no known end"
-    return answer
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -50,6 +50,12 @@
 #: Failed syncs in a row after which a worker gets no new work.
 _SILENT_SYNCS = 2
 
+#: Renewals of a task within its lease: two may be lost. Renewing with each report, twice a second,
+#: was most of the bytes of a worker with many tasks.
+_RENEWALS_PER_LEASE = 3
+
+_LONG_AGO_S = 1e9
+
 #: Shapes of workers that a digest names at the most.
 _MAX_SHAPES = 8
 
@@ -71,6 +77,7 @@
         "missing",
         "n_failed",
         "overdue",
+        "renewed_at",
         "room",
         "starting",
         "ticker",
@@ -83,6 +90,7 @@
         self.room = None
         self.ticker = None
         self.n_failed = 0
+        self.renewed_at = -_LONG_AGO_S
         self.starting = set()
         self.bars = set()
         self.missing = set()
@@ -276,6 +284,7 @@
         settings = self.context.settings
         sent = self.now
         until = owned.clock.until(sent, settings.lease.task_s)
+        renews = sent - owned.renewed_at >= settings.lease.task_s / _RENEWALS_PER_LEASE
         started = self._book.tasks_on(name)
         settled = {hold_id for hold_id in started if hold_id not in owned.starting}
         bars = set(owned.bars)
@@ -283,7 +292,7 @@
         foreign = set(owned.foreign)
         try:
             report = yield owned.client.sync(
-                renew=[(hold_id, until) for hold_id in started if hold_id not in bars],
+                renew=[(key, until) for key in started if key not in bars] if renews else [],
                 stop=sorted(bars),
                 forget=sorted(forget),
             )
@@ -298,6 +307,8 @@
         owned.clock = LeaseClock(worker_time=report.clock, sent=sent, received=self.now)
         if owned.n_failed >= _SILENT_SYNCS and not self._is_leaving(name):
             self._act(self._book.reopen_worker(name, self.now))
+        if renews:
+            owned.renewed_at = sent
         owned.n_failed = 0
         owned.forget -= forget
         arrived = {key for key, until in owned.overdue.items() if until < report.clock}
--- a/benchmarks/slopes.sh
+++ b/benchmarks/slopes.sh
@@ -7,7 +7,13 @@
 settle=${SETTLE_S:-10}
 window=${WINDOW_S:-12}
 port=22000
-: > "$out"
+# SERIES="running starts" measures only these and keeps the other lines of OUT.
+touch "$out"
+if [ -n "${SERIES:-}" ]; then
+    for name in $SERIES; do sed -i "/\"name\": \"$name\"/d" "$out"; done
+else
+    : > "$out"
+fi
 
 measure() { # NAME VALUE INSTANCES ARGS...
     local name=$1 value=$2 instances=$3
@@ -31,8 +37,14 @@
     wait "${pids[@]}" 2> /dev/null || true
 }
 
-for n in 0 4 8 16 32; do measure workers $n 1 --workers $n; done
-for n in 2 4 6 9; do measure peers $((n - 1)) $n --workers 8; done
-for n in 0 400 800 1600; do measure running $n 1 --workers 8 --running $n; done
-for n in 8 250 1000 3000; do measure resources $n 1 --workers 4 --customers $n; done
-for n in 0 5 10 20 40; do measure starts $n 1 --workers 8 --rate $n; done
+wanted() { [ -z "${SERIES:-}" ] || [[ " $SERIES " == *" $1 "* ]]; }
+
+if wanted workers; then for n in 0 4 8 16 32; do measure workers $n 1 --workers $n; done; fi
+if wanted peers; then for n in 2 4 6 9; do measure peers $((n - 1)) $n --workers 8; done; fi
+if wanted running; then
+    for n in 0 400 800 1600; do measure running $n 1 --workers 8 --running $n; done
+fi
+if wanted resources; then
+    for n in 8 250 1000 3000; do measure resources $n 1 --workers 4 --customers $n; done
+fi
+if wanted starts; then for n in 0 5 10 20 40; do measure starts $n 1 --workers 8 --rate $n; done; fi
