--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -256,8 +256,6 @@
         for attempt_id in lost:
             unknown = unknown_answer(attempt_id, "the connection to the owner was lost")
             self._settle(attempt_id, unknown)
-                attempt_id, unknown_answer(attempt_id, "the connection to the owner was lost")
-            )
 
     def _settle(self, attempt_id, answer):
         # A cancel sent to this very instance is answered before the call that sent it returns.
