Connections are dialled anew while the membership list is unreachable

One that woke from a pause while the list was down stayed alone, heard no peer's word of a leaving worker, and gave it a request 5.7 s after it was known to leave. Ruled out: the hint itself, which arrived wherever there was a connection. Conclusion: nothing that repairs the cell may wait for the list.

--- a/anvilflow/parts/_peers.py
+++ b/anvilflow/parts/_peers.py
@@ -34,6 +34,7 @@
         super().__init__(context=context)
         self._links = {}
         self._dialling = set()
+        self._members = []
         self._open = set()
         self._sequence = 0
         self._digest = None
@@ -52,6 +53,7 @@
         self.on(MembersListed, self._members_listed)
         self.on(DigestReady, self._digest_ready)
         self.every(context.settings.timing.heartbeat_s, self._beat)
+        self.every(context.settings.timing.membership_poll_s, self._dial_missing)
         context.peers = self
 
     def dump(self):
@@ -135,8 +137,17 @@
             self.post(RevisionHint(revision=beat.revision))
 
     def _members_listed(self, _, event):
-        for member in event.members:
-            if member.role == "instance" and member.name > self.context.name:
+        self._members = [member for member in event.members if member.role == "instance"]
+        self._dial_missing()
+
+    def _dial_missing(self):
+        """Dial those that are not connected, also while the list cannot be read.
+
+        An instance that loses its connections during an outage of the list would otherwise stay
+        alone until the list is back, and hear neither of leaving workers nor of load.
+        """
+        for member in self._members:
+            if member.name > self.context.name:
                 self._dial(member)
 
     def _dial(self, member):
--- a/anvilflow/parts/tests/test_failures.py
+++ b/anvilflow/parts/tests/test_failures.py
@@ -341,6 +341,26 @@
     assert_promises(cell)
 
 
+def test_connections_are_dialled_anew_while_the_list_is_unreachable():
+    """Two instances lose their connection during an outage of the membership list.
+
+    They dial the address they last knew, so that load, hints and requests flow again. (Chaos seed
+    917: alone until the list was back, an instance gave work to a worker that leaves.)
+    """
+    cell = make_cell()
+    cell.membership_faults.down = True
+    cell.network.silence("a1", "a2")
+    cell.advance(4.0)
+    assert "a2" not in cell.part("a1", "peers").dump()
+    cell.network.heal()
+    cell.advance(3.0)
+    assert "a2" in cell.part("a1", "peers").dump()
+    answers = [cell.request("a1", "small", "lookup") for _ in range(20)]
+    cell.advance(1.0)
+    assert set(outcomes(answers)) == {"completed"}
+    assert_promises(cell)
+
+
 def test_idempotency_key_across_instances():
     """A billed order is repeated at another instance with the same key: it runs once."""
     cell = make_cell()
--- a/anvilflow/standins/_cell.py
+++ b/anvilflow/standins/_cell.py
@@ -37,7 +37,8 @@
         In the table from the start.
     history : History, default=None
     random_state : int, default=0
-    timing, lease, limits : settings sections, default=None
+    sections : dict, default=None
+        Settings sections that differ from the defaults.
     """
 
     def __init__(
