HTTP calls go through Twisted's agent without treq's client above it

The profile put 0.5 of 1.1 ms of each call into treq's client: URLs, cookies, encodings. Change: the agent is called directly, treq still reads bodies and serves the command line.

--- a/anvilflow/platform/_http.py
+++ b/anvilflow/platform/_http.py
@@ -1,7 +1,6 @@
 """HTTP calls with a time limit, over connections that are kept open."""
 
 import treq
-from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError, TimeoutError, inlineCallbacks, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, DNSLookupError
@@ -13,6 +12,7 @@
     RequestTransmissionFailed,
     ResponseNeverReceived,
 )
+from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
@@ -101,7 +101,7 @@
         # have run already, and whether it may run twice is not for the transport to decide.
         self._pool.retryAutomatically = False
         endpoints = _EndpointFactory(clock=clock, timeout=connect_timeout)
-        self._client = HTTPClient(Agent.usingEndpointFactory(clock, endpoints, pool=self._pool))
+        self._agent = Agent.usingEndpointFactory(clock, endpoints, pool=self._pool)
 
     @inlineCallbacks
     def post(self, url, body, *, timeout, headers=None):
@@ -115,7 +115,11 @@
             For the whole exchange, the answer's body included. Unit: seconds.
         headers : dict, default=None
         """
-        response = self._client.post(url, data=_Body(body=body), headers=headers, unbuffered=True)
+        # The agent below treq's client: parsing the URL, cookies and content encodings, which no
+        # service here uses, took as long again as the exchange itself.
+        response = self._agent.request(
+            b"POST", url.encode("ascii"), Headers(headers or {}), _Body(body=body)
+        )
         call = response.addCallback(_read)
         call.addTimeout(timeout, self.clock)
         self.n_calls += 1
