--- a/anvilflow/chaos/tests/test_chaos.py
+++ b/anvilflow/chaos/tests/test_chaos.py
@@ -24,3 +24,9 @@
     first = run_seed(3, storm_s=8.0, quiet_s=5.0)
     again = run_seed(3, storm_s=8.0, quiet_s=5.0)
     assert first == again
+
+
+@pytest.mark.parametrize("seed", [805])
+def test_known_red(seed):
+    """Tasks of one job ran in two places; the cause is not found yet, see KNOWN-RED.txt."""
+    assert run_seed(seed).broken == []
