Records of two terms of a home are never written under one condition

The store part groups records into one transaction and keyed its conditions by row, so that the last one won. A home that lost its row and took it again wrote a record of its former term under its present one; the row named the wrong worker, a query there found nothing, and the task started in a second place. Ruled out: the owner's 'lost' (true for the worker it was asked about) and the worker's epochs. Change: a group takes only asks whose conditions agree. make processes, idle and slopes: out/ is made first and no wait is without a limit.

--- a/anvilflow/chaos/tests/test_chaos.py
+++ b/anvilflow/chaos/tests/test_chaos.py
@@ -5,7 +5,7 @@
 from anvilflow.chaos import run_seed
 
 #: Seeds that once showed a broken promise, and some that never did. Shorter than `make chaos`.
-FOUND = [6, 12, 24, 38, 51, 136, 168, 171, 186, 619, 863, 917, 920]
+FOUND = [6, 12, 24, 38, 51, 136, 168, 171, 186, 619, 805, 863, 917, 920]
 OTHERS = range(200, 242)
 
 
@@ -24,9 +24,3 @@
     first = run_seed(3, storm_s=8.0, quiet_s=5.0)
     again = run_seed(3, storm_s=8.0, quiet_s=5.0)
     assert first == again
-
-
-@pytest.mark.parametrize("seed", [805])
-def test_known_red(seed):
-    """Tasks of one job ran in two places; the cause is not found yet, see KNOWN-RED.txt."""
-    assert run_seed(seed).broken == []
--- a/anvilflow/parts/_store.py
+++ b/anvilflow/parts/_store.py
@@ -72,8 +72,12 @@
     def _take_group(self, limit):
         group = []
         n_records = 0
+        versions = {}
         while self._queue and (not group or n_records + len(self._queue[0].writes) <= limit):
+            if not _agrees(self._queue[0], versions):
+                break
             ask = self._queue.popleft()
+            versions.update((item.key, item.version) for item in ask.conditions)
             n_records += len(ask.writes)
             group.append(ask)
         return group
@@ -114,3 +118,13 @@
         self._backoff = min(limit, max(_FIRST_BACKOFF_S, 2 * self._backoff))
         delay = jitter(self.context.random_state, self._backoff)
         return deferLater(self.context.clock, delay, lambda: None)
+
+
+def _agrees(ask, versions):
+    """Whether no condition of `ask` wants another version of a row than `versions` does.
+
+    A home that lost its row and took it again has records of both terms in the queue. In one
+    transaction only one version of the row can be the condition: the former term's records were
+    written under the present one, named the wrong worker, and a task started in a second place.
+    """
+    return all(versions.get(item.key, item.version) == item.version for item in ask.conditions)
--- a/anvilflow/parts/tests/test_safeguards.py
+++ b/anvilflow/parts/tests/test_safeguards.py
@@ -3,9 +3,11 @@
 import pytest
 
 from anvilflow.decisions import LeaseClock, OwnerBook, Rooms
+from anvilflow.exceptions import PreconditionError
 from anvilflow.history import check_history
 from anvilflow.parts import HomePart, StorePart
 from anvilflow.parts._events import CommitAsk
+from anvilflow.platform import Condition, Write
 from anvilflow.standins import WorkerState
 
 from ._helpers import make_cell, make_job, phase_of
@@ -196,9 +198,32 @@
     assert (results == [None]) is safeguard
 
 
-def _stale_condition():
-    from anvilflow.platform import Condition
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_records_of_two_terms_are_not_written_under_one_condition(monkeypatch, safeguard):
+    """A home loses its row and takes it again, while a record of its first term still waits.
+
+    Both records name the same task. Written together, under the condition of the second term, the
+    stale one would replace what really runs, and the next home would look for it on a wrong worker.
+    """
+    if not safeguard:
+        monkeypatch.setattr("anvilflow.parts._store._agrees", lambda ask, versions: True)
+    cell = make_cell(n_instances=1)
+    taken = cell.table.commit([], [("home/other", {"holder": "a1"})])
+    results = {}
+    for version, worker in ((taken + 7, "w06"), (taken, "w02")):
+        ask = CommitAsk(
+            conditions=[Condition(key="home/other", version=version)],
+            writes=[Write(key=f"task/other/{worker}", value={"worker": worker})],
+            done=lambda error, worker=worker: results.__setitem__(worker, error),
+        )
+        cell.daemons["a1"].context.bus.post(ask)
+    cell.advance(1.0)
+    assert results["w02"] is None
+    assert isinstance(results["w06"], PreconditionError) is safeguard
+    assert ("task/other/w06" in cell.table.rows) is not safeguard
 
+
+def _stale_condition():
     return Condition(key="home/other", version=7)
 
 
--- a/benchmarks/idle.sh
+++ b/benchmarks/idle.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # What idle daemons spend: nine instances and 24 workers as plain processes. Usage: idle.sh SECONDS
 set -euo pipefail
+. benchmarks/wait.sh
 seconds=${1:-60}
 bin=.venv/bin
 folder=out/idle
@@ -8,10 +9,11 @@
 pids=()
 trap 'kill -9 "${pids[@]}" 2> /dev/null || true' EXIT
 rm -rf "$folder"
+mkdir -p "$(dirname "$folder")"
 $bin/python benchmarks/standins_process.py "$folder" --instances 9 --workers 24 --slots 8 \
     --base_port $port 2> /dev/null &
 pids+=($!)
-while [ ! -f "$folder/a9.json" ]; do sleep 0.2; done
+wait_for_file "$folder/a9.json" "${pids[0]}"
 for number in $(seq 1 9); do
     $bin/anvilflow run "$folder/a$number.json" &
     pids+=($!)
@@ -23,6 +25,7 @@
         > "$folder/$number.row" &
     samplers[number]=$!
 done
+for sampler in "${samplers[@]}"; do wait_for_end "$sampler" $((seconds + 60)); done
 wait "${samplers[@]}"
 cat "$folder"/*.row > "$folder/rows.jsonl"
 $bin/python benchmarks/show_idle.py "$folder/rows.jsonl"
--- a/benchmarks/processes.sh
+++ b/benchmarks/processes.sh
@@ -2,17 +2,19 @@
 # Nine daemons as plain processes under load: one killed, one stopped for longer than every lease and
 # continued, one drained, and the killed one started again. Exits with 1 when a promise was broken.
 set -euo pipefail
+. benchmarks/wait.sh
 bin=.venv/bin
 folder=out/processes
 port=28000
 rm -rf "$folder"
+mkdir -p "$(dirname "$folder")"
 pids=()
 trap 'kill -9 "${pids[@]}" 2> /dev/null || true' EXIT
 $bin/python benchmarks/standins_process.py "$folder" --instances 9 --workers 24 --slots 8 \
     --base_port $port --load_s 60 2> "$folder.log" &
 judge=$!
 pids+=($judge)
-while [ ! -f "$folder/a9.json" ]; do sleep 0.2; done
+wait_for_file "$folder/a9.json" $judge || { cat "$folder.log"; exit 1; }
 run() {
     $bin/anvilflow run "$folder/a$1.json" &
     pids[$1]=$!
@@ -33,5 +35,8 @@
 sleep 8
 echo "drain a4 (SIGTERM)"
 kill -TERM "${pids[4]}"
+wait_for_end "${pids[4]}" 60
 wait "${pids[4]}" && echo "a4 ended with status 0"
+# The judge plays 60 s of load and then lets everything end, which took it 60 s more at the most.
+wait_for_end $judge 180
 wait $judge
--- a/benchmarks/slopes.sh
+++ b/benchmarks/slopes.sh
@@ -2,6 +2,7 @@
 # Measure what one daemon spends against one quantity at a time. Usage: slopes.sh OUT.jsonl
 # Each line: what was varied, its value, the daemon's processor share, memory, calls and bytes.
 set -euo pipefail
+. benchmarks/wait.sh
 out=$1
 bin=.venv/bin
 settle=${SETTLE_S:-10}
@@ -25,7 +26,7 @@
     $bin/python benchmarks/standins_process.py "$folder" --instances "$instances" \
         --base_port $port "$@" 2> "/tmp/anvilflow-standins.log" &
     pids+=($!)
-    while [ ! -f "$folder/a$instances.json" ]; do sleep 0.2; done
+    wait_for_file "$folder/a$instances.json" "${pids[0]}"
     for number in $(seq 1 "$instances"); do
         $bin/anvilflow run "$folder/a$number.json" &
         pids+=($!)
