--- /dev/null
+++ b/anvilflow/cell/__main__.py
@@ -0,0 +1,26 @@
+"""Run an instance: ``python -m anvilflow.cell``, settings as ANVILFLOW_CONFIG names them."""
+
+import os
+import sys
+
+from logbook import lookup_level
+
+from ..exceptions import AnvilflowError
+from ..logs import install_json_logs
+from ._daemon import run_cell
+from ._settings import load_cell_settings
+
+
+def main():
+    """Run until SIGTERM."""
+    try:
+        settings = load_cell_settings(os.environ.get("ANVILFLOW_CONFIG", ""))
+    except AnvilflowError as exc:
+        print(exc, file=sys.stderr)
+        return exc.exit_status
+    install_json_logs(settings.instance, level=lookup_level(settings.log_level.upper()))
+    return run_cell(settings)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/anvilflow/cell/_context.py
@@ -0,0 +1,125 @@
+"""What the parts of an instance share."""
+
+from random import Random
+
+from msgspec import Struct
+
+
+class ConfigChanged(Struct, kw_only=True):
+    """A newer configuration is in force in this process."""
+
+    version: int
+
+
+class HomeChanged(Struct, kw_only=True):
+    """The cell has another home, as this instance sees it."""
+
+
+class Claimed(Struct, kw_only=True):
+    """This instance has become the home.
+
+    Parameters
+    ----------
+    token : int
+        Version of the home's row that the claim got: unique, and higher than every one before.
+    term : int
+        How many homes there were, this one included.
+    row_version : int
+        Version of the row at present.
+    """
+
+    token: int
+    term: int
+    row_version: int
+
+
+class Deposed(Struct, kw_only=True):
+    """Another instance has become the home."""
+
+
+class Leaving(Struct, kw_only=True):
+    """This instance is about to stop."""
+
+
+class CellContext:
+    """Shared by the parts of one process; each field has one part that changes it.
+
+    Parameters
+    ----------
+    settings : CellSettings
+    clock : IReactorTime
+    wall_clock : callable
+        Time of day. Unit: seconds.
+    bus : Bus
+    network : object
+        Listens and dials between instances.
+    store : StoreClient
+    advice : AdviceClient or None
+    make_worker : callable
+        Returns the :class:`WorkerCalls` of a worker's info and a token.
+    random_state : random.Random, default=None
+    """
+
+    def __init__(
+        self,
+        *,
+        settings,
+        clock,
+        wall_clock,
+        bus,
+        network,
+        store,
+        advice,
+        make_worker,
+        random_state=None,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.bus = bus
+        self.network = network
+        self.store = store
+        self.advice = advice
+        self.make_worker = make_worker
+        self.random_state = random_state or Random()
+        self.incarnation = f"{self.random_state.getrandbits(64):016x}"
+        self.config = None
+        self.leaving = False
+        self.store_health = StoreHealth(clock=clock)
+        self.links = None
+        self.home = None
+        self.config_part = None
+
+    @property
+    def name(self):
+        """Name of the instance."""
+        return self.settings.instance
+
+
+class StoreHealth:
+    """Whether the store answers this instance.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+    """
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.bad_since = None
+        self.good_at = clock.seconds()
+
+    def good(self):
+        """Note an answer."""
+        self.bad_since = None
+        self.good_at = self.clock.seconds()
+
+    def bad(self):
+        """Note a call without one."""
+        if self.bad_since is None:
+            self.bad_since = self.clock.seconds()
+
+    @property
+    def bad_for_s(self):
+        """Time since the first of the calls without an answer, 0 when the last had one."""
+        return 0.0 if self.bad_since is None else self.clock.seconds() - self.bad_since
--- /dev/null
+++ b/anvilflow/cell/_daemon.py
@@ -0,0 +1,129 @@
+"""One instance of the cell: its parts under a supervisor, and its end."""
+
+import signal
+import time
+
+from logbook import Logger
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..clients import HttpClient
+from ..platform import AdviceClient, StoreClient, WorkerCalls
+from ..runtime import Bus, ReactorNetwork, Supervisor
+from ._config import ConfigPart
+from ._context import CellContext, Leaving
+from ._entry import EntryPart
+from ._home import HomePart
+from ._leadership import LeadershipPart
+from ._links import LinksPart
+
+#: Wait for an answer of the store. It answers in 4 ms; slowed sixty times, in 0.25 s. Unit: seconds.
+STORE_TIMEOUT_S = 0.8
+
+#: Wait for a worker's answer to an order. Unit: seconds.
+WORKER_TIMEOUT_S = 0.7
+
+#: Wait for advice: the longest calls take 0.9 s, and one may wait behind another. Unit: seconds.
+ADVICE_TIMEOUT_S = 2.8
+
+#: Part of the time until SIGKILL that is left over when the process ends by itself. Unit: seconds.
+END_MARGIN_S = 1.0
+
+#: Least time between SIGTERM and the end: the balancer misses two checks, a second apart, before it
+#: sends no new connections. Unit: seconds.
+BALANCER_S = 2.5
+
+_log = Logger("daemon")
+
+
+class CellDaemon:
+    """The parts of one instance.
+
+    Parameters
+    ----------
+    context : CellContext
+    give_up : callable
+        Called with the error when a part keeps failing.
+    """
+
+    def __init__(self, *, context, give_up):
+        self.context = context
+        self.supervisor = Supervisor(clock=context.clock, name=context.name, give_up=give_up)
+        context.bus.on_failure = self.supervisor.on_failure
+        for name, kind in (
+            ("links", LinksPart),
+            ("config", ConfigPart),
+            ("home", HomePart),
+            ("leadership", LeadershipPart),
+            ("entry", EntryPart),
+        ):
+            self.supervisor.add(name, lambda kind=kind: kind(context=context))
+
+    def start(self):
+        """Start all parts."""
+        self.supervisor.start()
+
+    @inlineCallbacks
+    def drain(self):
+        """Hand over what is held here and finish what is in progress, then stop."""
+        context = self.context
+        if context.leaving:
+            return
+        context.leaving = True
+        _log.info("leaving")
+        context.bus.post(Leaving())
+        longest = context.settings.bounds.grace_s - END_MARGIN_S
+        yield deferLater(context.clock, min(longest, BALANCER_S + 1.0), lambda: None)
+        yield self.supervisor.stop()
+        _log.info("stopped")
+
+
+def make_cell_daemon(settings, *, reactor, give_up):
+    """Return the :class:`CellDaemon` of `settings` with real sockets."""
+    store_http = HttpClient(clock=reactor, connections=8)
+    worker_http = HttpClient(clock=reactor, connections=16)
+    advice_http = HttpClient(clock=reactor, connections=2)
+    advice = None
+    if settings.advice:
+        advice = AdviceClient(http=advice_http, address=settings.advice, timeout=ADVICE_TIMEOUT_S)
+    context = CellContext(
+        settings=settings,
+        clock=reactor,
+        wall_clock=time.time,
+        bus=Bus(on_failure=None),
+        network=ReactorNetwork(reactor=reactor),
+        store=StoreClient(http=store_http, address=settings.store, timeout=STORE_TIMEOUT_S),
+        advice=advice,
+        make_worker=lambda info, token: WorkerCalls(
+            http=worker_http,
+            worker_id=info.worker_id,
+            address=info.address,
+            token=token,
+            timeout=WORKER_TIMEOUT_S,
+        ),
+    )
+    return CellDaemon(context=context, give_up=give_up)
+
+
+def run_cell(settings):
+    """Run an instance until SIGTERM; return the exit status."""
+    from twisted.internet import reactor
+
+    failures = []
+
+    def give_up(error):
+        _log.critical("giving up", error=str(error))
+        failures.append(error)
+        reactor.stop()
+
+    daemon = make_cell_daemon(settings, reactor=reactor, give_up=give_up)
+
+    def terminated(_, __):
+        reactor.callFromThread(lambda: daemon.drain().addBoth(lambda _: reactor.stop()))
+
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, terminated)
+    reactor.callWhenRunning(signal.signal, signal.SIGHUP, lambda *_: _log.info("reload asked"))
+    reactor.callWhenRunning(daemon.start)
+    _log.info("started", incarnation=daemon.context.incarnation)
+    reactor.run(installSignalHandlers=True)
+    return failures[0].exit_status if failures else 0
--- /dev/null
+++ b/anvilflow/cell/_entry.py
@@ -0,0 +1,225 @@
+"""Takes the calls of clients."""
+
+from collections import OrderedDict
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.web.server import Site
+
+from ..exceptions import (
+    AnvilflowError,
+    JobGoneError,
+    NotReadyError,
+    PlatformError,
+    PlatformRefusedError,
+    RequestError,
+    UnknownOutcomeError,
+)
+from ..jobs import ENDED_STATES, EndedJob, JobState
+from ..platform import FrontResource, ReadyResource
+from ..runtime import Part
+from ..utils import decode, encode
+from ._context import Leaving
+from ._home import cancel_stored_job, store_job
+from ._tables import ENDED, JOBS, PART, JobRow
+
+#: Wait for the home's answer before the store is asked instead. The home answers in a few
+#: milliseconds or is changing. Unit: seconds.
+HOME_TIMEOUT_S = 0.4
+
+#: Wait for the home to make a cancelling durable. Unit: seconds.
+CANCEL_TIMEOUT_S = 1.2
+
+#: Outage after which calls that need the store are refused without trying it. Unit: seconds.
+STORE_BAD_S = 0.5
+
+#: When a client that was refused in an outage should come back: outages last seconds, and the
+#: spread keeps the clients from coming back together. Unit: seconds.
+RETRY_AFTER_S = (1, 3)
+
+_STATE_NAMES = frozenset(map(str, JobState))
+
+#: Final states kept in memory: they never change, and clients ask again and again.
+STATES_KEPT = 2000
+
+
+class EntryPart(Part):
+    """Accepts jobs durably and answers about them."""
+
+    prefix = "entry"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._ended = OrderedDict()
+        self.n_open = 0
+
+    @property
+    def config(self):
+        """The configuration in force."""
+        return self.context.config
+
+    @property
+    def closing(self):
+        """Whether connections are closed after their next answer."""
+        return self.context.leaving
+
+    def start(self):
+        """Listen to clients and to the balancer."""
+        listen = self.context.settings.listen
+        network = self.context.network
+        front = Site(FrontResource(entry=self), timeout=60)
+        front.log = lambda request: None
+        ready = Site(ReadyResource(is_ready=self._is_ready), timeout=60)
+        ready.log = lambda request: None
+        for address, site in ((listen.front, front), (listen.ready, ready)):
+            port, _ = network.listen(address, site)
+            self._stack.callback(port.stopListening)
+        self.on(Leaving, lambda *_: None)
+        self.log.info("listening to clients", address=listen.front)
+
+    def _is_ready(self):
+        return self.context.config is not None and not self.context.leaving
+
+    def not_ready(self):
+        """Refuse a call that comes before any configuration."""
+        raise NotReadyError("no configuration yet", details={"retry_after_s": 1})
+
+    # Submitting
+
+    @inlineCallbacks
+    def submit(self, spec, queue):
+        """Accept a job durably; AF302 says it certainly was not, AF305 that it may have been."""
+        value = JobRow(spec=spec, queue=queue)
+        job_id = spec.job_id
+        unsure = False
+        if self.context.store_health.bad_for_s < STORE_BAD_S:
+            try:
+                version = yield store_job(self.context.store, value)
+            except PlatformRefusedError:
+                self.context.store_health.bad()
+            except PlatformError as exc:
+                self.context.store_health.bad()
+                self.log.info("job's row unanswered", job=job_id, error=str(exc))
+                unsure = True
+            else:
+                self.context.store_health.good()
+                self.log.info("job accepted", job=job_id, queue=queue.name, version=version)
+                if version:
+                    self._tell_home(value, version)
+                return
+        stored = yield self._submit_at_home(value)
+        if stored:
+            self.log.info("job accepted through the home", job=job_id, queue=queue.name)
+            return
+        if unsure:
+            self.log.info("job in doubt", job=job_id)
+            raise UnknownOutcomeError("the job may or may not be accepted; send it again")
+        self.log.info("job refused", job=job_id, why="store unreachable")
+        raise RequestError(
+            "the job was not accepted: the store is unreachable",
+            details={"retry_after_s": self.context.random_state.randint(*RETRY_AFTER_S)},
+        )
+
+    def _tell_home(self, value, version):
+        done = self.context.links.ask_home(
+            HOME_TIMEOUT_S,
+            verb="accepted",
+            job_id=value.spec.job_id,
+            queue=value.queue.name,
+            version=version,
+            body=encode(value),
+        )
+        # The home finds the job in its feed when this message is lost.
+        done.addErrback(self._not_told, value.spec.job_id)
+
+    def _not_told(self, failure, job_id):
+        failure.trap(AnvilflowError)
+        self.log.info("home not told", job=job_id, error=str(failure.value))
+
+    @inlineCallbacks
+    def _submit_at_home(self, value):
+        if self.context.home is not None:
+            return False
+        try:
+            reply = yield self._ask("submit", value.spec.job_id, value.queue.name, encode(value))
+        except AnvilflowError:
+            return False
+        return reply.outcome == "ok"
+
+    def _ask(self, verb, job_id, queue, body=b"", timeout=HOME_TIMEOUT_S):
+        return self.context.links.ask_home(
+            timeout, verb=verb, job_id=job_id, queue=queue, version=0, body=body
+        )
+
+    # Asking
+
+    @inlineCallbacks
+    def state(self, queue, job_id):
+        """Return a job's state; AF304 when there is no such job."""
+        known = self._ended.get(job_id)
+        if known is not None:
+            return known
+        try:
+            reply = yield self._ask("state", job_id, queue.name)
+            outcome = reply.outcome
+        except AnvilflowError:
+            outcome = "not home"
+        if outcome in _STATE_NAMES:
+            return self._remember(job_id, JobState(outcome))
+        state = yield self._stored_state(job_id)
+        return self._remember(job_id, state)
+
+    def _remember(self, job_id, state):
+        if state in ENDED_STATES:
+            self._ended[job_id] = state
+            while len(self._ended) > STATES_KEPT:
+                self._ended.popitem(last=False)
+        return state
+
+    @inlineCallbacks
+    def _stored_state(self, job_id):
+        store = self.context.store
+        try:
+            row = yield store.read_row(JOBS, PART, job_id)
+            if row is not None:
+                return JobState.RUNNING
+            ended = yield store.read_row(ENDED, PART, job_id)
+        except PlatformError as exc:
+            raise NotReadyError(
+                f"the job's state cannot be read: {exc}", details={"retry_after_s": 1}
+            ) from exc
+        if ended is None:
+            raise JobGoneError(f"there is no job {job_id}")
+        return JobState(decode(ended.value, EndedJob).state)
+
+    @inlineCallbacks
+    def pending(self, queue):
+        """Return how many of a queue's jobs have not begun."""
+        try:
+            reply = yield self._ask("pending", "", queue.name)
+        except AnvilflowError as exc:
+            raise NotReadyError(
+                f"the home cannot be asked: {exc}", details={"retry_after_s": 1}
+            ) from exc
+        if reply.outcome != "ok":
+            raise NotReadyError("the home is changing", details={"retry_after_s": 1})
+        return reply.count
+
+    @inlineCallbacks
+    def cancel(self, queue, job_id):
+        """Cancel a job durably; AF304 when there is no such job."""
+        try:
+            reply = yield self._ask("cancel", job_id, queue.name, timeout=CANCEL_TIMEOUT_S)
+            outcome = reply.outcome
+        except AnvilflowError:
+            outcome = "not home"
+        if outcome == "ok":
+            return
+        try:
+            found = yield cancel_stored_job(self.context.store, job_id, self.context.wall_clock())
+        except PlatformError as exc:
+            raise NotReadyError(
+                f"the cancelling is not durable: {exc}", details={"retry_after_s": 1}
+            ) from exc
+        self.log.info("job cancelled without its home", job=job_id, found=found)
+        if not found:
+            raise JobGoneError(f"there is no job {job_id}")
--- /dev/null
+++ b/anvilflow/cell/_leadership.py
@@ -0,0 +1,209 @@
+"""Which instance is the home of the cell, and when another takes over."""
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..exceptions import PlatformError, PreconditionError
+from ..peers.gen.ttypes import HomeBeat
+from ..runtime import Part
+from ..utils import decode, jitter
+from ._context import Claimed, Deposed, HomeChanged, Leaving
+from ._links import HomeLinkLost
+from ._tables import HOME, HOME_KEY, PART, HomeRow, condition, write
+
+#: Period of looking at the home. Unit: seconds.
+LOOK_S = 0.1
+
+#: Silence of the home after which it is suspected: three of its beats and their way. Shorter
+#: silences come from a busy processor: the tenth of a second that a quota can take away, twice.
+#: Unit: seconds.
+SILENT_S = 0.7
+
+#: Time between two readings of the home's row after which a row that has not changed tells that
+#: its holder does not write: twice the period of its writes. Unit: seconds.
+STILL_S = 1.0
+
+#: Steps by which the successors hold back, so that the first one's claim is done before the next
+#: one begins: a claim takes one call of some 5 ms. Unit: seconds.
+RANK_STEP_S = 0.06
+
+#: Wait before the store or an unreachable home is tried again. Unit: seconds.
+AGAIN_S = 0.3
+
+
+class LeadershipPart(Part):
+    """Follows the home, and claims its row when it is gone.
+
+    Safety rests on the row and on the workers: every write of the home is made on the condition
+    that the row is as it left it, and every worker refuses orders under a token lower than one it
+    has seen. When to claim is a guess, and a wrong one costs a take-over, no more. Two instances
+    that cannot see each other would take turns; therefore a home that is not reached, but goes on
+    writing its row, is left alone.
+    """
+
+    prefix = "leadership"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.row = None
+        self.row_version = 0
+        self.is_home = False
+        self._successors = ()
+        self._yielding = False
+        self._heard_at = 0.0
+        self._busy = False
+        self._tried_at = -1e9
+
+    def start(self):
+        """Look for the home."""
+        self.on(HomeBeat, self._beat)
+        self.on(HomeLinkLost, lambda *_: self._look())
+        self.on(Deposed, self._deposed)
+        self.on(Leaving, lambda *_: None)
+        self.every(LOOK_S, self._look)
+
+    # What the home says
+
+    def _beat(self, source, beat):
+        self._heard_at = self.now
+        self._successors = tuple(beat.successors)
+        if beat.yielding and not self._yielding:
+            self.log.info("home yields", home=source, term=beat.term)
+        self._yielding = beat.yielding
+        config = self.context.config
+        if config is None or beat.config_version > config.version:
+            self.context.config_part.hint(beat.config_version)
+
+    def _deposed(self, _, __):
+        if self.is_home:
+            self.is_home = False
+            self.log.warning("deposed", row_version=self.row_version)
+            self._look()
+
+    # Looking
+
+    def _look(self):
+        if self.is_home or self._busy or self.context.leaving:
+            return
+        linked = self.context.links is not None and self.context.links.home_link is not None
+        silent = self.now - self._heard_at
+        if linked and silent < SILENT_S and not self._yielding:
+            return
+        self._busy = True
+        done = self._check(linked)
+        done.addErrback(lambda failure: failure.trap(PlatformError))
+        done.addErrback(self.fail_with)
+        done.addBoth(self._checked)
+
+    def _checked(self, _):
+        self._busy = False
+
+    @inlineCallbacks
+    def _check(self, linked):
+        """Find out whether there is a home; claim when there is none."""
+        yield self._sleep(self._rank() * RANK_STEP_S)
+        try:
+            changed = yield self._read_row()
+        except PlatformError as exc:
+            self.log.info("home not looked up", error=str(exc))
+            yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+            return
+        if self.row is None or (self._yielding and not changed):
+            yield self._claim("no home" if self.row is None else "home yields")
+            return
+        reached = yield self._dial()
+        if reached == "home":
+            return
+        if reached == "not home":
+            yield self._claim("home gone")
+            return
+        yield self._wait_for_writes()
+
+    def _rank(self):
+        name = self.context.name
+        if name in self._successors:
+            return self._successors.index(name)
+        return self.context.random_state.random() * max(3, len(self._successors))
+
+    def _sleep(self, delay):
+        return deferLater(self.context.clock, delay, lambda: None)
+
+    @inlineCallbacks
+    def _read_row(self):
+        """Read the home's row; return whether another life of an instance holds it now."""
+        found = yield self.context.store.read_row(HOME, PART, HOME_KEY)
+        before = self.row.incarnation if self.row is not None else None
+        self.row = decode(found.value, HomeRow, error=PlatformError) if found else None
+        self.row_version = found.version if found else 0
+        changed = self.row is not None and self.row.incarnation != before
+        if changed:
+            self._yielding = False
+            self._successors = ()
+        return changed
+
+    @inlineCallbacks
+    def _dial(self):
+        """Connect to the holder; return ``home``, ``not home`` or ``silent``."""
+        row = self.row
+        if row.incarnation == self.context.incarnation:
+            return "not home"
+        try:
+            link = yield self.context.links.dial(row.address)
+        except Exception as exc:  # every way in which a connection can fail is an answer here
+            refused = "Refused" in type(exc).__name__
+            self.log.info("home not reached", home=row.holder, error=type(exc).__name__)
+            return "not home" if refused else "silent"
+        if link.peer.incarnation != row.incarnation:
+            link.abort()
+            return "not home"
+        self.context.links.follow_home(link)
+        self._heard_at = self.now
+        self._yielding = False
+        self.log.info("home found", home=row.holder, term=row.term)
+        self.post(HomeChanged())
+        return "home"
+
+    @inlineCallbacks
+    def _wait_for_writes(self):
+        """Claim from a home that is silent, unless it goes on writing its row."""
+        before = self.row_version
+        yield self._sleep(STILL_S)
+        yield self._read_row()
+        if self.row_version == before:
+            yield self._claim("home silent")
+        else:
+            self.log.info("home writes but is not reached", home=self.row.holder)
+            yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+
+    # Claiming
+
+    @inlineCallbacks
+    def _claim(self, why):
+        if self.context.leaving:
+            return
+        row = HomeRow(
+            holder=self.context.name,
+            incarnation=self.context.incarnation,
+            address=self.context.settings.listen.peers,
+            term=(self.row.term if self.row is not None else 0) + 1,
+        )
+        conditions = [condition(HOME, HOME_KEY, self.row_version)]
+        try:
+            version = yield self.context.store.commit(conditions, [write(HOME, HOME_KEY, row)])
+        except PreconditionError:
+            yield self._read_row()
+            return
+        except PlatformError as exc:
+            # The claim may have been made, or may be made yet: the row will tell.
+            self.log.info("claim unanswered", error=str(exc))
+            yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+            yield self._read_row()
+            if self.row is None or self.row.incarnation != self.context.incarnation:
+                return
+            version = self.row_version
+        self.row, self.row_version = row, version
+        self.is_home = True
+        self._yielding = False
+        self.context.links.leave_home()
+        self.log.info("claimed", why=why, token=version, term=row.term)
+        self.post(Claimed(token=version, term=row.term, row_version=version))
--- /dev/null
+++ b/anvilflow/cell/_links.py
@@ -0,0 +1,215 @@
+"""Connections between instances: each to the home, over which calls go both ways."""
+
+from twisted.internet.defer import Deferred, TimeoutError, fail
+
+from ..exceptions import NotReadyError
+from ..peers import Link, LinkFactory
+from ..peers.gen.ttypes import AdviceCall, AdviceReply, Hello, HomeBeat, JobCall, JobReply
+from ..runtime import Part
+
+#: Messages that wait on one link at the most.
+QUEUE_LIMIT = 5000
+
+#: Wait for a connection to another instance. One way takes about 1 ms. Unit: seconds.
+DIAL_TIMEOUT_S = 0.4
+
+
+class LinksPart(Part):
+    """Owns the sockets between instances.
+
+    Notes
+    -----
+    An instance keeps one connection, to the home; the home has one from each instance. At 41
+    instances this makes 40 connections where a full mesh would have 820.
+    """
+
+    prefix = "links"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.peers = {}
+        self.home_link = None
+        self._calls = {}
+        self._n_calls = 0
+        self._stopped = False
+
+    def start(self):
+        """Listen to other instances."""
+        port, address = self.context.network.listen(
+            self.context.settings.listen.peers, LinkFactory(make_link=self._make_link)
+        )
+        self._stack.callback(port.stopListening)
+        self.log.info("listening to instances", address=address)
+        self.context.links = self
+
+    def stop(self):
+        """Close all connections."""
+        self._stopped = True
+        self.context.links = None
+        self.leave_home()
+        for link in list(self.peers.values()):
+            link.abort()
+        super().stop()
+
+    def _make_link(self):
+        context = self.context
+        hello = Hello(
+            instance=context.name,
+            incarnation=context.incarnation,
+            failure_domain=context.settings.failure_domain,
+        )
+        return Link(hello=hello, clock=context.clock, queue_limit=QUEUE_LIMIT, events=self)
+
+    # To the home
+
+    def dial(self, address):
+        """Connect to an instance; the Deferred fires with a link that said hello."""
+        link = self._make_link()
+        link.ready = Deferred()
+        ready = link.ready
+        done = self.context.network.dial(address, link, DIAL_TIMEOUT_S)
+        done.addErrback(self._dial_failed, link)
+        ready.addTimeout(DIAL_TIMEOUT_S, self.context.clock)
+        ready.addErrback(self._dial_given_up, link)
+        return ready
+
+    def _dial_failed(self, failure, link):
+        ready, link.ready = link.ready, None
+        if ready is not None and not ready.called:
+            ready.errback(failure)
+
+    def _dial_given_up(self, failure, link):
+        link.ready = None
+        link.abort()
+        return failure
+
+    def follow_home(self, link):
+        """Use a link as the one to the home."""
+        if self.home_link is not None and self.home_link is not link:
+            self.home_link.abort()
+        self.home_link = link
+
+    def leave_home(self):
+        """Drop the connection to the home."""
+        link, self.home_link = self.home_link, None
+        if link is not None:
+            link.abort()
+
+    # Link events
+
+    def link_up(self, link):
+        """The other end said hello."""
+        ready = getattr(link, "ready", None)
+        if ready is not None:
+            link.ready = None
+            ready.callback(link)
+            return
+        self.peers[link.peer.instance] = link
+        if self.context.home is not None:
+            link.send(self.context.home.beat())
+
+    def link_down(self, link):
+        """A connection is gone: calls over it get no answer."""
+        for call, (used, done) in list(self._calls.items()):
+            if used is link:
+                del self._calls[call]
+                done.errback(NotReadyError("the connection to the other instance is gone"))
+        if link is self.home_link:
+            self.home_link = None
+            if not self._stopped:
+                self.post(HomeLinkLost())
+        if link.peer is not None and self.peers.get(link.peer.instance) is link:
+            del self.peers[link.peer.instance]
+
+    def link_broken(self, link, error):
+        """The other end sent what cannot be read."""
+        self.log.warning("instance sent a malformed frame", error=str(error))
+
+    def link_heard(self, link, body):
+        """Hand a message to whom it is for."""
+        match body:
+            case JobReply() | AdviceReply():
+                _, done = self._calls.pop(body.call, (None, None))
+                if done is not None:
+                    done.callback(body)
+            case HomeBeat():
+                if link is self.home_link:
+                    self.context.bus.post(body, source=link.peer.instance)
+            case JobCall():
+                self._serve_job(link, body)
+            case AdviceCall():
+                self._serve_advice(link, body)
+
+    # Calls
+
+    def ask_home(self, timeout, **values):
+        """Make a :class:`JobCall` to the home, which may be this instance."""
+        if self.context.home is not None:
+            return self.context.home.serve(JobCall(call=0, **values))
+        if self.home_link is None:
+            return fail(NotReadyError("no home is known"))
+        return self._call(self.home_link, JobCall, timeout, values)
+
+    def ask_advice(self, instance, timeout, **values):
+        """Make an :class:`AdviceCall` to an instance that is connected here."""
+        link = self.peers.get(instance)
+        if link is None:
+            return fail(NotReadyError(f"{instance} is not connected"))
+        return self._call(link, AdviceCall, timeout, values)
+
+    def _call(self, link, kind, timeout, values):
+        self._n_calls += 1
+        number = self._n_calls
+        done = Deferred()
+        self._calls[number] = (link, done)
+        if not link.send(kind(call=number, **values)):
+            del self._calls[number]
+            return fail(NotReadyError("the connection takes no more messages"))
+        done.addTimeout(timeout, self.context.clock)
+        done.addErrback(self._call_failed, number)
+        return done
+
+    def _call_failed(self, failure, number):
+        self._calls.pop(number, None)
+        if failure.check(TimeoutError):
+            raise NotReadyError("the other instance gave no answer in time") from failure.value
+        return failure
+
+    def _serve_job(self, link, body):
+        home = self.context.home
+        if home is None:
+            link.send(JobReply(call=body.call, outcome="not home", count=0))
+            return
+        done = home.serve(body)
+        done.addCallback(self._reply_job, link, body.call)
+        done.addErrback(self._refuse_job, link, body.call)
+
+    def _reply_job(self, reply, link, call):
+        reply.call = call
+        link.send(reply)
+
+    def _refuse_job(self, failure, link, call):
+        self.log.info("call of an instance failed", error=str(failure.value))
+        link.send(JobReply(call=call, outcome="failed", count=0))
+
+    def _serve_advice(self, link, body):
+        done = self.context.advice.ask(body.step, body.workers)
+        done.addCallbacks(
+            lambda advice: AdviceReply(
+                call=body.call,
+                workers=list(advice.tickets),
+                tickets=list(advice.tickets.values()),
+                valid_s=advice.valid_s,
+                error="",
+            ),
+            lambda failure: AdviceReply(
+                call=body.call, workers=[], tickets=[], valid_s=0.0, error=str(failure.value)
+            ),
+        )
+        done.addCallback(link.send)
+
+
+class HomeLinkLost:
+    """The connection to the home is gone."""
+
+    __slots__ = ()
--- /dev/null
+++ b/anvilflow/cell/_recorder.py
@@ -0,0 +1,193 @@
+"""Makes the progress of jobs durable, many changes in one transaction."""
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..exceptions import PlatformError, PlatformRefusedError, PreconditionError
+from ..utils import decode, jitter
+from ._tables import (
+    HOME,
+    HOME_KEY,
+    JOBS,
+    PROGRESS,
+    HomeRow,
+    condition,
+    ended_write,
+    write,
+)
+
+#: Least time between two transactions, so that ends of several tasks share one. While an end is
+#: not durable the worker tells of it again and again, so it is not heard at once of the next one:
+#: each wait here is one that the next end may have, too. Unit: seconds.
+GATHER_S = 0.015
+
+#: Period of writes without anything to record: they show others that the home lives. Unit: seconds.
+BEAT_S = 0.5
+
+#: Jobs in one transaction at the most. A call holds 100 entries; a job that ends takes four.
+JOBS_PER_COMMIT = 20
+
+#: Wait after a call without an answer. Unit: seconds.
+AGAIN_S = 0.15
+
+
+class Recorder:
+    """Writes records under the home's row.
+
+    Every transaction is made on the condition that the home's row is as the last one left it, and
+    writes the row anew. So a former home writes nothing, and a transaction without an answer that
+    is carried out seconds later does nothing: the row has moved on by then.
+
+    Parameters
+    ----------
+    context : CellContext
+    claimed : Claimed
+    scheduler : Scheduler
+    on_recorded : callable
+        Called after each transaction with the ids of the jobs that have ended in it.
+    on_job_gone : callable
+        Called with the id of a job whose row another instance has removed; returns a Deferred.
+    on_deposed : callable
+    """
+
+    def __init__(self, *, context, claimed, scheduler, on_recorded, on_job_gone, on_deposed):
+        self.context = context
+        self.scheduler = scheduler
+        self.on_recorded = on_recorded
+        self.on_job_gone = on_job_gone
+        self.on_deposed = on_deposed
+        self.stopped = False
+        self.n_commits = 0
+        self._row_version = claimed.row_version
+        self._row = HomeRow(
+            holder=context.name,
+            incarnation=context.incarnation,
+            address=context.settings.listen.peers,
+            term=claimed.term,
+        )
+        self._written = set()
+        self._wake = None
+
+    def note_progress_rows(self, job_ids):
+        """Note jobs that have a row of progress, which has to be removed at their end."""
+        self._written.update(job_ids)
+
+    def close(self):
+        """Write no more."""
+        self.stopped = True
+        self.hurry()
+
+    def hurry(self):
+        """Write now what is due."""
+        if self._wake is not None and self._wake.active():
+            self._wake.reset(0)
+
+    @inlineCallbacks
+    def run(self):
+        """Write what is due, until closed."""
+        wrote_at = self.context.clock.seconds()
+        while not self.stopped:
+            now = self.context.clock.seconds()
+            due = self._due()
+            wait = (GATHER_S if due else BEAT_S) - (now - wrote_at)
+            if wait <= 0:
+                wrote_at = now
+                yield self._commit(due)
+            else:
+                yield self._sleep(wait)
+
+    def _sleep(self, delay):
+        clock = self.context.clock
+        sleeping = deferLater(clock, 3600.0, lambda: None)
+        sleeping.addErrback(lambda _: None)
+        self._wake = clock.callLater(delay, sleeping.cancel)
+        return sleeping
+
+    def _due(self):
+        dirty = self.scheduler.dirty_jobs()
+        dirty.sort(key=lambda job: not job.is_ended)
+        return dirty[:JOBS_PER_COMMIT]
+
+    @inlineCallbacks
+    def _commit(self, jobs):
+        snapshot = [(job, job.change, self._writes(job)) for job in jobs]
+        conditions = [condition(HOME, HOME_KEY, self._row_version)]
+        conditions += [condition(JOBS, job.job_id, job.version) for job in jobs if job.is_ended]
+        writes = [write(HOME, HOME_KEY, self._row)]
+        writes += [item for _, _, items in snapshot for item in items]
+        yield self._repeat(conditions, writes, snapshot)
+
+    @inlineCallbacks
+    def _repeat(self, conditions, writes, snapshot):
+        """Make a transaction until it is known what became of it.
+
+        One without an answer may have been done. Made again under the same condition it is done
+        once: if the row has moved on and still has our name, the first one did it.
+        """
+        health = self.context.store_health
+        unsure = False
+        while not self.stopped:
+            try:
+                version = yield self.context.store.commit(conditions, writes)
+            except PreconditionError as exc:
+                health.good()
+                yield self._refused(exc, snapshot, unsure)
+                return
+            except PlatformError as exc:
+                health.bad()
+                unsure = unsure or not isinstance(exc, PlatformRefusedError)
+                if not snapshot and not unsure:
+                    return
+                yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+                continue
+            health.good()
+            self._done(snapshot, version)
+            return
+
+    def _done(self, snapshot, version):
+        self.n_commits += 1
+        self._row_version = version
+        now = self.context.clock.seconds()
+        ended = []
+        for job, change, _ in snapshot:
+            self.scheduler.recorded(job.job_id, change, now)
+            if job.is_ended:
+                self._written.discard(job.job_id)
+                ended.append(job.job_id)
+        if not self.stopped:
+            self.on_recorded(ended)
+
+    @inlineCallbacks
+    def _refused(self, exc, snapshot, unsure):
+        rows = {(row.table, row.key): row for row in exc.details["rows"]}
+        home = rows.get((HOME, HOME_KEY))
+        holder = None
+        if home is not None and home.value:
+            holder = decode(home.value, HomeRow, error=PlatformError)
+        if holder is None or holder.incarnation != self.context.incarnation:
+            self.stopped = True
+            self.on_deposed()
+            return
+        if home.version != self._row_version:
+            if unsure:
+                self._done(snapshot, home.version)
+            else:
+                self._row_version = home.version
+            return
+        for job, _, _ in snapshot:
+            row = rows.get((JOBS, job.job_id))
+            if job.is_ended and (row is None or row.version != job.version):
+                yield self.on_job_gone(job.job_id)
+
+    def _writes(self, job):
+        job_id = job.job_id
+        if not job.is_ended:
+            self._written.add(job_id)
+            return [write(PROGRESS, job_id, job.to_record())]
+        writes = [
+            ended_write(job_id, job.state, self.context.wall_clock()),
+            write(JOBS, job_id, None),
+        ]
+        if job_id in self._written:
+            writes.append(write(PROGRESS, job_id, None))
+        return writes
--- /dev/null
+++ b/anvilflow/cell/_session.py
@@ -0,0 +1,178 @@
+"""The home's conversation with one worker."""
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..decisions import LeaseClock
+from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
+
+#: Longest wait of a hold. It bounds the time between two renewals of the leases. Unit: seconds.
+HOLD_WAIT_S = 1.0
+
+#: Longest wait for a record before the worker is held again: in an outage of the store the leases
+#: still have to be renewed, and ends have to be heard. Unit: seconds.
+UNRECORDED_S = 0.2
+
+#: Wait before a call to a worker that failed is made again. Unit: seconds.
+AGAIN_S = 0.25
+
+
+class WorkerSession:
+    """Holds one worker: renews its leases, hears of ends at once, carries orders to it.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+    calls : WorkerCalls
+    lease_s : float
+        Unit: seconds.
+    home : object
+        Its ``worker_reported``, ``worker_failed``, ``worker_gone``, ``fenced``, ``start_answered``
+        and ``stop_answered`` are called; ``seen(worker_id)`` gives the number of the last durable
+        end, ``has_unseen(worker_id)`` whether there are later ones; ``lease_sent(worker_id, sent_at)`` hears of each lease before it is sent.
+    """
+
+    def __init__(self, *, clock, calls, lease_s, home):
+        self.clock = clock
+        self.calls = calls
+        self.lease_s = lease_s
+        self.home = home
+        self.worker_clock = None
+        self.stopped = False
+        self._recorded = None
+
+    @property
+    def worker_id(self):
+        """The worker's id."""
+        return self.calls.worker_id
+
+    def close(self):
+        """Make no further call."""
+        self.stopped = True
+        self.acknowledge(anyway=True)
+
+    @inlineCallbacks
+    def run(self):
+        """Hold the worker until its life is over or the session is closed."""
+        while not self.stopped:
+            answered = yield self._hold()
+            if self.stopped:
+                return
+            if not answered:
+                yield deferLater(self.clock, AGAIN_S, lambda: None)
+            elif self.home.has_unseen(self.worker_id):
+                yield self._wait_for_record()
+
+    def _wait_for_record(self):
+        """Wait until the ends that were told are durable.
+
+        A hold that does not acknowledge them is answered at once, with the same ends again: holds
+        made meanwhile were 60,000 in 45 s where 4,000 are enough.
+        """
+        self._recorded = Deferred()
+        waiting = self._recorded
+        late = self.clock.callLater(UNRECORDED_S, self.acknowledge, True)
+        waiting.addBoth(lambda _: late.cancel() if late.active() else None)
+        return waiting
+
+    def acknowledge(self, anyway=False):
+        """Go on holding when all ends that were told are durable."""
+        waiting = self._recorded
+        if waiting is None or not (anyway or self.stopped or not self._has_unseen()):
+            return
+        self._recorded = None
+        waiting.callback(None)
+
+    def _has_unseen(self):
+        return self.home.has_unseen(self.worker_id)
+
+    @inlineCallbacks
+    def _hold(self):
+        sent = self.clock.seconds()
+        first = self.worker_clock is None
+        until = None if first else self._until(sent)
+        try:
+            report = yield self.calls.hold(
+                seen=self.home.seen(self.worker_id),
+                until_s=until,
+                wait_s=0.0 if first else HOLD_WAIT_S,
+            )
+        except (WorkerRefusedError, WorkerUnreachableError) as exc:
+            self._failed(exc)
+            return False
+        if self.stopped:
+            return False
+        received = self.clock.seconds()
+        self.worker_clock = LeaseClock(worker_time=report.clock_s, sent=sent, received=received)
+        self.home.worker_reported(self.worker_id, report, sent)
+        return True
+
+    def _until(self, now):
+        self.home.lease_sent(self.worker_id, now)
+        return self.worker_clock.until(now, self.lease_s)
+
+    def _failed(self, exc):
+        if self.stopped:
+            return
+        match exc:
+            case WorkerGoneError():
+                self.close()
+                self.home.worker_gone(self.worker_id)
+            case WorkerRefusedError(details={"reason": "fenced"}):
+                self.close()
+                self.home.fenced(self.worker_id)
+            case _:
+                self.home.worker_failed(self.worker_id, exc)
+
+    # Orders
+
+    @inlineCallbacks
+    def start(self, action):
+        """Start a run and tell the home how the worker answered."""
+        if self.stopped or self.worker_clock is None:
+            self.home.start_answered(action, "unreached")
+            return
+        try:
+            yield self.calls.start(action, until_s=self._until(self.clock.seconds()))
+            outcome = "started"
+        except WorkerGoneError as exc:
+            self._failed(exc)
+            return
+        except WorkerRefusedError as exc:
+            outcome = exc.details["reason"]
+        except WorkerUnreachableError:
+            outcome = "unknown"
+        if self.stopped:
+            return
+        if outcome == "fenced":
+            self.close()
+            self.home.fenced(self.worker_id)
+            return
+        self.home.start_answered(action, outcome)
+
+    @inlineCallbacks
+    def stop(self, action):
+        """Stop a run; the order is repeated until the worker takes it or its life is over."""
+        while not self.stopped:
+            try:
+                yield self.calls.stop(action)
+            except WorkerGoneError as exc:
+                self._failed(exc)
+                return
+            except (WorkerRefusedError, WorkerUnreachableError) as exc:
+                if (exc.details or {}).get("reason") == "fenced":
+                    self._failed(exc)
+                    return
+                yield deferLater(self.clock, AGAIN_S, lambda: None)
+                continue
+            if not self.stopped:
+                self.home.stop_answered(action)
+            return
+
+    @inlineCallbacks
+    def set_pace(self, action):
+        """Change a run's pace; one that fails is decided anew after the next report."""
+        try:
+            yield self.calls.set_pace(action)
+        except (WorkerRefusedError, WorkerUnreachableError) as exc:
+            self.home.pace_failed(action, exc)
--- a/anvilflow/platform/_http.py
+++ b/anvilflow/clients/_http.py
@@ -103,12 +103,21 @@
         endpoints = _EndpointFactory(clock=clock, timeout=connect_timeout)
         self._agent = Agent.usingEndpointFactory(clock, endpoints, pool=self._pool)
 
-    @inlineCallbacks
     def post(self, url, body, *, timeout, headers=None):
-        """Post bytes; the Deferred fires with the status and the body, whole.
+        """Post bytes, see :meth:`call`."""
+        return self.call(b"POST", url, body, timeout=timeout, headers=headers)
+
+    def get(self, url, *, timeout):
+        """Get a resource, see :meth:`call`."""
+        return self.call(b"GET", url, b"", timeout=timeout)
+
+    @inlineCallbacks
+    def call(self, method, url, body, *, timeout, headers=None):
+        """Make a call; the Deferred fires with the status and the body, whole.
 
         Parameters
         ----------
+        method : bytes
         url : str
         body : bytes
         timeout : float
@@ -118,7 +127,10 @@
         # The agent below treq's client: parsing the URL, cookies and content encodings, which no
         # service here uses, took as long again as the exchange itself.
         response = self._agent.request(
-            b"POST", url.encode("ascii"), Headers(headers or {}), _Body(body=body)
+            method,
+            url.encode("ascii"),
+            Headers(headers or {}),
+            _Body(body=body) if body else None,
         )
         call = response.addCallback(_read)
         call.addTimeout(timeout, self.clock)
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -10,16 +10,20 @@
     "ConflictError",
     "DeclarationError",
     "FrameError",
+    "JobGoneError",
     "NotFoundError",
     "NotReadyError",
     "PartError",
     "PlatformError",
+    "PlatformRefusedError",
     "PlatformUnavailableError",
     "PreconditionError",
     "RequestError",
     "RevisionGoneError",
     "SettingsError",
     "TooLargeError",
+    "UnknownOutcomeError",
+    "WorkerGoneError",
     "WorkerRefusedError",
     "WorkerUnreachableError",
 ]
@@ -111,6 +115,22 @@
     exit_status = 4
 
 
+class JobGoneError(AnvilflowError):
+    """There is no such job: it was never accepted, or its state is no longer kept."""
+
+    code = "AF304"
+    http_status = 410
+    exit_status = 5
+
+
+class UnknownOutcomeError(AnvilflowError):
+    """A job may or may not have been accepted: send it again under the same id."""
+
+    code = "AF305"
+    http_status = 504
+    exit_status = 9
+
+
 class RequestError(AnvilflowError):
     """A request was certainly not run."""
 
@@ -142,6 +162,12 @@
     http_status = 503
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """The platform was not reached, or refused the call: a write certainly had no effect."""
+
+    code = "AF404"
+
+
 class PreconditionError(PlatformError):
     """A transaction was refused because a condition on a row did not hold."""
 
@@ -156,6 +182,12 @@
     http_status = 503
 
 
+class WorkerGoneError(WorkerRefusedError):
+    """Another life of the worker is at its address: what ran in the former one has ended."""
+
+    code = "AF413"
+
+
 class WorkerUnreachableError(AnvilflowError):
     """A worker gave no answer: what was sent may or may not run."""
 
--- /dev/null
+++ b/anvilflow/jobs/__init__.py
@@ -0,0 +1,34 @@
+"""Jobs of a cell: what clients submit, where tasks run, what is decided next; no input or output."""
+
+from ._actions import AskAdvice, SetPace, StartRun, StopRun
+from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
+from ._record import EndedJob, JobRecord
+from ._scheduler import Scheduler
+from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
+from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
+
+__all__ = [
+    "ENDED_STATES",
+    "AdviceRules",
+    "AskAdvice",
+    "CellConfig",
+    "EndedJob",
+    "JobRecord",
+    "JobRun",
+    "JobSpec",
+    "JobState",
+    "Limits",
+    "Queue",
+    "RunEnd",
+    "RunReport",
+    "Scheduler",
+    "SetPace",
+    "StartRun",
+    "StepSpec",
+    "StopRun",
+    "TaskState",
+    "Worker",
+    "WorkerInfo",
+    "WorkerReport",
+    "longest_chain_s",
+]
--- /dev/null
+++ b/anvilflow/jobs/_actions.py
@@ -0,0 +1,39 @@
+"""What the scheduler wants done."""
+
+from msgspec import Struct
+
+
+class StartRun(Struct, kw_only=True):
+    """Start a task on a worker."""
+
+    worker_id: str
+    task: str
+    run_id: int
+    payload: str
+    checkpoint: str
+    ticket: str
+
+
+class StopRun(Struct, kw_only=True):
+    """Stop a run, and bar it where it has not arrived yet."""
+
+    worker_id: str
+    task: str
+    run_id: int
+    why: str
+
+
+class SetPace(Struct, kw_only=True):
+    """Let a run work at a share of its speed. Unit: percent."""
+
+    worker_id: str
+    task: str
+    run_id: int
+    percent: int
+
+
+class AskAdvice(Struct, kw_only=True):
+    """Ask which of some workers may run a step."""
+
+    step: str
+    workers: list[str]
--- /dev/null
+++ b/anvilflow/jobs/_job.py
@@ -0,0 +1,289 @@
+"""State of one job at the home: occurrences, steps and tasks."""
+
+from enum import StrEnum
+
+from ._record import JobRecord
+
+
+class TaskState(StrEnum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class JobState(StrEnum):
+    """What a client is told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+#: States after which a job changes no more.
+ENDED_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class Task:
+    """One task; `runs` are its starts that have not been listed as ended."""
+
+    __slots__ = (
+        "avoid",
+        "checkpoint",
+        "failed_run",
+        "index",
+        "n_failed",
+        "name",
+        "run_id",
+        "runs",
+        "started_at",
+        "state",
+        "waiting_since",
+    )
+
+    def __init__(self, *, name, index, now):
+        self.name = name
+        self.index = index
+        self.state = TaskState.WAITING
+        self.run_id = 0
+        self.n_failed = 0
+        self.failed_run = 0
+        self.checkpoint = ""
+        self.avoid = set()
+        self.runs = {}
+        self.waiting_since = now
+        self.started_at = None
+
+
+class StepRun:
+    """One step of one occurrence."""
+
+    __slots__ = (
+        "allowed",
+        "asked_at",
+        "job",
+        "key",
+        "n_done",
+        "number",
+        "occurrence",
+        "ready_at",
+        "refused",
+        "spec",
+        "tasks",
+        "tickets",
+    )
+
+    def __init__(self, *, job, occurrence, number, spec, now):
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.key = f"{job.spec.job_id}.{occurrence}.{number}"
+        self.tasks = [
+            Task(name=f"{self.key}.{index}", index=index, now=now) for index in range(spec.n_tasks)
+        ]
+        self.n_done = 0
+        self.ready_at = None
+        self.asked_at = None
+        self.tickets = {}
+        self.allowed = set()
+        self.refused = set()
+
+    @property
+    def is_done(self):
+        """Whether all tasks are done; long-running ones never are."""
+        return self.n_done == len(self.tasks)
+
+    def waiting(self):
+        """Return the tasks that have no run."""
+        return [task for task in self.tasks if task.state is TaskState.WAITING]
+
+    def n_on(self, worker_id):
+        """Number of the step's tasks that have a run on a worker."""
+        return sum(worker_id in task.runs for task in self.tasks)
+
+
+class JobRun:
+    """A job that has not ended, or whose end is not durable yet.
+
+    Parameters
+    ----------
+    spec : JobSpec
+    queue : Queue
+    version : int
+        Version of its row: the condition under which its end is written.
+    now, wall_now : float
+        Steady time and time of day. Unit: seconds.
+    record : JobRecord, default=None
+        Progress that an earlier home wrote.
+    inherited : bool, default=False
+        Whether an earlier home may have started tasks of it.
+    """
+
+    __slots__ = (
+        "accepted_at",
+        "begun",
+        "change",
+        "changed_at",
+        "due_by",
+        "inherited",
+        "next_occurrence",
+        "queue",
+        "recorded_change",
+        "spec",
+        "state",
+        "steps",
+        "version",
+    )
+
+    def __init__(self, *, spec, queue, version, now, wall_now, record=None, inherited=False):
+        self.spec = spec
+        self.queue = queue
+        self.version = version
+        self.accepted_at = now
+        self.inherited = inherited
+        self.state = JobState.QUEUED
+        self.begun = False
+        self.steps = {}
+        self.next_occurrence = 0
+        self.change = 0
+        self.recorded_change = 0
+        self.changed_at = None
+        self.due_by = now + queue.stretch * longest_chain_s(spec.steps) + queue.target_latency_s
+        self.open_occurrences(now, wall_now)
+        if record is not None:
+            self._restore(record)
+
+    @property
+    def is_ended(self):
+        """Whether the job has its final state."""
+        return self.state in ENDED_STATES
+
+    @property
+    def job_id(self):
+        """The client's name of the job."""
+        return self.spec.job_id
+
+    def open_occurrences(self, now, wall_now):
+        """Create the steps of each occurrence that is due; return whether any was created."""
+        n_due = 1
+        if self.spec.n_occurrences:
+            since = wall_now - self.spec.first_at
+            n_due = 0 if since < 0 else 1 + int(since // max(self.spec.interval_s, 1e-3))
+            n_due = min(n_due, self.spec.n_occurrences)
+        opened = False
+        while self.next_occurrence < n_due:
+            occurrence = self.next_occurrence
+            self.next_occurrence += 1
+            opened = True
+            for number, step in enumerate(self.spec.steps):
+                self.steps[occurrence, number] = StepRun(
+                    job=self, occurrence=occurrence, number=number, spec=step, now=now
+                )
+        if opened:
+            self.mark_ready(now)
+        return opened
+
+    def mark_ready(self, now):
+        """Note the moment at which each step's predecessors were done."""
+        for (occurrence, _), step in self.steps.items():
+            if step.ready_at is None and all(
+                self.steps[occurrence, earlier].is_done for earlier in step.spec.after
+            ):
+                step.ready_at = now
+                for task in step.tasks:
+                    task.waiting_since = now
+
+    @property
+    def is_done(self):
+        """Whether every task of every occurrence is done."""
+        all_opened = self.next_occurrence >= max(1, self.spec.n_occurrences)
+        return all_opened and all(step.is_done for step in self.steps.values())
+
+    def ready_steps(self):
+        """Return the steps that have tasks to start."""
+        return [
+            step for step in self.steps.values() if step.ready_at is not None and not step.is_done
+        ]
+
+    def task_named(self, name):
+        """Return the step and the task called ``JOB.OCCURRENCE.STEP.INDEX``, or (None, None)."""
+        try:
+            _, occurrence, number, index = name.split(".")
+            step = self.steps[int(occurrence), int(number)]
+            return step, step.tasks[int(index)]
+        except (ValueError, KeyError, IndexError):
+            return None, None
+
+    def touch(self, now):
+        """Note a change that has to become durable."""
+        self.change += 1
+        if self.changed_at is None:
+            self.changed_at = now
+
+    def finish(self, state, now):
+        """Give the job its final state."""
+        self.state = state
+        self.touch(now)
+
+    # Durable progress
+
+    def to_record(self):
+        """Return the job's progress for the store."""
+        record = JobRecord(
+            begun=self.begun, done_steps=[], done_tasks={}, failures={}, checkpoints={}
+        )
+        for (occurrence, number), step in self.steps.items():
+            key = f"{occurrence}.{number}"
+            if step.is_done:
+                record.done_steps.append(key)
+                continue
+            done = [task.index for task in step.tasks if task.state is TaskState.DONE]
+            if done:
+                record.done_tasks[key] = done
+            for task in step.tasks:
+                if task.n_failed:
+                    record.failures[f"{key}.{task.index}"] = (task.n_failed, task.failed_run)
+                if task.checkpoint and task.state is not TaskState.DONE:
+                    record.checkpoints[f"{key}.{task.index}"] = task.checkpoint
+        return record
+
+    def _restore(self, record):
+        self.begun = record.begun
+        if record.begun:
+            self.state = JobState.RUNNING
+        for (occurrence, number), step in self.steps.items():
+            key = f"{occurrence}.{number}"
+            whole = key in record.done_steps
+            done = range(len(step.tasks)) if whole else record.done_tasks.get(key, ())
+            for index in done:
+                step.tasks[index].state = TaskState.DONE
+            step.n_done = len(done)
+            for task in step.tasks:
+                name = f"{key}.{task.index}"
+                task.n_failed, task.failed_run = record.failures.get(name, (0, 0))
+                task.checkpoint = record.checkpoints.get(name, "")
+        for step in self.steps.values():
+            step.ready_at = None
+        self.mark_ready(self.accepted_at)
+
+
+def longest_chain_s(steps):
+    """Return the longest chain of estimated work through a job's steps. Unit: seconds.
+
+    Examples
+    --------
+    >>> from anvilflow.jobs import StepSpec
+    >>> first = StepSpec(n_tasks=2, estimate_s=1.0)
+    >>> second = StepSpec(n_tasks=1, estimate_s=0.5, after=(0,))
+    >>> longest_chain_s((first, second))
+    1.5
+    """
+    ends = []
+    for step in steps:
+        began = max((ends[earlier] for earlier in step.after), default=0.0)
+        ends.append(began + step.estimate_s)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/anvilflow/jobs/_spec.py
@@ -0,0 +1,149 @@
+"""What clients submit and operators configure: jobs, their steps, queues and services."""
+
+from msgspec import Struct
+
+
+class StepSpec(Struct, kw_only=True, frozen=True):
+    """One step of a job: tasks that are alike.
+
+    Parameters
+    ----------
+    n_tasks : int
+    cpu_milli, memory_mb, accelerators : int
+        What one task takes. Units: thousandths of a core, megabytes, pieces.
+    estimate_s : float
+        Rough length of one task. Unit: seconds.
+    after : tuple of int
+        Earlier steps whose tasks must all be done first.
+    gang : bool
+        The tasks work only together.
+    rack_sensitive : bool
+        The tasks are slow when they run on more than one rack.
+    label : str
+        Label that the worker must have; empty: any.
+    data_rack : str
+        Rack on which the data lies; empty: anywhere.
+    max_per_worker : int
+        Tasks of the step on one worker at the most; 0: no limit.
+    speculative, long_running, fills, checkpointing : bool
+        Copies may run in parallel; the tasks run until the job is cancelled; the tasks use only
+        the processor time that others leave; the tasks can resume from a checkpoint.
+    image : str
+        What the tasks run; tasks of one image behave alike.
+    target_s : float
+        Bound on the response times that long-running tasks give their own users; 0: none.
+    max_unavailable : int
+        Long-running tasks that the scheduler may take away at once.
+    """
+
+    n_tasks: int
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    rack_sensitive: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    fills: bool = False
+    checkpointing: bool = False
+    image: str = ""
+    target_s: float = 0.0
+    max_unavailable: int = 0
+
+
+class JobSpec(Struct, kw_only=True, frozen=True):
+    """A job as it was accepted.
+
+    Parameters
+    ----------
+    job_id, queue : str
+    payload : str
+        Opaque text that goes to each task.
+    steps : tuple of StepSpec
+    first_at, interval_s : float
+        Time of day of the first occurrence and distance of the others. Unit: seconds.
+    n_occurrences : int
+        0: the job runs once, at once.
+    """
+
+    job_id: str
+    queue: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_at: float = 0.0
+    interval_s: float = 0.0
+    n_occurrences: int = 0
+
+
+class AdviceRules(Struct, kw_only=True, frozen=True):
+    """How long the service that knows a queue's allowed workers takes, and its answer holds."""
+
+    base_s: float
+    per_worker_s: float
+    valid_s: float
+
+
+class Queue(Struct, kw_only=True, frozen=True):
+    """A queue of jobs, as configured.
+
+    Parameters
+    ----------
+    name, host, prefix : str
+        Calls for `host` whose path begins with `prefix` belong to the queue.
+    service : str
+        Whose workers run its tasks.
+    priority : int
+        0 comes first and may preempt others.
+    max_attempts : int
+        Failures of one task after which the job has failed.
+    stretch, target_latency_s : float
+        Objective for a job: `stretch` times its longest chain of work and `target_latency_s` more.
+    timeout_s : float
+        Of one call.
+    advice : AdviceRules or None
+        Set when only some workers may run a step.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_s: float = 0.0
+    timeout_s: float = 3.0
+    advice: AdviceRules | None = None
+
+
+class Limits(Struct, kw_only=True, frozen=True):
+    """Bounds on what a client may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class CellConfig(Struct, kw_only=True, frozen=True):
+    """The configuration of a cell at one version."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    limits: Limits = Limits()
+
+    def queue_for(self, host, path):
+        """Return the queue with the longest prefix of `path` on `host`, or None."""
+        matches = [
+            queue for queue in self.queues if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(matches, key=lambda queue: len(queue.prefix), default=None)
+
+    def queue_named(self, name):
+        """Return the queue called `name`, or None."""
+        return next((queue for queue in self.queues if queue.name == name), None)
--- /dev/null
+++ b/anvilflow/jobs/_worker.py
@@ -0,0 +1,182 @@
+"""Book-keeping of one worker: what it holds, what runs there, until when its lease lasts."""
+
+from msgspec import Struct
+
+#: Part by which a worker's clock may run slow, as the contract of the workers states it.
+CLOCK_DRIFT = 0.02
+
+#: Added to a lease before its end is relied on: the granularity of the worker's clock and of the
+#: reading of our own. Unit: seconds.
+LEASE_MARGIN_S = 0.1
+
+
+class WorkerInfo(Struct, kw_only=True, frozen=True):
+    """A worker as it registers itself."""
+
+    worker_id: str
+    address: str
+    service: str
+    failure_domain: str
+    kind: str
+    rack: str
+    labels: tuple[str, ...]
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+    draining: bool = False
+    leaves_in_s: float | None = None
+
+
+class RunReport(Struct, kw_only=True, frozen=True):
+    """One run that a worker lists as active; `load` is its tail in ms or its cpu in use."""
+
+    task: str
+    run_id: int
+    checkpoint: str
+    percent: float
+    load: float
+
+
+class RunEnd(Struct, kw_only=True, frozen=True):
+    """One end that a worker lists; `how` is done, failed, stopped, lapsed, broken or alone."""
+
+    number: int
+    task: str
+    run_id: int
+    how: str
+    checkpoint: str
+
+
+class WorkerReport(Struct, kw_only=True, frozen=True):
+    """Everything that a worker says of itself in one answer. Unit of `clock_s`: its own seconds."""
+
+    clock_s: float
+    active: tuple[RunReport, ...]
+    ended: tuple[RunEnd, ...]
+
+
+class Run:
+    """One start of a task on a worker, from the decision to its listed end."""
+
+    __slots__ = (
+        "checkpoint",
+        "job",
+        "load",
+        "over_since",
+        "pace",
+        "percent",
+        "percent_at",
+        "run_id",
+        "sent_at",
+        "state",
+        "step",
+        "task",
+        "worker",
+    )
+
+    def __init__(self, *, task, run_id, worker, job, step, now):
+        self.task = task
+        self.run_id = run_id
+        self.worker = worker
+        self.job = job
+        self.step = step
+        self.state = "starting"
+        self.sent_at = now
+        self.percent = 0.0
+        self.percent_at = now
+        self.checkpoint = ""
+        self.load = 0.0
+        self.pace = 100
+        self.over_since = None
+
+
+class Worker:
+    """What the scheduler knows of one life of a worker.
+
+    Notes
+    -----
+    Room is counted from the decision to start until the end is listed: what is on its way or being
+    stopped still takes its place, since the worker itself may not guard its capacity.
+    """
+
+    __slots__ = (
+        "ack_queue",
+        "confirmed",
+        "cpu_free",
+        "gpu_free",
+        "info",
+        "last_ended",
+        "lease_over_at",
+        "listed",
+        "memory_free",
+        "n_bad",
+        "retry_at",
+        "runs",
+        "silent",
+        "strays",
+    )
+
+    def __init__(self, *, info, lease_over_at):
+        self.info = info
+        self.runs = {}
+        self.strays = set()
+        self.confirmed = False
+        self.silent = False
+        self.listed = True
+        self.lease_over_at = lease_over_at
+        self.last_ended = 0
+        self.ack_queue = []
+        self.n_bad = 0
+        self.retry_at = 0.0
+        self.cpu_free = info.cpu_milli
+        self.memory_free = info.memory_mb
+        self.gpu_free = info.accelerators
+
+    def add_run(self, run):
+        """Count a run's room."""
+        self.runs[run.task] = run
+        self._count(run.step, 1)
+
+    def remove_run(self, run):
+        """Give a run's room back."""
+        del self.runs[run.task]
+        self._count(run.step, -1)
+
+    def _count(self, step, sign):
+        if not step.fills:
+            self.cpu_free -= sign * step.cpu_milli
+        self.memory_free -= sign * step.memory_mb
+        self.gpu_free -= sign * step.accelerators
+
+    def fits(self, step):
+        """Whether one more task of `step` has room."""
+        return (
+            (step.fills or self.cpu_free >= step.cpu_milli)
+            and self.memory_free >= step.memory_mb
+            and self.gpu_free >= step.accelerators
+        )
+
+    def could_fit(self, step):
+        """Whether a task of `step` has room when nothing else runs."""
+        info = self.info
+        return (
+            info.cpu_milli >= step.cpu_milli
+            and info.memory_mb >= step.memory_mb
+            and info.accelerators >= step.accelerators
+        )
+
+    def accepts(self, now):
+        """Whether new tasks may be started here at all."""
+        return (
+            self.confirmed
+            and self.listed
+            and not self.silent
+            and not self.strays
+            and not self.info.draining
+            and now >= self.retry_at
+        )
+
+    def lease_sent(self, sent_at, lease_s):
+        """Note that a lease of `lease_s` was sent: it may last that long on a slow clock."""
+        end = sent_at + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+        self.lease_over_at = max(self.lease_over_at, end)
--- /dev/null
+++ b/anvilflow/logs/_json_lines.py
@@ -0,0 +1,77 @@
+"""A logbook handler that writes JSON lines without ever waiting for the reader."""
+
+import os
+import time
+
+from logbook import NOTSET, Handler, get_level_name
+
+from ..utils import encode
+
+#: Lines of one kind a second; what is over is counted and said with the kind's next line. The
+#: busiest kind, starts of tasks, comes some 100 times a second at today's peak.
+LINES_PER_SECOND = 200
+
+
+class JsonLinesHandler(Handler):
+    """Writes each record as one JSON object.
+
+    Parameters
+    ----------
+    fd : int
+        Descriptor to write to; it is made non-blocking.
+    instance : str
+        Name of the instance, in every line.
+    clock : callable, default=time.time
+        Time of day. Unit: seconds.
+
+    Notes
+    -----
+    A reader that stops reading costs lines, not service: a write that would block is dropped and
+    counted, and the count goes out with the next line that can be written.
+    """
+
+    def __init__(self, *, fd, instance, clock=time.time, level=NOTSET):
+        super().__init__(level=level)
+        os.set_blocking(fd, False)
+        self.fd = fd
+        self.instance = instance
+        self.clock = clock
+        self.n_dropped = 0
+        self._second = 0
+        self._counts = {}
+
+    def emit(self, record):
+        """Write one record."""
+        now = self.clock()
+        if not self._within_budget(int(now), (record.channel, record.msg)):
+            self.n_dropped += 1
+            return
+        line = {
+            "at": round(now, 3),
+            "instance": self.instance,
+            "part": record.channel,
+            "level": get_level_name(record.level).lower(),
+            "event": record.message if record.args else record.msg,
+            **record.kwargs,
+        }
+        if self.n_dropped:
+            line["dropped"] = self.n_dropped
+        try:
+            os.write(self.fd, encode(line) + b"\n")
+            self.n_dropped = 0
+        except BlockingIOError:
+            self.n_dropped += 1
+
+    def _within_budget(self, second, kind):
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        self._counts[kind] = self._counts.get(kind, 0) + 1
+        return self._counts[kind] <= LINES_PER_SECOND
+
+
+def install_json_logs(instance, *, level, fd=1):
+    """Send all log records of the process to `fd` as JSON lines; return the handler."""
+    handler = JsonLinesHandler(fd=fd, instance=instance, level=level)
+    handler.push_application()
+    return handler
--- a/anvilflow/parts/__init__.py
+++ b/anvilflow/parts/__init__.py
@@ -1,6 +1,6 @@
 """Parts of a process: each owns its sockets and state, and talks by messages."""
 
-from ._bus import Bus
+from ..runtime import Bus, Part, ReactorNetwork, Supervisor
 from ._calls import JobCall, RequestAnswer, RequestCall
 from ._config import ConfigPart
 from ._context import Context
@@ -8,13 +8,10 @@
 from ._entry import EntryPart
 from ._home import HomePart, home_key
 from ._members import MembersPart
-from ._network import ReactorNetwork
 from ._operators import OperatorsPart
 from ._owner import OwnerPart
-from ._part import Part
 from ._peers import PeersPart
 from ._store import StorePart
-from ._supervisor import Supervisor
 
 __all__ = [
     "Bus",
--- a/anvilflow/parts/_config.py
+++ b/anvilflow/parts/_config.py
@@ -6,8 +6,8 @@
 
 from ..exceptions import PlatformError, RevisionGoneError
 from ..history import ConfigInForce
+from ..runtime import Part
 from ._events import CatalogChanged, RevisionHint
-from ._part import Part
 
 #: Changes kept in memory for watches that resume.
 _CHANGES_KEPT = 5000
--- a/anvilflow/parts/_daemon.py
+++ b/anvilflow/parts/_daemon.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from ..platform import (
+from ..clients import (
     HttpClient,
     MembershipClient,
     ObjectClient,
@@ -11,19 +11,17 @@
     TableClient,
     WorkerClient,
 )
-from ._bus import Bus
+from ..runtime import Bus, ReactorNetwork, Supervisor
 from ._config import ConfigPart
 from ._context import Context
 from ._entry import EntryPart
 from ._events import LeavingChanged
 from ._home import HomePart
 from ._members import MembersPart
-from ._network import ReactorNetwork
 from ._operators import OperatorsPart
 from ._owner import OwnerPart
 from ._peers import PeersPart
 from ._store import StorePart
-from ._supervisor import Supervisor
 
 #: Period of looking whether the work in progress is done. Unit: seconds.
 _DRAIN_POLL_S = 0.05
--- a/anvilflow/parts/_entry.py
+++ b/anvilflow/parts/_entry.py
@@ -22,6 +22,7 @@
     StatusAsk,
 )
 from ..resources import JobPhase, check_references, check_resource
+from ..runtime import Part
 from ..utils import decode, decode_lenient, to_builtins
 from ._calls import JobCall, RequestAnswer, RequestCall, not_run_answer, unknown_answer
 from ._events import PeerDown
@@ -36,7 +37,6 @@
     shielded,
 )
 from ._keys import KeyClaims
-from ._part import Part
 
 #: HTTP status of each outcome.
 _STATUS = {
--- a/anvilflow/parts/_home.py
+++ b/anvilflow/parts/_home.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from ..clients import Condition, Write
 from ..decisions import (
     AckTask,
     AskHold,
@@ -30,11 +31,10 @@
     TaskStart,
     TaskStop,
 )
-from ..platform import Condition, Write
 from ..resources import JobPhase, WorkKind
+from ..runtime import Part
 from ..utils import encode, jitter
 from ._events import CatalogChanged, CommitAsk, LeavingChanged, LiveChanged, PeerDown
-from ._part import Part
 
 #: Period of asking for places. Unit: seconds.
 _TICK_S = 0.05
--- a/anvilflow/parts/_keys.py
+++ b/anvilflow/parts/_keys.py
@@ -3,9 +3,9 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from ..clients import Condition, Write
 from ..decisions import Outcome
 from ..exceptions import PlatformError, PreconditionError
-from ..platform import Condition, Write
 from ._calls import RequestAnswer, not_run_answer, unknown_answer
 from ._events import CommitAsk
 
--- a/anvilflow/parts/_members.py
+++ b/anvilflow/parts/_members.py
@@ -3,6 +3,7 @@
 from msgspec import structs
 
 from ..exceptions import PlatformError
+from ..runtime import Part
 from ._events import (
     LeavingChanged,
     LiveChanged,
@@ -12,7 +13,6 @@
     PeerUp,
     WorkersLeaving,
 )
-from ._part import Part
 
 #: Age up to which the own reading of the list goes before a peer's word. Unit: seconds.
 _LIST_FRESH_S = 1.0
--- a/anvilflow/parts/_operators.py
+++ b/anvilflow/parts/_operators.py
@@ -7,10 +7,10 @@
 from ..exceptions import CallError, DeclarationError, NotFoundError, NotReadyError
 from ..history import ConfigAccepted
 from ..resources import DECLARED_KINDS, check_references, parse_resource, resource_key
+from ..runtime import Part
 from ..utils import decode, to_builtins
 from ._events import CatalogChanged
 from ._http_api import LimitedSite, answer_json, answer_no_route, argument, coded, read_body
-from ._part import Part
 
 _MAX_CONNECTIONS = 200
 _MAX_DECLARATION_BYTES = 256 * 1024
--- a/anvilflow/parts/_owner.py
+++ b/anvilflow/parts/_owner.py
@@ -36,9 +36,9 @@
     TaskStop,
 )
 from ..resources import ServicePolicy
+from ..runtime import Part
 from ..utils import jitter
 from ._events import CatalogChanged, DigestReady, LeavingChanged, LiveChanged
-from ._part import Part
 
 #: Wait before a worker is claimed again after a failure. Unit: seconds.
 _CLAIM_AGAIN_S = 0.5
--- a/anvilflow/parts/_peers.py
+++ b/anvilflow/parts/_peers.py
@@ -2,6 +2,7 @@
 
 from ..peers import Link, LinkFactory
 from ..peers.gen.ttypes import Heartbeat, Hello
+from ..runtime import Part
 from ._events import (
     DigestReady,
     MembersListed,
@@ -11,7 +12,6 @@
     RevisionHint,
     WorkersLeaving,
 )
-from ._part import Part
 
 #: Of heartbeats that say nothing new, one in so many is sent.
 _QUIET_BEATS = 2
--- a/anvilflow/parts/_store.py
+++ b/anvilflow/parts/_store.py
@@ -6,9 +6,9 @@
 from twisted.internet.task import deferLater
 
 from ..exceptions import PlatformUnavailableError, PreconditionError
+from ..runtime import Part
 from ..utils import jitter
 from ._events import CommitAsk
-from ._part import Part
 
 _FIRST_BACKOFF_S = 0.05
 
--- a/anvilflow/parts/tests/test_safeguards.py
+++ b/anvilflow/parts/tests/test_safeguards.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from anvilflow.clients import Condition, Write
 from anvilflow.decisions import LeaseClock, OwnerBook, Rooms
 from anvilflow.exceptions import PreconditionError
 from anvilflow.history import check_history
 from anvilflow.parts import HomePart, StorePart
 from anvilflow.parts._events import CommitAsk
-from anvilflow.platform import Condition, Write
 from anvilflow.standins import WorkerState
 
 from ._helpers import make_cell, make_job, phase_of
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -1702,6 +1702,570 @@
         return not (self == other)
 
 
+class HomeBeat(object):
+    """
+    Attributes:
+     - term
+     - config_version
+     - yielding
+     - successors
+
+    """
+
+    __slots__ = (
+        'term',
+        'config_version',
+        'yielding',
+        'successors',
+    )
+
+
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None,):
+        self.term = term
+        self.config_version = config_version
+        self.yielding = yielding
+        self.successors = successors
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.yielding = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.successors = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.successors.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HomeBeat')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 2)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.yielding is not None:
+            oprot.writeFieldBegin('yielding', TType.BOOL, 3)
+            oprot.writeBool(self.yielding)
+            oprot.writeFieldEnd()
+        if self.successors is not None:
+            oprot.writeFieldBegin('successors', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.successors))
+            for iter27 in self.successors:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobCall(object):
+    """
+    Attributes:
+     - call
+     - verb
+     - job_id
+     - queue
+     - version
+     - body
+
+    """
+
+    __slots__ = (
+        'call',
+        'verb',
+        'job_id',
+        'queue',
+        'version',
+        'body',
+    )
+
+
+    def __init__(self, call=None, verb=None, job_id=None, queue=None, version=None, body=None,):
+        self.call = call
+        self.verb = verb
+        self.job_id = job_id
+        self.queue = queue
+        self.version = version
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.verb = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.queue = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobCall')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.verb is not None:
+            oprot.writeFieldBegin('verb', TType.STRING, 2)
+            oprot.writeString(self.verb.encode('utf-8') if sys.version_info[0] == 2 else self.verb)
+            oprot.writeFieldEnd()
+        if self.job_id is not None:
+            oprot.writeFieldBegin('job_id', TType.STRING, 3)
+            oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
+            oprot.writeFieldEnd()
+        if self.queue is not None:
+            oprot.writeFieldBegin('queue', TType.STRING, 4)
+            oprot.writeString(self.queue.encode('utf-8') if sys.version_info[0] == 2 else self.queue)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobReply(object):
+    """
+    Attributes:
+     - call
+     - outcome
+     - count
+
+    """
+
+    __slots__ = (
+        'call',
+        'outcome',
+        'count',
+    )
+
+
+    def __init__(self, call=None, outcome=None, count=None,):
+        self.call = call
+        self.outcome = outcome
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobReply')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 2)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I64, 3)
+            oprot.writeI64(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdviceCall(object):
+    """
+    Attributes:
+     - call
+     - step
+     - workers
+
+    """
+
+    __slots__ = (
+        'call',
+        'step',
+        'workers',
+    )
+
+
+    def __init__(self, call=None, step=None, workers=None,):
+        self.call = call
+        self.step = step
+        self.workers = workers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.step = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdviceCall')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.STRING, 2)
+            oprot.writeString(self.step.encode('utf-8') if sys.version_info[0] == 2 else self.step)
+            oprot.writeFieldEnd()
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.workers))
+            for iter34 in self.workers:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdviceReply(object):
+    """
+    Attributes:
+     - call
+     - workers
+     - tickets
+     - valid_s
+     - error
+
+    """
+
+    __slots__ = (
+        'call',
+        'workers',
+        'tickets',
+        'valid_s',
+        'error',
+    )
+
+
+    def __init__(self, call=None, workers=None, tickets=None, valid_s=None, error=None,):
+        self.call = call
+        self.workers = workers
+        self.tickets = tickets
+        self.valid_s = valid_s
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.tickets = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tickets.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.valid_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.error = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdviceReply')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.workers))
+            for iter47 in self.workers:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tickets is not None:
+            oprot.writeFieldBegin('tickets', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.tickets))
+            for iter48 in self.tickets:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.valid_s is not None:
+            oprot.writeFieldBegin('valid_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.valid_s)
+            oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRING, 5)
+            oprot.writeString(self.error.encode('utf-8') if sys.version_info[0] == 2 else self.error)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -1720,6 +2284,11 @@
      - task_query
      - status_ask
      - status_answer
+     - home_beat
+     - job_call
+     - job_reply
+     - advice_call
+     - advice_reply
 
     """
 
@@ -1739,10 +2308,15 @@
         'task_query',
         'status_ask',
         'status_answer',
+        'home_beat',
+        'job_call',
+        'job_reply',
+        'advice_call',
+        'advice_reply',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, forward_request=None, request_ended=None, cancel_request=None, hold_ask=None, hold_answer=None, hold_release=None, task_start=None, task_answer=None, task_acknowledge=None, task_stop=None, task_query=None, status_ask=None, status_answer=None,):
+    def __init__(self, hello=None, heartbeat=None, forward_request=None, request_ended=None, cancel_request=None, hold_ask=None, hold_answer=None, hold_release=None, task_start=None, task_answer=None, task_acknowledge=None, task_stop=None, task_query=None, status_ask=None, status_answer=None, home_beat=None, job_call=None, job_reply=None, advice_call=None, advice_reply=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.forward_request = forward_request
@@ -1758,6 +2332,11 @@
         self.task_query = task_query
         self.status_ask = status_ask
         self.status_answer = status_answer
+        self.home_beat = home_beat
+        self.job_call = job_call
+        self.job_reply = job_reply
+        self.advice_call = advice_call
+        self.advice_reply = advice_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1858,6 +2437,36 @@
                     self.status_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.home_beat = HomeBeat()
+                    self.home_beat.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.job_call = JobCall()
+                    self.job_call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.job_reply = JobReply()
+                    self.job_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.advice_call = AdviceCall()
+                    self.advice_call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.advice_reply = AdviceReply()
+                    self.advice_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1928,6 +2537,26 @@
             oprot.writeFieldBegin('status_answer', TType.STRUCT, 15)
             self.status_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.home_beat is not None:
+            oprot.writeFieldBegin('home_beat', TType.STRUCT, 16)
+            self.home_beat.write(oprot)
+            oprot.writeFieldEnd()
+        if self.job_call is not None:
+            oprot.writeFieldBegin('job_call', TType.STRUCT, 17)
+            self.job_call.write(oprot)
+            oprot.writeFieldEnd()
+        if self.job_reply is not None:
+            oprot.writeFieldBegin('job_reply', TType.STRUCT, 18)
+            self.job_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.advice_call is not None:
+            oprot.writeFieldBegin('advice_call', TType.STRUCT, 19)
+            self.advice_call.write(oprot)
+            oprot.writeFieldEnd()
+        if self.advice_reply is not None:
+            oprot.writeFieldBegin('advice_reply', TType.STRUCT, 20)
+            self.advice_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1980,11 +2609,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Message()
-                        _elem26.read(iprot)
-                        self.messages.append(_elem26)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Message()
+                        _elem54.read(iprot)
+                        self.messages.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2001,8 +2630,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter27 in self.messages:
-                iter27.write(oprot)
+            for iter55 in self.messages:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2155,6 +2784,47 @@
     (1, TType.I64, 'call', None, None, ),  # 1
     (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
 )
+all_structs.append(HomeBeat)
+HomeBeat.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.I64, 'config_version', None, None, ),  # 2
+    (3, TType.BOOL, 'yielding', None, None, ),  # 3
+    (4, TType.LIST, 'successors', (TType.STRING, 'UTF8', False), None, ),  # 4
+)
+all_structs.append(JobCall)
+JobCall.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.STRING, 'verb', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'job_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+)
+all_structs.append(JobReply)
+JobReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.STRING, 'outcome', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'count', None, None, ),  # 3
+)
+all_structs.append(AdviceCall)
+AdviceCall.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.STRING, 'step', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'workers', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(AdviceReply)
+AdviceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.LIST, 'workers', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'tickets', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.DOUBLE, 'valid_s', None, None, ),  # 4
+    (5, TType.STRING, 'error', 'UTF8', None, ),  # 5
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -2173,6 +2843,11 @@
     (13, TType.STRUCT, 'task_query', [TaskQuery, None], None, ),  # 13
     (14, TType.STRUCT, 'status_ask', [StatusAsk, None], None, ),  # 14
     (15, TType.STRUCT, 'status_answer', [StatusAnswer, None], None, ),  # 15
+    (16, TType.STRUCT, 'home_beat', [HomeBeat, None], None, ),  # 16
+    (17, TType.STRUCT, 'job_call', [JobCall, None], None, ),  # 17
+    (18, TType.STRUCT, 'job_reply', [JobReply, None], None, ),  # 18
+    (19, TType.STRUCT, 'advice_call', [AdviceCall, None], None, ),  # 19
+    (20, TType.STRUCT, 'advice_reply', [AdviceReply, None], None, ),  # 20
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -111,6 +111,45 @@
   2: binary body,
 }
 
+// From the home of the cell to every instance that is connected to it.
+struct HomeBeat {
+  1: i64 term,
+  2: i64 config_version,
+  3: bool yielding,
+  4: list<string> successors,
+}
+
+// From an entry to the home: a job was accepted, or a client asks about one.
+struct JobCall {
+  1: i64 call,
+  2: string verb,
+  3: string job_id,
+  4: string queue,
+  5: i64 version,
+  6: binary body,
+}
+
+struct JobReply {
+  1: i64 call,
+  2: string outcome,
+  3: i64 count,
+}
+
+// From the home to an instance: which of these workers may run this step.
+struct AdviceCall {
+  1: i64 call,
+  2: string step,
+  3: list<string> workers,
+}
+
+struct AdviceReply {
+  1: i64 call,
+  2: list<string> workers,
+  3: list<string> tickets,
+  4: double valid_s,
+  5: string error,
+}
+
 // Exactly one field is set.
 struct Message {
   1: optional Hello hello,
@@ -128,6 +167,11 @@
   13: optional TaskQuery task_query,
   14: optional StatusAsk status_ask,
   15: optional StatusAnswer status_answer,
+  16: optional HomeBeat home_beat,
+  17: optional JobCall job_call,
+  18: optional JobReply job_reply,
+  19: optional AdviceCall advice_call,
+  20: optional AdviceReply advice_reply,
 }
 
 // Messages that are written together, in order.
--- a/anvilflow/platform/__init__.py
+++ b/anvilflow/platform/__init__.py
@@ -1,27 +1,28 @@
-"""Clients of what the platform gives: table, membership list and workers."""
+"""Translates between the users' platform and anvilflow; nothing outside knows the wire's names."""
 
-from ._http import HttpClient
-from ._membership import MemberInfo, MembershipClient, MembershipList
-from ._objects import ObjectClient
-from ._resource_store import LOG_KEPT, ResourceStore, Written
-from ._table import Condition, Row, TableClient, Write
-from ._worker import ClaimReport, FinishedTask, SyncReport, WorkerClient
+from ._advice import Advice, AdviceClient
+from ._config import decode_config
+from ._front import FrontResource, ReadyResource
+from ._jobs import decode_job
+from ._registry import decode_worker
+from ._store import Row, RowCondition, RowWrite, StoreClient
+from ._tables import CONFIG_KEY, OPERATOR_TABLE, REGISTRY_TABLE
+from ._workers import WorkerCalls
 
 __all__ = [
-    "LOG_KEPT",
-    "ClaimReport",
-    "Condition",
-    "FinishedTask",
-    "HttpClient",
-    "MemberInfo",
-    "MembershipClient",
-    "MembershipList",
-    "ObjectClient",
-    "ResourceStore",
+    "CONFIG_KEY",
+    "OPERATOR_TABLE",
+    "REGISTRY_TABLE",
+    "Advice",
+    "AdviceClient",
+    "FrontResource",
+    "ReadyResource",
     "Row",
-    "SyncReport",
-    "TableClient",
-    "WorkerClient",
-    "Write",
-    "Written",
+    "RowCondition",
+    "RowWrite",
+    "StoreClient",
+    "WorkerCalls",
+    "decode_config",
+    "decode_job",
+    "decode_worker",
 ]
--- /dev/null
+++ b/anvilflow/platform/_advice.py
@@ -0,0 +1,51 @@
+"""The service that knows which workers a queue's policy allows for a step."""
+
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+
+from ..exceptions import PlatformError, PlatformUnavailableError
+from ..utils import decode, encode
+
+
+class Advice(Struct, kw_only=True):
+    """Tickets by allowed worker, and for how long they are good. Unit: seconds."""
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class _WireAdvice(Struct, rename=lambda name: name.replace("_", "-")):
+    good: list[tuple[str, str]] = []
+    valid_ms: float = 0
+
+
+class AdviceClient:
+    """Asks the service.
+
+    Parameters
+    ----------
+    http : HttpClient
+    address : str
+    timeout : float
+        Wait for an answer. Unit: seconds.
+    """
+
+    def __init__(self, *, http, address, timeout):
+        self.http = http
+        self.address = address
+        self.timeout = timeout
+
+    @inlineCallbacks
+    def ask(self, step, workers):
+        """Return the :class:`Advice` on a step and some workers."""
+        body = encode({"step": step, "workers": workers})
+        headers = {b"content-type": [b"application/json"]}
+        url = f"http://{self.address}/-/advise"
+        try:
+            status, answer = yield self.http.post(url, body, timeout=self.timeout, headers=headers)
+        except Exception as exc:
+            raise PlatformUnavailableError(f"no advice: {exc!r}") from exc
+        if status != 200:
+            raise PlatformUnavailableError(f"the advice service answered {status}")
+        wire = decode(answer, _WireAdvice, error=PlatformError)
+        return Advice(tickets=dict(wire.good), valid_s=wire.valid_ms / 1000)
--- /dev/null
+++ b/anvilflow/platform/_front.py
@@ -0,0 +1,122 @@
+"""What clients and the platform's balancer call."""
+
+from logbook import Logger
+from twisted.internet.defer import maybeDeferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from ..exceptions import AnvilflowError, CallError, NotFoundError, TooLargeError
+from ..utils import encode
+from ._jobs import JOB_ID, decode_job
+
+_log = Logger("front")
+
+
+class ReadyResource(Resource):
+    """Answers the balancer's check.
+
+    Parameters
+    ----------
+    is_ready : callable
+    """
+
+    isLeaf = True
+
+    def __init__(self, *, is_ready):
+        super().__init__()
+        self.is_ready = is_ready
+
+    def render_GET(self, request):
+        """Answer 200 while new connections are welcome."""
+        request.setResponseCode(200 if self.is_ready() else 503)
+        return b""
+
+
+class FrontResource(Resource):
+    """Jobs over HTTP.
+
+    Parameters
+    ----------
+    entry : object
+        Offers ``config``, ``closing``, ``submit(spec, queue)``, ``state(queue, job_id)``,
+        ``cancel(queue, job_id)`` and ``pending(queue)``; all but the first two return Deferreds.
+    """
+
+    isLeaf = True
+
+    def __init__(self, *, entry):
+        super().__init__()
+        self.entry = entry
+        self._verbs = {b"POST": self._submit, b"GET": self._get, b"DELETE": self._cancel}
+
+    def render(self, request):
+        """Answer one call."""
+        done = maybeDeferred(self._serve, request)
+        gone = []
+        request.notifyFinish().addErrback(gone.append)
+        done.addCallback(self._answer, request, gone)
+        done.addErrback(self._fail, request, gone)
+        return NOT_DONE_YET
+
+    def _serve(self, request):
+        config = self.entry.config
+        if config is None:
+            return self.entry.not_ready()
+        path = request.path.decode("utf-8", "replace")
+        queue = config.queue_for(request.getRequestHostname().decode("utf-8", "replace"), path)
+        if queue is None:
+            raise NotFoundError(f"no queue serves {path}")
+        verb = self._verbs.get(request.method)
+        if verb is None:
+            raise CallError(f"method {request.method.decode()} is not served")
+        return verb(request, queue, path[len(queue.prefix) :].strip("/"))
+
+    def _submit(self, request, queue, job_id):
+        _check_job_id(job_id)
+        limit = self.entry.config.limits.max_body_bytes
+        body = request.content.read(limit + 1)
+        if len(body) > limit:
+            raise TooLargeError(f"the body is over {limit} bytes")
+        done = self.entry.submit(decode_job(job_id, queue.name, body), queue)
+        return done.addCallback(lambda _: {})
+
+    def _get(self, request, queue, job_id):
+        if not job_id:
+            return self.entry.pending(queue).addCallback(lambda n_jobs: {"pending": n_jobs})
+        _check_job_id(job_id)
+        return self.entry.state(queue, job_id).addCallback(lambda state: {"state": str(state)})
+
+    def _cancel(self, request, queue, job_id):
+        _check_job_id(job_id)
+        return self.entry.cancel(queue, job_id).addCallback(lambda _: {})
+
+    def _answer(self, value, request, gone):
+        self._write(request, gone, 200, value, None)
+
+    def _fail(self, failure, request, gone):
+        error = failure.value
+        if not isinstance(error, AnvilflowError):
+            _log.error("call failed", trace=failure.getTraceback()[-1500:])
+            error = AnvilflowError("internal error; see the log")
+        retry_after = (error.details or {}).get("retry_after_s")
+        self._write(request, gone, error.http_status, {"error": error.to_dict()}, retry_after)
+
+    def _write(self, request, gone, status, value, retry_after):
+        if gone:
+            return
+        request.setResponseCode(status)
+        request.setHeader(b"content-type", b"application/json")
+        if retry_after is not None:
+            request.setHeader(b"retry-after", str(max(1, round(retry_after))).encode())
+        if self.entry.closing:
+            # The client's next call goes to another instance.
+            request.setHeader(b"connection", b"close")
+        body = encode(value)
+        request.setHeader(b"content-length", str(len(body)).encode())
+        request.write(body)
+        request.finish()
+
+
+def _check_job_id(job_id):
+    if not JOB_ID.match(job_id):
+        raise CallError(f"{job_id!r} is no job id; allowed: 16 of 0-9 and a-f")
--- /dev/null
+++ b/anvilflow/platform/_jobs.py
@@ -0,0 +1,101 @@
+"""Jobs as clients send them."""
+
+import re
+
+from msgspec import Struct
+
+from ..exceptions import CallError
+from ..jobs import JobSpec, StepSpec
+from ..utils import decode
+
+#: What a client may call a job.
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+
+#: Longest text that goes to a job's tasks. Unit: bytes; the platform's own limit.
+MAX_SPEC_BYTES = 4000
+
+#: Most tasks of one job. Each is a few hundred bytes of memory at the home, which has 300 MB; the
+#: largest job that users describe has some hundred.
+MAX_TASKS = 5000
+
+
+class _Wire(Struct, rename=lambda name: name.replace("_", "-")):
+    """Fields are spelled with hyphens on the wire; those that are zero or false are left out."""
+
+
+class _WireStep(_Wire):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    gang: bool = False
+    rack_sensitive: bool = False
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    fills: bool = False
+    checkpointing: bool = False
+    image: str = ""
+    target_ms: float = 0
+    may_miss: int = 0
+
+
+class _WireJob(_Wire):
+    """A job; its ``spec`` is only the text for its tasks."""
+
+    spec: str = ""
+    steps: list[_WireStep] = []
+    repeat_count: int = 0
+    first_ms: float = 0
+    interval_ms: float = 0
+
+
+def decode_job(job_id, queue, body):
+    """Return the :class:`JobSpec` in a client's body; AF301 says what is wrong with it."""
+    wire = decode(body, _WireJob)
+    if len(wire.spec.encode()) > MAX_SPEC_BYTES:
+        raise CallError(f"spec: over {MAX_SPEC_BYTES} bytes")
+    if not wire.steps:
+        raise CallError("steps: a job has at least one")
+    if sum(step.count for step in wire.steps) > MAX_TASKS:
+        raise CallError(f"steps: over {MAX_TASKS} tasks in all")
+    return JobSpec(
+        job_id=job_id,
+        queue=queue,
+        payload=wire.spec,
+        steps=tuple(_step(step, number) for number, step in enumerate(wire.steps)),
+        first_at=wire.first_ms / 1000,
+        interval_s=wire.interval_ms / 1000,
+        n_occurrences=wire.repeat_count,
+    )
+
+
+def _step(wire, number):
+    if wire.count < 1 or min(wire.cpu, wire.mem_mb, wire.gpu, wire.anti_affinity) < 0:
+        raise CallError(f"steps[{number}]: count must be above 0, amounts not below")
+    if any(not 0 <= earlier < number for earlier in wire.after):
+        raise CallError(f"steps[{number}].after: only earlier steps, counted from 0")
+    return StepSpec(
+        n_tasks=wire.count,
+        cpu_milli=wire.cpu,
+        memory_mb=wire.mem_mb,
+        accelerators=wire.gpu,
+        estimate_s=wire.estimate_ms / 1000,
+        after=tuple(wire.after),
+        gang=wire.gang,
+        rack_sensitive=wire.rack_sensitive,
+        label=wire.requires,
+        data_rack=wire.data_rack,
+        max_per_worker=wire.anti_affinity,
+        speculative=wire.speculative,
+        long_running=wire.long_running,
+        fills=wire.fills,
+        checkpointing=wire.checkpointing,
+        image=wire.image,
+        target_s=wire.target_ms / 1000,
+        max_unavailable=wire.may_miss,
+    )
--- /dev/null
+++ b/anvilflow/platform/_store.py
@@ -0,0 +1,208 @@
+"""The platform's metadata store: rows under one version counter, conditional transactions, feeds."""
+
+import base64
+from urllib.parse import urlencode
+
+from msgspec import Struct, field
+from twisted.internet.defer import inlineCallbacks
+
+from ..clients import NOT_SENT
+from ..exceptions import (
+    PlatformError,
+    PlatformRefusedError,
+    PlatformUnavailableError,
+    PreconditionError,
+    RevisionGoneError,
+)
+from ..utils import decode, encode
+
+#: The feed's answer may come this much after its wait. Unit: seconds.
+FEED_GRACE_S = 1.0
+
+#: Rows of one page; the platform's own limit.
+PAGE_ROWS = 500
+
+
+class Row(Struct, kw_only=True):
+    """A row as read; `value` is None for a row that was removed."""
+
+    table: str
+    part: str
+    key: str
+    version: int
+    value: bytes | None
+
+
+class RowCondition(Struct, kw_only=True):
+    """The row must have this version; 0: it must not exist."""
+
+    table: str
+    part: str
+    key: str
+    version: int
+
+
+class RowWrite(Struct, kw_only=True):
+    """A row's new value; None removes it."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+
+
+class _WireRow(Struct):
+    """A row on the wire; ``ver`` is its version, ``tombstone`` marks one that was removed."""
+
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    tombstone: bool = False
+
+    def to_row(self):
+        """Return the row in our terms."""
+        value = None if self.tombstone else base64.b64decode(self.value)
+        return Row(table=self.table, part=self.part, key=self.key, version=self.ver, value=value)
+
+
+class _Answer(Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    now_ms: int = field(default=0, name="now-ms")
+    truncated: bool = False
+
+
+class StoreClient:
+    """Calls to the store.
+
+    Parameters
+    ----------
+    http : HttpClient
+    address : str
+    timeout : float
+        Wait for an answer. Unit: seconds.
+
+    Notes
+    -----
+    :class:`PlatformRefusedError` says that nothing was done. :class:`PlatformUnavailableError` says
+    that a write may have been done, or may be done seconds later.
+    """
+
+    def __init__(self, *, http, address, timeout):
+        self.http = http
+        self.address = address
+        self.timeout = timeout
+        self.n_reads = 0
+        self.n_writes = 0
+
+    @inlineCallbacks
+    def commit(self, conditions, writes):
+        """Write all or nothing; return the new version of every row written.
+
+        Raises
+        ------
+        PreconditionError
+            AF403; its ``details["rows"]`` are the rows of the conditions as they are.
+        """
+        self.n_writes += 1
+        body = {
+            "expected-rev": [_wire_condition(item) for item in conditions],
+            "writes": [_wire_write(item) for item in writes if item.value is not None],
+            "remove": [_wire_key(item) for item in writes if item.value is None],
+        }
+        status, answer = yield self._call(b"POST", "rows-tx", encode(body), self.timeout)
+        if status == 412:
+            rows = [row.to_row() for row in decode(answer, _Answer, error=PlatformError).rows]
+            raise PreconditionError("a row has changed", details={"rows": rows})
+        _check_done(status)
+        return decode(answer, _Answer, error=PlatformUnavailableError).ver
+
+    @inlineCallbacks
+    def read(self, table, part, *, first="", end=""):
+        """Return the rows of a part from key `first` up to `end`, and the newest version.
+
+        Read page by page; the version is that of the first page, so that a feed that goes on from
+        there misses nothing that changed between the pages.
+        """
+        rows = []
+        version = None
+        while True:
+            self.n_reads += 1
+            query = {"table": table, "part": part, "limit": PAGE_ROWS}
+            if first:
+                query["from"] = first
+            if end:
+                query["target"] = end
+            path = f"rows-get?{urlencode(query)}"
+            status, body = yield self._call(b"GET", path, b"", self.timeout)
+            _check_done(status)
+            answer = decode(body, _Answer, error=PlatformUnavailableError)
+            version = answer.ver if version is None else version
+            rows += [row.to_row() for row in answer.rows]
+            if not answer.truncated or not answer.rows:
+                return rows, version
+            first = answer.rows[-1].key + "\0"
+
+    @inlineCallbacks
+    def read_row(self, table, part, key):
+        """Return one row, or None when there is none."""
+        rows, _ = yield self.read(table, part, first=key, end=key + "\0")
+        return rows[0] if rows else None
+
+    @inlineCallbacks
+    def follow(self, table, version, *, wait_s):
+        """Return the changes of a table after `version`, and the version to go on from.
+
+        Raises
+        ------
+        RevisionGoneError
+            AF203, when the store has dropped that much of its history: read the table again.
+        """
+        self.n_reads += 1
+        query = urlencode({"table": table, "after": version, "wait-ms": int(wait_s * 1000)})
+        status, body = yield self._call(
+            b"GET", f"rows-feed?{query}", b"", wait_s + self.timeout + FEED_GRACE_S
+        )
+        if status == 410:
+            raise RevisionGoneError(f"changes of {table} after {version} are no longer kept")
+        _check_done(status)
+        answer = decode(body, _Answer, error=PlatformUnavailableError)
+        return [row.to_row() for row in answer.rows], answer.ver
+
+    @inlineCallbacks
+    def _call(self, method, path, body, timeout):
+        url = f"http://{self.address}/-/{path}"
+        headers = {b"content-type": [b"application/json"]} if body else None
+        try:
+            result = yield self.http.call(method, url, body, timeout=timeout, headers=headers)
+        except NOT_SENT as exc:
+            raise PlatformRefusedError(f"the store was not reached: {exc!r}") from exc
+        except Exception as exc:
+            raise PlatformUnavailableError(f"the store gave no answer: {exc!r}") from exc
+        return result
+
+
+def _check_done(status):
+    match status:
+        case 200:
+            return
+        case 429 | 503:
+            raise PlatformRefusedError(f"the store answered {status}: nothing was done")
+        case 400 | 403 | 404 | 413:
+            raise PlatformError(f"the store answered {status}")
+        case _:
+            raise PlatformUnavailableError(f"the store answered {status}")
+
+
+def _wire_key(item):
+    return {"table": item.table, "part": item.part, "key": item.key}
+
+
+def _wire_condition(item):
+    return {**_wire_key(item), "ver": item.version}
+
+
+def _wire_write(item):
+    return {**_wire_key(item), "value": base64.b64encode(item.value).decode("ascii")}
--- /dev/null
+++ b/anvilflow/platform/_workers.py
@@ -0,0 +1,148 @@
+"""Orders to one life of a worker."""
+
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+
+from ..clients import NOT_SENT
+from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
+from ..jobs import RunEnd, RunReport, WorkerReport
+from ..utils import decode, encode
+
+#: What a refusal's reason on the wire says of the worker, in our terms.
+_REASONS = {"fence": "fenced", "old": "old", "late": "late", "room": "room", "ticket": "ticket"}
+
+
+class _WireReport(Struct, rename=lambda name: name.replace("_", "-")):
+    """``finished`` lists ends of every kind; a row of ``active`` may have a fifth entry, the load."""
+
+    clock_ms: float = 0
+    active: list[list] = []
+    finished: list[list] = []
+    reason: str = ""
+
+
+class WorkerCalls:
+    """Calls to a worker under one fencing token.
+
+    Parameters
+    ----------
+    http : HttpClient
+    worker_id, address : str
+    token : int
+    timeout : float
+        Wait for the answer to an order. Unit: seconds.
+    """
+
+    def __init__(self, *, http, worker_id, address, token, timeout):
+        self.http = http
+        self.worker_id = worker_id
+        self.token = token
+        self.timeout = timeout
+        self._base = f"http://{address}/-/"
+        self._headers = {
+            b"content-type": [b"application/json"],
+            b"x-expect-instance": [worker_id.encode()],
+        }
+
+    @inlineCallbacks
+    def hold(self, *, seen, until_s, wait_s):
+        """Renew the lease of all that runs; return a :class:`WorkerReport`.
+
+        Parameters
+        ----------
+        seen : int
+            Number up to which the worker may forget ends.
+        until_s : float or None
+            End of the lease on the worker's clock; None leaves it as it is. Unit: seconds.
+        wait_s : float
+            The worker answers at the next end, or after this time. Unit: seconds.
+        """
+        body = {"fencing-token": self.token, "last-seen": seen}
+        if until_s is not None:
+            body["until-ms"] = int(until_s * 1000)
+        if wait_s:
+            body["wait-ms"] = int(wait_s * 1000)
+        report = yield self._order("hold", body, self.timeout + wait_s)
+        return WorkerReport(
+            clock_s=report.clock_ms / 1000,
+            active=tuple(_run(row) for row in report.active),
+            ended=tuple(_end(row) for row in report.finished),
+        )
+
+    @inlineCallbacks
+    def start(self, action, *, until_s):
+        """Start a run; return the worker's clock. Unit: seconds."""
+        body = {
+            "task": action.task,
+            "run-id": action.run_id,
+            "spec": action.payload,
+            "until-ms": int(until_s * 1000),
+            "fencing-token": self.token,
+        }
+        if action.checkpoint:
+            body["checkpoint"] = action.checkpoint
+        if action.ticket:
+            body["ticket"] = action.ticket
+        report = yield self._order("run-start", body, self.timeout)
+        return report.clock_ms / 1000
+
+    def stop(self, action):
+        """Stop a run, or bar it from starting later."""
+        body = {"task": action.task, "run-id": action.run_id, "fencing-token": self.token}
+        return self._order("run-stop", body, self.timeout)
+
+    def set_pace(self, action):
+        """Let a run work at a share of its speed."""
+        body = {
+            "task": action.task,
+            "run-id": action.run_id,
+            "percent": action.percent,
+            "fencing-token": self.token,
+        }
+        return self._order("pace", body, self.timeout)
+
+    @inlineCallbacks
+    def _order(self, verb, body, timeout):
+        try:
+            status, answer = yield self.http.post(
+                self._base + verb, encode(body), timeout=timeout, headers=self._headers
+            )
+        except NOT_SENT as exc:
+            raise WorkerRefusedError(
+                f"the worker was not reached: {exc!r}", details={"reason": "unreached"}
+            ) from exc
+        except Exception as exc:
+            raise WorkerUnreachableError(f"no answer: {exc!r}") from exc
+        match status:
+            case 200:
+                return decode(answer, _WireReport, error=WorkerUnreachableError)
+            case 409:
+                reason = decode(answer, _WireReport, error=WorkerUnreachableError).reason
+                raise WorkerRefusedError(
+                    f"the worker refused {verb}: {reason}",
+                    details={"reason": _REASONS.get(reason, reason)},
+                )
+            case 421:
+                raise WorkerGoneError(f"{self.worker_id} is no longer at its address")
+            case 400 | 429 | 503:
+                raise WorkerRefusedError(
+                    f"the worker answered {status} to {verb}", details={"reason": "unhealthy"}
+                )
+            case _:
+                raise WorkerUnreachableError(f"the worker answered {status} to {verb}")
+
+
+def _run(row):
+    task, run_id, checkpoint, percent, *rest = row
+    return RunReport(
+        task=task,
+        run_id=run_id,
+        checkpoint=checkpoint,
+        percent=float(percent),
+        load=float(rest[0]) if rest else 0.0,
+    )
+
+
+def _end(row):
+    number, task, run_id, how, checkpoint = row
+    return RunEnd(number=number, task=task, run_id=run_id, how=how, checkpoint=checkpoint)
--- /dev/null
+++ b/anvilflow/runtime/__init__.py
@@ -0,0 +1,8 @@
+"""What every process is built of: parts under a supervisor, their bus, and the reactor's sockets."""
+
+from ._bus import Bus
+from ._network import ReactorNetwork
+from ._part import Part
+from ._supervisor import MAX_RESTARTS, Supervisor
+
+__all__ = ["MAX_RESTARTS", "Bus", "Part", "ReactorNetwork", "Supervisor"]
--- a/anvilflow/parts/_part.py
+++ b/anvilflow/runtime/_part.py
@@ -25,7 +25,7 @@
 
     def __init__(self, *, context):
         self.context = context
-        self.log = Logger(f"{context.settings.instance.name} {self.prefix}")
+        self.log = Logger(f"{context.name} {self.prefix}")
         self._stack = ExitStack()
 
     @property
--- a/anvilflow/parts/tests/test_supervisor.py
+++ b/anvilflow/runtime/tests/test_supervisor.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import Clock
 
 from anvilflow.exceptions import PartError
-from anvilflow.parts import Supervisor
+from anvilflow.runtime import Supervisor
 
 
 class FailingPart:
--- a/anvilflow/standins/_cell.py
+++ b/anvilflow/standins/_cell.py
@@ -6,9 +6,9 @@
 from twisted.internet.defer import DeferredList, inlineCallbacks
 from twisted.internet.task import deferLater
 
+from ..clients import HttpClient, MemberInfo
 from ..history import TargetLeaving
 from ..parts import make_daemon
-from ..platform import HttpClient, MemberInfo
 from ..settings import InstanceSettings, ListenSettings, PlatformSettings, Settings
 from ._balancer import Balancer
 from ._faults import Faults
--- a/anvilflow/standins/_membership.py
+++ b/anvilflow/standins/_membership.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform's membership list, which lags."""
 
-from ..platform import MembershipList
+from ..clients import MembershipList
 from ..utils import to_builtins
 from ._server import make_app
 
--- a/anvilflow/standins/_table.py
+++ b/anvilflow/standins/_table.py
@@ -4,8 +4,8 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from ..clients import Row
 from ..exceptions import PlatformUnavailableError, PreconditionError
-from ..platform import Row
 from ..resources import resource_key
 from ..utils import to_builtins
 from ._faults import answered_on
--- a/anvilflow/standins/_virtual_cell.py
+++ b/anvilflow/standins/_virtual_cell.py
@@ -5,11 +5,11 @@
 from twisted.internet.defer import maybeDeferred
 from twisted.internet.task import Clock
 
+from ..clients import MemberInfo, ResourceStore
 from ..decisions import Outcome
 from ..exceptions import AnvilflowError
 from ..history import Answered, History, Sent, TargetLeaving
 from ..parts import Bus, Context, Daemon, RequestAnswer, RequestCall
-from ..platform import MemberInfo, ResourceStore
 from ..settings import InstanceSettings, ListenSettings, PlatformSettings, Settings
 from ..utils import decode_lenient, encode
 from ._faults import Faults
--- a/anvilflow/standins/_worker.py
+++ b/anvilflow/standins/_worker.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from ..clients import ClaimReport, FinishedTask, SyncReport
 from ..exceptions import AnvilflowError, WorkerRefusedError, WorkerUnreachableError
 from ..history import RunBegan, RunEnded, WorkerKnown
-from ..platform import ClaimReport, FinishedTask, SyncReport
 from ..resources import Amounts
 from ..utils import decode_lenient, encode
 from ._faults import answered_on
--- a/benchmarks/standins_process.py
+++ b/benchmarks/standins_process.py
@@ -12,9 +12,9 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
+from anvilflow.clients import MemberInfo
 from anvilflow.decisions import Outcome
 from anvilflow.history import Answered, History, Sent, check_history
-from anvilflow.platform import MemberInfo
 from anvilflow.resources import Amounts
 from anvilflow.standins import Cell, make_client, make_declarations
 from anvilflow.utils import decode_lenient, encode
