Lost workers, slow stores and changing homes cost less

Change: silent workers are held without a lease; the home reads its row when a write has no answer, with times that follow the store's; tables are read at once; runs of unknown jobs are taken on when the job is heard of; entries tell a new home what the former one may not have heard; a tenth of each worker is left to the most urgent queue; in an outage jobs are refused at once and come back after a third of its length.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -50,6 +50,7 @@
         try:
             if self._version is None:
                 self._version = yield self._read()
+                self.context.store_health.good()
                 return
             rows, version = yield store.follow(OPERATOR_TABLE, self._version, wait_s=FOLLOW_S)
         except RevisionGoneError:
@@ -58,9 +59,11 @@
             return
         except PlatformError as exc:
             self.log.warning("configuration not read", error=str(exc))
+            self.context.store_health.bad()
             self._version = None
             yield self._pause()
             return
+        self.context.store_health.good()
         for row in rows:
             if row.key == CONFIG_KEY and row.value is not None:
                 self._take(row.value)
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -97,7 +97,7 @@
 
 
 class StoreHealth:
-    """Whether the store answers this instance.
+    """Whether the store answers this instance, and how long its last answer took.
 
     Parameters
     ----------
@@ -107,17 +107,23 @@
     def __init__(self, *, clock):
         self.clock = clock
         self.bad_since = None
-        self.good_at = clock.seconds()
+        self.bad_at = None
+        self.answer_s = 0.0
 
     def good(self):
         """Note an answer."""
         self.bad_since = None
-        self.good_at = self.clock.seconds()
 
     def bad(self):
         """Note a call without one."""
+        self.bad_at = self.clock.seconds()
         if self.bad_since is None:
-            self.bad_since = self.clock.seconds()
+            self.bad_since = self.bad_at
+
+    @property
+    def is_bad(self):
+        """Whether the last call had no answer."""
+        return self.bad_since is not None
 
     @property
     def bad_for_s(self):
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -18,7 +18,7 @@
 from ..platform import FrontResource, ReadyResource
 from ..runtime import Part
 from ..utils import encode
-from ._context import Leaving
+from ._context import HomeChanged
 from ._home import cancel_stored_job, read_stored_job, store_job
 from ._tables import JobRow
 
@@ -32,15 +32,25 @@
 #: Wait for the home to make a cancelling durable. Unit: seconds.
 CANCEL_TIMEOUT_S = 1.2
 
-#: Outage after which calls that need the store are refused without trying it. Unit: seconds.
-STORE_BAD_S = 0.5
+#: Age of the last call without an answer up to which this instance goes to the home, not to the
+#: store, if none was answered since. A write without an answer leaves its client in doubt, and in
+#: an outage every one would be such; the home finds out each 0.15 s whether the store is back.
+#: Unit: seconds.
+STORE_DOUBT_S = 1.0
 
-#: When a client that was refused in an outage should come back: outages last seconds, and the
-#: spread keeps the clients from coming back together. Unit: seconds.
-RETRY_AFTER_S = (1, 3)
+#: When a client that was refused in an outage should come back: after a third of the time that the
+#: outage has lasted, since short outages are over soon, and at least and at most this. The store's
+#: return is seen within 0.2 s, and clients come back as spread as they came. Unit: seconds.
+RETRY_AFTER_SHARE = 1 / 3
+MIN_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 10
 
 _STATE_NAMES = frozenset(map(str, JobState))
 
+#: Time without the store and without the home after which the balancer is told to send no new
+#: connections: this instance alone is cut off, others serve. Unit: seconds.
+CUT_OFF_S = 0.5
+
 #: Final states kept in memory: they never change, and clients ask again and again.
 STATES_KEPT = 2000
 
@@ -53,6 +63,7 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self._ended = OrderedDict()
+        self._untold = {}
         self.n_open = 0
 
     @property
@@ -76,11 +87,15 @@
         for address, site in ((listen.front, front), (listen.ready, ready)):
             port, _ = network.listen(address, site)
             self._stack.callback(port.stopListening)
-        self.on(Leaving, lambda *_: None)
+        self.on(HomeChanged, lambda *_: self._tell_again())
         self.log.info("listening to clients", address=listen.front)
 
     def _is_ready(self):
-        return self.context.config is not None and not self.context.leaving
+        context = self.context
+        if context.config is None or context.leaving:
+            return False
+        alone = context.links is not None and not context.links.reaches_home
+        return not (alone and context.store_health.bad_for_s > CUT_OFF_S)
 
     def not_ready(self):
         """Refuse a call that comes before any configuration."""
@@ -94,7 +109,7 @@
         value = JobRow(spec=spec, queue=queue)
         job_id = spec.job_id
         unsure = False
-        if self.context.store_health.bad_for_s < STORE_BAD_S:
+        if not self._store_in_doubt():
             try:
                 version = yield store_job(self.context.store, value)
             except PlatformRefusedError:
@@ -117,10 +132,22 @@
             raise UnknownOutcomeError("the job may or may not be accepted; send it again")
         raise RequestError(
             "the job was not accepted: the store is unreachable",
-            details={"retry_after_s": self.context.random_state.randint(*RETRY_AFTER_S)},
+            details={"retry_after_s": self._retry_after()},
         )
 
+    def _retry_after(self):
+        wait = self.context.store_health.bad_for_s * RETRY_AFTER_SHARE
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
+
+    def _store_in_doubt(self):
+        health = self.context.store_health
+        if self.context.home is not None:
+            return health.is_bad
+        return health.is_bad and self.now - health.bad_at < STORE_DOUBT_S
+
     def _tell_home(self, value, version):
+        job_id = value.spec.job_id
+        self._untold[job_id] = (value, version)
         done = self.context.links.ask_home(
             HOME_TIMEOUT_S,
             verb="accepted",
@@ -129,8 +156,21 @@
             version=version,
             body=encode(value),
         )
-        # The home finds the job in its feed when this message is lost.
-        done.addErrback(self._not_told, value.spec.job_id)
+        done.addCallback(self._told, job_id)
+        done.addErrback(self._not_told, job_id)
+
+    def _told(self, reply, job_id):
+        if reply.outcome == "ok":
+            self._untold.pop(job_id, None)
+
+    def _tell_again(self):
+        """Tell a new home of the jobs that the former one may not have heard of.
+
+        It finds them in its feed, too, but up to a second later.
+        """
+        untold, self._untold = self._untold, {}
+        for value, version in untold.values():
+            self._tell_home(value, version)
 
     def _not_told(self, failure, job_id):
         failure.trap(AnvilflowError)
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -52,20 +52,24 @@
 #: Longest time between two plans: what falls due by time alone is seen by then. Unit: seconds.
 PLAN_S = 0.1
 
-#: Length of the leases that are sent. A take-over from a home that fell silent takes about 1.7 s
-#: and renewals come each second; the platform shortens leases over its own maximum. Unit: seconds.
-LEASE_S = 3.6
+#: Length of the leases that are sent. Renewals come each half second; a take-over from a home that
+#: fell silent takes about 1 s, a start of all instances after a loss of power 2 s. A longer lease
+#: would keep tasks of a lost worker waiting for longer. Unit: seconds.
+LEASE_S = 3.0
 
 #: Pause between readings of the accepted jobs. Entries tell the home of them at once; the feed
 #: finds those whose entry died before it could. Unit: seconds.
 JOBS_FEED_S = 1.0
 
+#: Time after the beginning of a home at which it first reads what came since. Unit: seconds.
+FIRST_FEED_S = 0.1
+
 #: Longest wait of one reading of the workers' entries. Unit: seconds.
 WORKERS_FEED_S = 2.0
 
 #: Silence of the store, for this instance alone, after which the home offers its place to another.
 #: Unit: seconds.
-STORE_BAD_S = 1.0
+STORE_BAD_S = 0.1
 
 #: Time that a worker's missing entry is given to come back, for example after an outage of the
 #: store in which it lapsed. Unit: seconds.
@@ -142,10 +146,15 @@
     def _load(self, claimed):
         """Read what lasts, then hear the workers: only then anything is started."""
         store = self.context.store
-        jobs, jobs_version = yield self._read_jobs()
-        records, _ = yield store.read(PROGRESS, PART)
-        ended, _ = yield store.read(ENDED, PART)
-        workers, workers_version = yield store.read(REGISTRY_TABLE, "")
+        # All at once: where the store is slow each of them takes a quarter of a second.
+        reads = [
+            self._read_jobs(),
+            store.read(PROGRESS, PART),
+            store.read(ENDED, PART),
+            store.read(REGISTRY_TABLE, ""),
+        ]
+        results = yield gatherResults(reads, consumeErrors=True).addErrback(_first_error)
+        (jobs, jobs_version), (records, _), (ended, _), (workers, workers_version) = results
         if self._claimed is not claimed:
             return
         scheduler = Scheduler(term=claimed.term, lease_s=LEASE_S, now=self.now)
@@ -253,9 +262,13 @@
 
     @inlineCallbacks
     def _follow_table(self, claimed, table, version, wait_s, take):
+        # The former home goes on until the workers are held, also with jobs that came after the
+        # reading of the table.
+        pause = FIRST_FEED_S
         while self._claimed is claimed:
             if not wait_s:
-                yield deferLater(self.context.clock, JOBS_FEED_S, lambda: None)
+                yield deferLater(self.context.clock, pause, lambda: None)
+                pause = JOBS_FEED_S
             try:
                 if version is None:
                     rows, version = yield self._read_whole(table)
@@ -364,6 +377,11 @@
         worker = self._scheduler.workers.get(worker_id)
         return worker is not None and self.seen(worker_id) < worker.last_ended
 
+    def is_silent(self, worker_id):
+        """Whether the last call to a worker had no answer."""
+        worker = self._scheduler.workers.get(worker_id)
+        return worker is not None and worker.silent
+
     def lease_sent(self, worker_id, sent_at):
         """Note that a lease is on its way to a worker."""
         worker = self._scheduler.workers.get(worker_id)
@@ -577,6 +595,8 @@
     @inlineCallbacks
     def _submit(self, call):
         """Store a job for an entry that does not reach the store."""
+        if self.context.store_health.bad_for_s > STORE_BAD_S:
+            return JobReply(outcome="refused", count=0)
         value = decode(call.body, JobRow)
         try:
             version = yield store_job(self.context.store, value)
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -14,10 +14,9 @@
 #: Period of looking at the home. Unit: seconds.
 LOOK_S = 0.1
 
-#: Silence of the home after which it is suspected: three of its beats and their way. Shorter
-#: silences come from a busy processor: the tenth of a second that a quota can take away, twice.
-#: Unit: seconds.
-SILENT_S = 0.7
+#: Silence of the home after which it is suspected: two of its beats and their way. Shorter silences
+#: come from a busy processor: the tenth of a second that a quota can take away. Unit: seconds.
+SILENT_S = 0.5
 
 #: Least time between two readings of the home's row after which a row that has not changed tells
 #: that its holder does not write: twice the period of its writes. Unit: seconds.
@@ -114,7 +113,8 @@
         if self.row is None or (self._yielding and not changed):
             yield self._claim("no home" if self.row is None else "home yields")
             return
-        reached = yield self._dial()
+        # A connection that is open but silent says what a new one would only say after its time.
+        reached = "not reached" if linked and not changed else (yield self._dial())
         if reached == "home":
             return
         if reached == "not home":
@@ -137,6 +137,7 @@
         began = self.now
         found = yield self.context.store.read_row(HOME, PART, HOME_KEY)
         self._read_s = self.now - began
+        self.context.store_health.answer_s = self._read_s
         before = self.row.incarnation if self.row is not None else None
         self.row = decode(found.value, HomeRow, error=PlatformError) if found else None
         self.row_version = found.version if found else 0
@@ -180,6 +181,7 @@
             yield self._claim("home does not write")
         else:
             self.log.info("home writes but is not reached", home=self.row.holder)
+            self.context.links.leave_home()
             yield self._sleep(jitter(self.context.random_state, AGAIN_S))
 
     # Claiming
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -60,6 +60,11 @@
         )
         return Link(hello=hello, clock=context.clock, queue_limit=QUEUE_LIMIT, events=self)
 
+    @property
+    def reaches_home(self):
+        """Whether this instance is the home or is connected to it."""
+        return self.context.home is not None or self.home_link is not None
+
     # To the home
 
     def dial(self, address):
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -8,6 +8,7 @@
 from ._tables import (
     HOME,
     HOME_KEY,
+    PART,
     PROGRESS,
     HomeRow,
     condition,
@@ -31,6 +32,15 @@
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
+#: Least and longest wait for the answer to a transaction, and how many of the last answer's times
+#: it is between them. A home that the store does not reach is found by it: in 0.6 s, with the
+#: reading that follows. A store that has become slow is waited for longer after the first time.
+#: Unit: seconds.
+MIN_TIMEOUT_S = 0.3
+MAX_TIMEOUT_S = 1.0
+TIMEOUT_ANSWERS = 4
+READ_TIMEOUT_S = 0.5
+
 #: Wait after a call without an answer. Unit: seconds.
 AGAIN_S = 0.15
 
@@ -67,6 +77,7 @@
             term=claimed.term,
         )
         self._written = set()
+        self._timeout = _timeout_of(context.store_health.answer_s)
         self._wake = None
 
     def note_progress_rows(self, job_ids):
@@ -126,24 +137,51 @@
         """
         health = self.context.store_health
         unsure = False
+        clock = self.context.clock
         while not self.stopped:
+            began = clock.seconds()
             try:
-                version = yield self.context.store.commit(conditions, writes)
+                version = yield self.context.store.commit(conditions, writes, timeout=self._timeout)
             except PreconditionError as exc:
                 health.good()
-                self._refused(exc, snapshot, unsure)
+                rows = {(row.table, row.key): row for row in exc.details["rows"]}
+                self._refused(rows.get((HOME, HOME_KEY)), snapshot, unsure)
                 return
             except PlatformError as exc:
-                health.bad()
                 unsure = unsure or not isinstance(exc, PlatformRefusedError)
+                self._timeout = min(MAX_TIMEOUT_S, 2 * self._timeout)
                 if not snapshot and not unsure:
+                    health.bad()
+                    return
+                row = yield self._read_row()
+                if row is not None and row.version != self._row_version:
+                    self._refused(row, snapshot, unsure)
                     return
                 yield self._sleep(jitter(self.context.random_state, AGAIN_S))
                 continue
             health.good()
+            health.answer_s = clock.seconds() - began
+            self._timeout = _timeout_of(health.answer_s)
             self._done(snapshot, version)
             return
 
+    @inlineCallbacks
+    def _read_row(self):
+        """Read the home's row after an unanswered write; return None when that fails, too.
+
+        Writes whose answers are lost and a store that does not reach this instance look alike; only
+        in the second case another home would do better.
+        """
+        try:
+            row = yield self.context.store.read_row(
+                HOME, PART, HOME_KEY, timeout=max(READ_TIMEOUT_S, self._timeout)
+            )
+        except PlatformError:
+            self.context.store_health.bad()
+            return None
+        self.context.store_health.good()
+        return row
+
     def _done(self, snapshot, version):
         self.n_commits += 1
         self._row_version = version
@@ -157,22 +195,18 @@
         if not self.stopped:
             self.on_recorded(ended)
 
-    def _refused(self, exc, snapshot, unsure):
-        rows = {(row.table, row.key): row for row in exc.details["rows"]}
-        home = rows.get((HOME, HOME_KEY))
+    def _refused(self, home, snapshot, unsure):
+        """Take the home's row as it is found: the last write did it, or another home."""
         holder = None
         if home is not None and home.value:
             holder = decode(home.value, HomeRow, error=PlatformError)
         if holder is None or holder.incarnation != self.context.incarnation:
             self.stopped = True
             self.on_deposed()
-            return
-        if home.version != self._row_version:
-            if unsure:
-                self._done(snapshot, home.version)
-            else:
-                self._row_version = home.version
-            return
+        elif unsure:
+            self._done(snapshot, home.version)
+        else:
+            self._row_version = home.version
 
     def _writes(self, job):
         job_id = job.job_id
@@ -183,3 +217,8 @@
         if job_id in self._written:
             writes.append(write(PROGRESS, job_id, None))
         return writes
+
+
+def _timeout_of(answer_s):
+    """Return how long a transaction is waited for when the last answer took `answer_s`."""
+    return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_ANSWERS * answer_s))
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -7,11 +7,11 @@
 from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
 
 #: Longest wait of a hold. It bounds the time between two renewals of the leases. Unit: seconds.
-HOLD_WAIT_S = 1.0
+HOLD_WAIT_S = 0.5
 
 #: Longest wait for a record before the worker is held again: in an outage of the store the leases
 #: still have to be renewed, and ends have to be heard. Unit: seconds.
-UNRECORDED_S = 0.2
+UNRECORDED_S = 0.1
 
 #: Wait before a call to a worker that failed is made again. Unit: seconds.
 AGAIN_S = 0.25
@@ -30,7 +30,8 @@
         Hears of answers and failures: ``worker_reported``, ``worker_failed``, ``worker_gone``,
         ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``; and of each lease before
         it is sent, ``lease_sent``. ``seen(worker_id)`` gives the number of the last durable end,
-        ``has_unseen(worker_id)`` tells whether there are later ones.
+        ``has_unseen(worker_id)`` tells whether there are later ones, ``is_silent(worker_id)``
+        whether the last call to the worker had no answer.
     """
 
     def __init__(self, *, clock, calls, lease_s, home):
@@ -91,7 +92,10 @@
     def _hold(self):
         sent = self.clock.seconds()
         first = self.worker_clock is None
-        until = None if first else self._until(sent)
+        # A lease that may have been renewed keeps the worker's tasks from starting elsewhere. A
+        # worker that does not answer is asked without one, so that the wait for its tasks has an
+        # end: renewed with each try, they waited until it came back.
+        until = None if first or self.home.is_silent(self.worker_id) else self._until(sent)
         try:
             report = yield self.calls.hold(
                 seen=self.home.seen(self.worker_id),
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -17,6 +17,11 @@
 #: Time after which an ask without an answer is made again, beyond its own length. Unit: seconds.
 ASK_TIMEOUT_S = 2.0
 
+#: Share of a worker's processor that is left to the most urgent queue of its service. Its tasks
+#: otherwise find every worker full of long ones and wait 0.2 to 0.9 s for the next end; a share is
+#: about one of its tasks on a worker.
+RESERVE_SHARE = 0.1
+
 #: Asks under way at once for each instance that carries them: the service takes one call of an
 #: instance at a time, and the second waits ready behind the first.
 ASKS_PER_ADVISER = 2
@@ -80,9 +85,10 @@
 def _start_tasks(scheduler, step, waiting, now):
     actions = []
     workers = _candidates(scheduler, step, now)
+    reserve = _reserve(scheduler, step)
     placed = 0
     for task in waiting:
-        worker = _choose(step, task, workers)
+        worker = _choose(step, task, workers, reserve)
         if worker is None:
             break
         actions.append(_start(scheduler, worker, step, task, now))
@@ -92,13 +98,32 @@
     return actions
 
 
-def _choose(step, task, workers):
+def _reserve(scheduler, step):
+    """Return the share of a worker that the step's tasks leave free for more urgent ones."""
+    queue = step.job.queue
+    if scheduler.config is None or step.spec.fills:
+        return 0.0
+    more_urgent = any(
+        other.service == queue.service and other.priority < queue.priority
+        for other in scheduler.config.queues
+    )
+    return RESERVE_SHARE if more_urgent else 0.0
+
+
+def _leaves(worker, spec, reserve):
+    """Whether the reserve stays free on a worker, or nothing else is there that could use it."""
+    left = worker.cpu_free - spec.cpu_milli
+    return left >= reserve * worker.info.cpu_milli or not worker.runs
+
+
+def _choose(step, task, workers, reserve):
     """Return the fitting worker that the task leaves least room on, away from what it disturbs."""
     spec = step.spec
     fitting = [
         worker
         for worker in workers
         if worker.fits(spec)
+        and _leaves(worker, spec, reserve)
         and not (spec.max_per_worker and step.n_on(worker.info.worker_id) >= spec.max_per_worker)
         and task.name not in worker.runs
     ]
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -6,7 +6,7 @@
 from ._job import JobRun, JobState, TaskState
 from ._pacing import pace_fillers
 from ._placement import plan_starts
-from ._worker import CLOCK_DRIFT, LEASE_MARGIN_S, Run, Worker
+from ._worker import CLOCK_DRIFT, LEASE_MARGIN_S, Run, Stray, Worker
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
 #: know how many its predecessor started, and a worker refuses a number that is not higher.
@@ -20,6 +20,14 @@
 #: Ends without success in a row after which a worker rests. Two may be one job's own fault.
 BAD_ENDS = 2
 
+#: Time that a run of an unknown job goes on before it is stopped: the job may have been accepted
+#: while homes changed, and is heard of by the next reading of the feed. Unit: seconds.
+UNKNOWN_JOB_S = 1.5
+
+#: Time after a take-over in which a former home that lives may still start jobs that came since: it
+#: learns from its next write, or from any worker, that it is no longer the home. Unit: seconds.
+FORMER_HOME_S = 1.0
+
 #: Ended jobs whose state is kept in memory; older ones are read from the store.
 ENDED_KEPT = 2000
 
@@ -58,6 +66,7 @@
         self.workers = {}
         self.asking = {}
         self.config = None
+        self.began_at = now
         self.settled_at = now + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
         self.pace_changed_at = {}
 
@@ -85,6 +94,7 @@
             record=record,
             inherited=inherited,
         )
+        self._adopt_strays(self.jobs[spec.job_id], now)
         return True
 
     def cancel_job(self, job_id, now):
@@ -246,7 +256,8 @@
         for item in report.active:
             listed.add((item.task, item.run_id))
             actions += self._active(worker, item, asked_at, now)
-        worker.strays &= listed
+        for key in set(worker.strays) - listed:
+            del worker.strays[key]
         for run in list(worker.runs.values()):
             answered = run.state in ("running", "barred")
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
@@ -285,13 +296,35 @@
             run.checkpoint = item.checkpoint
             self._began(run, now)
             return []
-        worker.strays.add((item.task, item.run_id))
+        stray = worker.strays.setdefault((item.task, item.run_id), Stray(item=item, now=now))
+        job_known = item.task.split(".", 1)[0] in self.jobs
+        if stray.stopped or not (job_known or now - stray.seen_at >= UNKNOWN_JOB_S):
+            return []
+        stray.stopped = True
         return [
             StopRun(
                 worker_id=worker.info.worker_id, task=item.task, run_id=item.run_id, why="stray"
             )
         ]
 
+    def _adopt_strays(self, job, now):
+        """Take on what a former home started of a job that is only heard of now.
+
+        Without it the job's tasks would be started a second time while the first runs go on.
+        """
+        for worker in self.workers.values():
+            for key, stray in list(worker.strays.items()):
+                step, task = job.task_named(stray.item.task)
+                if not stray.item.task.startswith(f"{job.job_id}.") or task is None:
+                    continue
+                if task.state is not TaskState.WAITING:
+                    continue
+                del worker.strays[key]
+                run = self._make_run(worker, step, task, stray.item.run_id, now)
+                self._began(run, now)
+                if stray.stopped:
+                    run.state = "barred"
+
     def _make_run(self, worker, step, task, run_id, now):
         run = Run(
             task=task.name, run_id=run_id, worker=worker, job=step.job, step=step.spec, now=now
@@ -322,7 +355,7 @@
     # Ends
 
     def _ended(self, worker, end, now):
-        worker.strays.discard((end.task, end.run_id))
+        worker.strays.pop((end.task, end.run_id), None)
         run = worker.runs.get(end.task)
         if run is not None and run.run_id == end.run_id:
             worker.remove_run(run)
@@ -479,6 +512,7 @@
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
-        if not job.inherited or now >= self.settled_at:
+        unsettled_until = self.settled_at if job.inherited else self.began_at + FORMER_HOME_S
+        if now >= unsettled_until:
             return True
         return all(worker.confirmed for worker in self.workers.values())
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -55,6 +55,24 @@
     ended: tuple[RunEnd, ...]
 
 
+class Stray:
+    """A run that a worker lists and that has no place here: of a job not known, or out of date.
+
+    Parameters
+    ----------
+    item : RunReport
+    now : float
+        When it was first listed. Unit: seconds.
+    """
+
+    __slots__ = ("item", "seen_at", "stopped")
+
+    def __init__(self, *, item, now):
+        self.item = item
+        self.seen_at = now
+        self.stopped = False
+
+
 class Run:
     """One start of a task on a worker, from the decision to its listed end."""
 
@@ -119,7 +137,7 @@
     def __init__(self, *, info, lease_over_at):
         self.info = info
         self.runs = {}
-        self.strays = set()
+        self.strays = {}
         self.confirmed = False
         self.silent = False
         self.listed = True
--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -98,9 +98,16 @@
         self.n_writes = 0
 
     @inlineCallbacks
-    def commit(self, conditions, writes):
+    def commit(self, conditions, writes, *, timeout=None):
         """Write all or nothing; return the new version of every row written.
 
+        Parameters
+        ----------
+        conditions : list of RowCondition
+        writes : list of RowWrite
+        timeout : float, default=None
+            Wait for the answer, in place of the client's own. Unit: seconds.
+
         Raises
         ------
         PreconditionError
@@ -112,7 +119,8 @@
             "writes": [_wire_write(item) for item in writes if item.value is not None],
             "remove": [_wire_key(item) for item in writes if item.value is None],
         }
-        status, answer = yield self._call(b"POST", "rows-tx", encode(body), self.timeout)
+        wait = self.timeout if timeout is None else timeout
+        status, answer = yield self._call(b"POST", "rows-tx", encode(body), wait)
         if status == 412:
             rows = [row.to_row() for row in decode(answer, _Answer, error=PlatformError).rows]
             raise PreconditionError("a row has changed", details={"rows": rows})
@@ -120,7 +128,7 @@
         return decode(answer, _Answer, error=PlatformUnavailableError).ver
 
     @inlineCallbacks
-    def read(self, table, part, *, first="", end=""):
+    def read(self, table, part, *, first="", end="", timeout=None):
         """Return the rows of a part from key `first` up to `end`, and the newest version.
 
         Read page by page; the version is that of the first page, so that a feed that goes on from
@@ -136,7 +144,8 @@
             if end:
                 query["target"] = end
             path = f"rows-get?{urlencode(query)}"
-            status, body = yield self._call(b"GET", path, b"", self.timeout)
+            wait = self.timeout if timeout is None else timeout
+            status, body = yield self._call(b"GET", path, b"", wait)
             _check_done(status)
             answer = decode(body, _Answer, error=PlatformUnavailableError)
             version = answer.ver if version is None else version
@@ -146,9 +155,9 @@
             first = answer.rows[-1].key + "\0"
 
     @inlineCallbacks
-    def read_row(self, table, part, key):
+    def read_row(self, table, part, key, *, timeout=None):
         """Return one row, or None when there is none."""
-        rows, _ = yield self.read(table, part, first=key, end=key + "\0")
+        rows, _ = yield self.read(table, part, first=key, end=key + "\0", timeout=timeout)
         return rows[0] if rows else None
 
     @inlineCallbacks
