A start without an answer is sent again before it is given up

A worker whose hold was lost got no work for 1.5 s. Change: the same start is sent up to three times within 1.1 s, a worker that has the run says so; holds after a failure are asked for at once and without a wait; orders are waited for 0.4 s, not 0.7. Tests: test_gang_survives_a_start_whose_answer_is_lost, with and without.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -22,7 +22,7 @@
 STORE_TIMEOUT_S = 0.8
 
 #: Wait for a worker's answer to an order. Unit: seconds.
-WORKER_TIMEOUT_S = 0.7
+WORKER_TIMEOUT_S = 0.4
 
 #: Wait for advice: the longest calls take 0.9 s, and one may wait behind another. Unit: seconds.
 ADVICE_TIMEOUT_S = 2.8
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -13,6 +13,11 @@
 #: still have to be renewed, and ends have to be heard. Unit: seconds.
 UNRECORDED_S = 0.1
 
+#: Waits for the answer to a start, one after the other. The same start may be sent again: a worker
+#: that has the run says so, and one that was lost on the way is made up for before the other
+#: members of a gang give up. Workers answer in some 3 ms. Unit: seconds.
+START_TIMEOUTS_S = (0.3, 0.3, 0.5)
+
 #: Wait before a call to a worker that failed is made again. Unit: seconds.
 AGAIN_S = 0.25
 
@@ -56,12 +61,15 @@
     @inlineCallbacks
     def run(self):
         """Hold the worker until its life is over or the session is closed."""
+        answered = True
         while not self.stopped:
+            failed_before = not answered
             answered = yield self._hold()
             if self.stopped:
                 return
             if not answered:
-                yield deferLater(self.clock, AGAIN_S, lambda: None)
+                # Once at once: an answer that was lost says nothing about the worker.
+                yield deferLater(self.clock, AGAIN_S if failed_before else 0.0, lambda: None)
             elif self.home.has_unseen(self.worker_id):
                 yield self._wait_for_record()
 
@@ -100,7 +108,7 @@
             report = yield self.calls.hold(
                 seen=self.home.seen(self.worker_id),
                 until_s=until,
-                wait_s=0.0 if first else HOLD_WAIT_S,
+                wait_s=0.0 if until is None else HOLD_WAIT_S,
             )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self._failed(exc)
@@ -137,16 +145,15 @@
         if self.stopped or self.worker_clock is None:
             self.home.start_answered(action, "unreached")
             return
-        try:
-            yield self.calls.start(action, until_s=self._until(self.clock.seconds()))
-            outcome = "started"
-        except WorkerGoneError as exc:
-            self._failed(exc)
-            return
-        except WorkerRefusedError as exc:
-            outcome = exc.details["reason"]
-        except WorkerUnreachableError:
-            outcome = "unknown"
+        outcome = "unknown"
+        for timeout in START_TIMEOUTS_S:
+            try:
+                outcome = yield self._start_once(action, timeout)
+            except WorkerGoneError as exc:
+                self._failed(exc)
+                return
+            if outcome != "unknown" or self.stopped or self.home.is_silent(self.worker_id):
+                break
         if self.stopped:
             return
         if outcome == "fenced":
@@ -155,6 +162,19 @@
             return
         self.home.start_answered(action, outcome)
 
+    @inlineCallbacks
+    def _start_once(self, action, timeout):
+        until = self._until(self.clock.seconds())
+        try:
+            yield self.calls.start(action, until_s=until, timeout=timeout)
+        except WorkerGoneError:
+            raise
+        except WorkerRefusedError as exc:
+            return exc.details["reason"]
+        except WorkerUnreachableError:
+            return "unknown"
+        return "started"
+
     @inlineCallbacks
     def stop(self, action):
         """Stop a run; the order is repeated until the worker takes it or its life is over."""
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -3,11 +3,12 @@
 import statistics
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from anvilflow.cell import _entry, _home, _leadership, _recorder, _session
 from anvilflow.cell._context import Claimed
 from anvilflow.jobs import Scheduler, StartRun
-from anvilflow.standins import PlatformCell
+from anvilflow.standins import OrderWorker, PlatformCell
 
 JOB = "00000000000000a1"
 STEP = {"count": 4, "cpu": 1000}
@@ -310,15 +311,13 @@
 
         monkeypatch.setattr(Scheduler, "start_answered", start_answered)
     cell = make_cell(n_instances=2, n_workers=2)
-    late = {"path": "/-/run-start", "left": 1}
+    late = {"path": "/-/run-start", "left": 3}
 
     class Late(type(cell.workers["i-0"])):
         def handle(self, method, path, query, body, headers):
             if path == late["path"] and late["left"]:
                 late["left"] -= 1
                 cell.clock.callLater(2.0, super().handle, method, path, query, body, headers)
-                from twisted.internet.defer import Deferred
-
                 return Deferred()
             return super().handle(method, path, query, body, headers)
 
@@ -480,3 +479,33 @@
     cell.workers["i-0"].crash()
     cell.advance(9.0)
     assert (cell.state("a0", JOB) == "completed") is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_gang_survives_a_start_whose_answer_is_lost(monkeypatch, safeguard):
+    """A worker starts one member of a gang; its answer is lost, and those to holds for a while.
+
+    The same start is sent again, and the worker says that it has the run. Stopped instead, as here
+    without the second try, the member breaks the whole gang on a real worker.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_session, "START_TIMEOUTS_S", (0.3,))
+    cell = make_cell(n_instances=2, n_workers=2, cpu=4000)
+    lost = {"left": 1}
+
+    class LosesOne(OrderWorker):
+        def handle(self, method, path, query, body, headers):
+            answer = super().handle(method, path, query, body, headers)
+            if path.endswith("run-start") and lost["left"]:
+                lost["left"] -= 1
+                return Deferred()
+            if path.endswith("hold") and cell.clock.seconds() < 2.2:
+                return Deferred()
+            return answer
+
+    for worker in cell.workers.values():
+        worker.__class__ = LosesOne
+    cell.submit("a0", JOB, {"count": 6, "cpu": 1000, "gang": True}, spec="2.0 done 1000")
+    cell.advance(8.0)
+    assert cell.state("a0", JOB) == "completed"
+    assert ({span.how for span in cell.spans} == {"done"}) is safeguard
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -114,7 +114,9 @@
 
     def _finish(self, job, state, now):
         job.finish(state, now)
-        return self._stop_all(job, now, str(state))
+        # Of a completed job only copies still run, which `_task_done` has stopped, and members of a
+        # gang whose own ends are on their way.
+        return [] if state is JobState.COMPLETED else self._stop_all(job, now, str(state))
 
     def _stop_all(self, job, now, why):
         actions = []
@@ -450,10 +452,7 @@
         if outcome == "unknown":
             # It may be carried out seconds later. Stopping it bars it, and its place stays taken
             # until the worker confirms that.
-            if run.state != "starting":
-                return []
-            worker.silent = True
-            return self._stop(run, now, "start unanswered")
+            return self._stop(run, now, "start unanswered") if run.state == "starting" else []
         if outcome == "ticket":
             step, _ = self._find(task)
             if step is not None:
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -70,8 +70,11 @@
         )
 
     @inlineCallbacks
-    def start(self, action, *, until_s):
-        """Start a run; return the worker's clock. Unit: seconds."""
+    def start(self, action, *, until_s, timeout=None):
+        """Start a run; return the worker's clock. Unit: seconds.
+
+        It may be called again: a worker that has the run already says so.
+        """
         body = {
             "task": action.task,
             "run-id": action.run_id,
@@ -83,7 +86,8 @@
             body["checkpoint"] = action.checkpoint
         if action.ticket:
             body["ticket"] = action.ticket
-        report = yield self._order("run-start", body, self.timeout)
+        wait = self.timeout if timeout is None else timeout
+        report = yield self._order("run-start", body, wait)
         return report.clock_ms / 1000
 
     def stop(self, action):
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -167,7 +167,7 @@
                 worker_id=info.worker_id,
                 address=info.address,
                 token=token,
-                timeout=0.7,
+                timeout=0.4,
             ),
             random_state=Random(self.random_state.getrandbits(64)),
         )
