--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -490,7 +490,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_session, "START_TIMEOUTS_S", (0.3,))
-    cell = make_cell(n_instances=2, n_workers=2, cpu=4000)
+    cell = PlatformCell(n_instances=2, n_workers=2, cpu=4000)
     lost = {"left": 1}
 
     class LosesOne(OrderWorker):
@@ -499,12 +499,13 @@
             if path.endswith("run-start") and lost["left"]:
                 lost["left"] -= 1
                 return Deferred()
-            if path.endswith("hold") and cell.clock.seconds() < 2.2:
+            if path.endswith("hold") and 1.0 < cell.clock.seconds() < 2.5:
                 return Deferred()
             return answer
 
     for worker in cell.workers.values():
         worker.__class__ = LosesOne
+    cell.start()
     cell.submit("a0", JOB, {"count": 6, "cpu": 1000, "gang": True}, spec="2.0 done 1000")
     cell.advance(8.0)
     assert cell.state("a0", JOB) == "completed"
