Long asks for advice leave instances free for quick ones

Change: at most six tenths of the instances carry a long ask at once; the instance with the least ahead asks next. The stand-in answers one call of a process at a time. Test: test_quick_work_does_not_wait_behind_long_asks_for_advice, with and without.

--- a/anvilflow/cell/_advisers.py
+++ b/anvilflow/cell/_advisers.py
@@ -32,17 +32,25 @@
         """Instances that can ask."""
         return 1 + len(self.context.links.peers) if self.context.links is not None else 1
 
-    def ask(self, step, workers):
-        """Return a Deferred of the :class:`Advice`, or of None when there was no answer."""
+    def ask(self, step, workers, length_s):
+        """Return a Deferred of the :class:`Advice`, or of None when there was no answer.
+
+        Parameters
+        ----------
+        step : str
+        workers : list of str
+        length_s : float
+            How long the answer takes: the instance with least of it ahead asks. Unit: seconds.
+        """
         name = self._choose()
-        self._busy[name] = self._busy.get(name, 0) + 1
+        self._busy[name] = self._busy.get(name, 0.0) + length_s
         if name == self.context.name:
             done = self.context.advice.ask(step, workers)
         else:
             done = self.context.links.ask_advice(name, TIMEOUT_S, step=step, workers=workers)
             done.addCallback(_advice_of)
         done.addErrback(self._failed, name)
-        done.addBoth(self._over, name)
+        done.addBoth(self._over, name, length_s)
         return done
 
     def _choose(self):
@@ -50,15 +58,15 @@
         links = self.context.links
         names = [self.context.name, *(links.peers if links is not None else ())]
         rested = [name for name in names if self._rested.get(name, 0.0) <= now] or names
-        return min(rested, key=lambda name: (self._busy.get(name, 0), name == self.context.name))
+        return min(rested, key=lambda name: (self._busy.get(name, 0.0), name == self.context.name))
 
     def _failed(self, failure, name):
         failure.trap(AnvilflowError)
         self._rested[name] = self.context.clock.seconds() + REST_S
         return None
 
-    def _over(self, result, name):
-        self._busy[name] -= 1
+    def _over(self, result, name, length_s):
+        self._busy[name] = max(0.0, self._busy[name] - length_s)
         return result
 
 
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -519,7 +519,7 @@
             session.set_pace(action).addErrback(self.fail_with)
 
     def _ask_advice(self, action):
-        done = self._advisers.ask(action.step, action.workers)
+        done = self._advisers.ask(action.step, action.workers, action.length_s)
         done.addCallback(self._advised, action, self._scheduler, self.now)
         done.addErrback(self.fail_with)
 
--- a/anvilflow/cell/tests/test_whole_path.py
+++ b/anvilflow/cell/tests/test_whole_path.py
@@ -234,3 +234,31 @@
         gone = cell.call(name, "GET", "/urgent/")
         cell.advance(0.1)
         assert (answers[0][0], gone[0][0]) == (200, 404)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_quick_work_does_not_wait_behind_long_asks_for_advice(monkeypatch, safeguard):
+    """Many heavy jobs ask for advice of 0.8 s each; then a quick lookup asks for one of 0.05 s.
+
+    Some instances are kept free of long asks. Without that every instance is busy with two, and
+    the lookup's answer waits behind them.
+    """
+    if not safeguard:
+        monkeypatch.setattr("anvilflow.jobs._placement.LONG_ASK_SHARE", 2.0)
+    rules = {"each-ms": 1, "valid-ms": 2500}
+    queues = [
+        {"name": "urgent", "prefix": "/urgent/", "advice": {"decide-ms": 50, **rules}},
+        {"name": "bulk", "prefix": "/bulk/", "priority": 2, "advice": {"decide-ms": 800, **rules}},
+    ]
+    advice = AdviceServer(clock=None, allowed=None, base_s=lambda n: 0.8 if n < 10 else 0.05)
+    cell = make_cell(n_instances=5, advice=advice, config=make_platform_config(queues=queues))
+    for number in range(10):
+        cell.submit("a0", f"00000000000000e{number}", {"count": 1, "cpu": 1000}, queue="bulk")
+    cell.advance(0.2)
+    if safeguard:
+        advice.base_s = 0.05
+    asked_at = cell.clock.seconds()
+    cell.submit("a1", JOB, {"count": 1, "cpu": 1000})
+    cell.advance(1.5)
+    [span] = cell.runs_of(f"{JOB}.0.0.0")
+    assert (span.began_at - asked_at < 0.15) is safeguard
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -33,7 +33,8 @@
 
 
 class AskAdvice(Struct, kw_only=True):
-    """Ask which of some workers may run a step."""
+    """Ask which of some workers may run a step; `length_s` is how long the answer takes."""
 
     step: str
     workers: list[str]
+    length_s: float
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -26,6 +26,14 @@
 #: instance at a time, and the second waits ready behind the first.
 ASKS_PER_ADVISER = 2
 
+#: An ask that takes longer than this keeps others waiting noticeably. Those for quick work take
+#: 0.05 s, those for heavy work 0.8 s. Unit: seconds.
+LONG_ASK_S = 0.25
+
+#: Share of the instances that may be busy with long asks at once. After a take-over and in bursts of
+#: heavy jobs all were, and quick tasks waited 0.8 to 1.6 s for an answer of 0.05 s.
+LONG_ASK_SHARE = 0.6
+
 
 def plan_starts(scheduler, now):
     """Return the starts and asks that are due, in the order of urgency."""
@@ -226,9 +234,9 @@
     rules = step.job.queue.advice
     if rules is None or step.key in scheduler.asking:
         return []
-    if len(scheduler.asking) >= ASKS_PER_ADVISER * scheduler.n_advisers:
-        return []
     length = rules.base_s
+    if not _may_ask(scheduler, length):
+        return []
     names = [
         worker.info.worker_id
         for worker in scheduler.workers.values()
@@ -236,8 +244,18 @@
     ][:MAX_ASKED]
     if not names:
         return []
-    scheduler.asking[step.key] = (now, length + rules.per_worker_s * len(names))
-    return [AskAdvice(step=step.key, workers=names)]
+    length += rules.per_worker_s * len(names)
+    scheduler.asking[step.key] = (now, length)
+    return [AskAdvice(step=step.key, workers=names, length_s=length)]
+
+
+def _may_ask(scheduler, length):
+    """Whether an instance is free for an ask of this length."""
+    is_long = length > LONG_ASK_S
+    n_same = sum((other > LONG_ASK_S) == is_long for _, other in scheduler.asking.values())
+    if is_long:
+        return n_same < max(1, int(LONG_ASK_SHARE * scheduler.n_advisers))
+    return n_same < ASKS_PER_ADVISER * scheduler.n_advisers
 
 
 def _worth_asking(step, worker, now, length):
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -4,6 +4,7 @@
 from twisted.internet.defer import Deferred
 
 from ..utils import decode_lenient, encode
+from ._wire import CALLER
 
 #: Longest lease, and the longest that a stop takes. Unit: seconds.
 MAX_LEASE_S = 6.0
@@ -197,7 +198,21 @@
 
 
 class AdviceServer:
-    """Stand-in for the service that knows which workers may run a step: all of `allowed`."""
+    """Stand-in for the service that knows which workers may run a step: all of `allowed`.
+
+    Parameters
+    ----------
+    clock : Clock
+    allowed : set of str
+    base_s : float or callable
+        Time that an answer takes, or a function of the number of earlier calls. Unit: seconds.
+    valid_s : float, default=2.5
+        Unit: seconds.
+
+    Notes
+    -----
+    It takes one call of each calling process at a time, in turn.
+    """
 
     def __init__(self, *, clock, allowed, base_s, valid_s=2.5):
         self.clock = clock
@@ -205,13 +220,18 @@
         self.base_s = base_s
         self.valid_s = valid_s
         self.n_calls = 0
+        self._free_at = {}
 
     def handle(self, method, path, query, body, headers):
         """Answer an ask after the time that it takes."""
+        length = self.base_s(self.n_calls) if callable(self.base_s) else self.base_s
         self.n_calls += 1
+        caller = headers[CALLER][0]
+        now = self.clock.seconds()
+        self._free_at[caller] = max(now, self._free_at.get(caller, 0.0)) + length
         call = decode_lenient(body)
         good = [[name, f"ticket-{name}"] for name in call["workers"] if name in self.allowed]
         done = Deferred()
         answer = (200, encode({"good": good, "valid-ms": int(self.valid_s * 1000)}))
-        self.clock.callLater(self.base_s, done.callback, answer)
+        self.clock.callLater(self._free_at[caller] - now, done.callback, answer)
         return done
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -7,6 +7,9 @@
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
+#: Header in which a server finds the name of the calling process.
+CALLER = b"x-caller"
+
 #: One way between any two places. Unit: seconds.
 WAY_S = 0.001
 
@@ -87,7 +90,8 @@
         if server is None or (faults.refuses and faults.concern(caller)):
             clock.callLater(WAY_S, done.errback, Failure(ConnectionRefusedError()))
             return done
-        call = (method, parts.path, dict(parse_qsl(parts.query)), body, headers or {})
+        headers = {**(headers or {}), CALLER: [caller.encode()]}
+        call = (method, parts.path, dict(parse_qsl(parts.query)), body, headers)
         self.clock.callLater(WAY_S, self._arrive, server, faults, caller, clock, call, done)
         return done
 
