Runs that stand still or crawl are given up once

Cause: a worker whose health is good may hang or be slow; its tasks waited until it recovered. Change: a run without progress for 1.3 s and a tenth of its estimate, seen in reports, is stopped, or gets a copy where the step allows it; one that is far slower than the others of its step, or on a worker that has been slow, is made again elsewhere. A task is given up once: it may be what is wrong. Tests: jobs/tests/test_scheduler.py, among them a job far larger than its estimate.

--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -34,6 +34,7 @@
         "avoid",
         "checkpoint",
         "failed_run",
+        "given_up",
         "index",
         "n_failed",
         "name",
@@ -53,6 +54,7 @@
         self.failed_run = 0
         self.checkpoint = ""
         self.avoid = set()
+        self.given_up = False
         self.runs = {}
         self.waiting_since = now
         self.started_at = None
@@ -64,8 +66,10 @@
     __slots__ = (
         "allowed",
         "asked_at",
+        "copies",
         "job",
         "key",
+        "longest_s",
         "n_done",
         "number",
         "occurrence",
@@ -89,6 +93,8 @@
         self.ready_at = None
         self.asked_at = None
         self.tickets = {}
+        self.copies = []
+        self.longest_s = 0.0
         self.allowed = set()
         self.refused = set()
 
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -2,6 +2,7 @@
 
 from ._actions import AskAdvice, StartRun
 from ._job import TaskState
+from ._sickness import is_slow
 
 #: Time that a ticket must still be valid when a start is sent. A start reaches a worker within a
 #: few milliseconds; a busy instance adds some tens. Unit: seconds.
@@ -30,8 +31,8 @@
 #: 0.05 s, those for heavy work 0.8 s. Unit: seconds.
 LONG_ASK_S = 0.25
 
-#: Share of the instances that may be busy with long asks at once. After a take-over and in bursts of
-#: heavy jobs all were, and quick tasks waited 0.8 to 1.6 s for an answer of 0.05 s.
+#: Share of the instances that may be busy with long asks at once. After a take-over and in bursts
+#: of heavy jobs all were, and quick tasks waited 0.8 to 1.6 s for an answer of 0.05 s.
 LONG_ASK_SHARE = 0.6
 
 
@@ -46,7 +47,7 @@
             if step.ready_at is None:
                 actions += _ask_ahead(scheduler, step, now)
                 continue
-            waiting = step.waiting()
+            waiting = step.waiting() + _copies(step)
             if not waiting or not scheduler.may_start(job, now):
                 continue
             if step.spec.gang:
@@ -56,6 +57,14 @@
     return actions
 
 
+def _copies(step):
+    """Return the tasks of which a second run is wanted and does not exist yet."""
+    step.copies = [
+        task for task in step.copies if task.state is TaskState.RUNNING and len(task.runs) == 1
+    ]
+    return step.copies
+
+
 def _open_jobs(scheduler):
     return [job for job in scheduler.jobs.values() if not job.is_ended]
 
@@ -144,7 +153,8 @@
     spec = step.spec
     far = bool(spec.data_rack) and worker.info.rack != spec.data_rack
     failed_here = worker.info.worker_id in task.avoid
-    return (failed_here, far, worker.n_bad, _disturbs(spec, worker), worker.cpu_free)
+    slow = is_slow(worker)
+    return (failed_here, far, worker.n_bad, slow, _disturbs(spec, worker), worker.cpu_free)
 
 
 def _disturbs(spec, worker):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -6,6 +6,7 @@
 from ._job import JobRun, JobState, TaskState
 from ._pacing import pace_fillers
 from ._placement import plan_starts
+from ._sickness import find_sick_runs, has_copy, note_duration
 from ._worker import CLOCK_DRIFT, LEASE_MARGIN_S, Run, Stray, Worker
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
@@ -222,7 +223,7 @@
     def _drop_run(self, run, now):
         """Forget a run that has certainly ended without a listed end."""
         run.worker.remove_run(run)
-        step, task = self._find(run.task)
+        step, task = self.find_task(run.task)
         if task is None:
             return
         if task.runs.get(run.worker.info.worker_id) is run:
@@ -235,7 +236,8 @@
                 task.waiting_since = now
             task.state = TaskState.WAITING
 
-    def _find(self, name):
+    def find_task(self, name):
+        """Return the step and the task called `name`, or (None, None)."""
         job = self.jobs.get(name.split(".", 1)[0])
         return job.task_named(name) if job is not None else (None, None)
 
@@ -276,6 +278,7 @@
                 self._began(run, now)
             if item.percent != run.percent:
                 run.percent, run.percent_at = item.percent, now
+            run.reported_at = now
             run.load = item.load
             run.checkpoint = item.checkpoint or run.checkpoint
             return []
@@ -283,7 +286,7 @@
 
     def _adopt(self, worker, item, known, now):
         """Take on a run that another home started, or stop it when it has no place here."""
-        step, task = self._find(item.task)
+        step, task = self.find_task(item.task)
         wanted = (
             known is None
             and task is not None
@@ -344,13 +347,13 @@
 
     def _began(self, run, now):
         run.state = "running"
-        run.percent_at = now
+        run.began_at = run.percent_at = run.reported_at = now
         job = run.job
         if not job.begun:
             job.begun = True
             if not job.is_ended:
                 job.state = JobState.RUNNING
-        _, task = self._find(run.task)
+        _, task = self.find_task(run.task)
         if task is not None and task.started_at is None:
             task.started_at = now
 
@@ -363,7 +366,7 @@
             worker.remove_run(run)
         else:
             run = None
-        step, task = self._find(end.task)
+        step, task = self.find_task(end.task)
         if task is None or step.job.is_ended:
             if task is not None and run is not None:
                 task.runs.pop(worker.info.worker_id, None)
@@ -372,16 +375,18 @@
             task.runs.pop(worker.info.worker_id, None)
         if end.checkpoint and step.spec.checkpointing:
             task.checkpoint = end.checkpoint
-        actions = self._judge_end(worker, step, task, end, now)
+        actions = self._judge_end(worker, step, task, end, run, now)
         self._wait_again(step, task, now)
         if step.job.change > step.job.recorded_change:
             worker.ack_queue.append((end.number, step.job.job_id, step.job.change))
         return actions
 
-    def _judge_end(self, worker, step, task, end, now):
+    def _judge_end(self, worker, step, task, end, run, now):
         match end.how:
             case "done":
                 self._worker_did_well(worker)
+                if run is not None and not step.spec.gang:
+                    note_duration(worker, step, now - run.began_at)
                 return self._task_done(step, task, now)
             case "failed":
                 return self._task_failed(worker, step, task, end.run_id, now)
@@ -454,7 +459,7 @@
             # until the worker confirms that.
             return self._stop(run, now, "start unanswered") if run.state == "starting" else []
         if outcome == "ticket":
-            step, _ = self._find(task)
+            step, _ = self.find_task(task)
             if step is not None:
                 step.tickets.pop(worker_id, None)
         elif outcome in ("room", "unhealthy"):
@@ -507,7 +512,28 @@
             if job.spec.n_occurrences and not job.is_ended:
                 job.open_occurrences(now, wall_now)
         self.lost_leases(now)
-        return plan_starts(self, now)
+        return self._give_up_sick_runs(now) + plan_starts(self, now)
+
+    def _give_up_sick_runs(self, now):
+        """Stop runs that stand still or crawl, and keep new work off their workers for a while.
+
+        What may have copies keeps the first run: the plan starts a second beside it.
+        """
+        actions = []
+        for run, why in find_sick_runs(self, now):
+            step, task = self.find_task(run.task)
+            if task is None or step.job.is_ended:
+                continue
+            task.avoid.add(run.worker.info.worker_id)
+            task.given_up = True
+            if why == "stands still":
+                run.percent_at = now
+                self._worker_did_badly(run.worker, now)
+            if step.spec.speculative and not has_copy(task):
+                step.copies.append(task)
+            else:
+                actions += self._stop(run, now, why)
+        return actions
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -77,6 +77,7 @@
     """One start of a task on a worker, from the decision to its listed end."""
 
     __slots__ = (
+        "began_at",
         "checkpoint",
         "job",
         "load",
@@ -84,6 +85,7 @@
         "pace",
         "percent",
         "percent_at",
+        "reported_at",
         "run_id",
         "sent_at",
         "state",
@@ -100,8 +102,10 @@
         self.step = step
         self.state = "starting"
         self.sent_at = now
+        self.began_at = now
         self.percent = 0.0
         self.percent_at = now
+        self.reported_at = now
         self.checkpoint = ""
         self.load = 0.0
         self.pace = 100
@@ -131,6 +135,7 @@
         "retry_at",
         "runs",
         "silent",
+        "slowness",
         "strays",
     )
 
@@ -146,6 +151,7 @@
         self.ack_queue = []
         self.n_bad = 0
         self.retry_at = 0.0
+        self.slowness = 1.0
         self.cpu_free = info.cpu_milli
         self.memory_free = info.memory_mb
         self.gpu_free = info.accelerators
--- /dev/null
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -0,0 +1,218 @@
+"""Decisions about sick workers, shares of speed and copies, without any network."""
+
+import pytest
+
+from anvilflow.jobs import (
+    CellConfig,
+    JobSpec,
+    Queue,
+    RunEnd,
+    RunReport,
+    Scheduler,
+    SetPace,
+    StartRun,
+    StepSpec,
+    StopRun,
+    WorkerInfo,
+    WorkerReport,
+)
+
+QUEUE = Queue(name="q", host="h", prefix="/q/", service="s", max_attempts=3, stretch=2.0)
+
+
+def make_worker_info(number, **values):
+    """Return a worker of ten cores."""
+    kept = {
+        "worker_id": f"w{number}",
+        "address": f"w{number}:1",
+        "service": "s",
+        "failure_domain": "z",
+        "kind": "a",
+        "rack": "r1",
+        "labels": ("a", "r1"),
+        "cpu_milli": 10_000,
+        "memory_mb": 10_000,
+        "accelerators": 0,
+    }
+    return WorkerInfo(**{**kept, **values})
+
+
+def make_scheduler(n_workers=2, **values):
+    """Return a scheduler whose workers have all answered."""
+    scheduler = Scheduler(term=1, lease_s=3.0, now=0.0)
+    scheduler.configure(CellConfig(version=1, queues=(QUEUE,)))
+    for number in range(n_workers):
+        scheduler.worker_listed(make_worker_info(number, **values), 0.0)
+        scheduler.report(f"w{number}", make_report(), asked_at=0.0, now=0.0)
+    return scheduler
+
+
+def make_report(active=(), ended=(), clock_s=0.0):
+    """Return a worker's report."""
+    return WorkerReport(clock_s=clock_s, active=tuple(active), ended=tuple(ended))
+
+
+def add_job(scheduler, *steps, now=0.0, job_id="00000000000000a1"):
+    """Submit a job; return the starts that follow."""
+    spec = JobSpec(job_id=job_id, queue="q", payload="", steps=steps)
+    scheduler.add_job(spec, QUEUE, version=1, now=now, wall_now=now)
+    return [action for action in scheduler.plan(now, now) if isinstance(action, StartRun)]
+
+
+def answer_started(scheduler, starts, now):
+    """Let workers say that they have started."""
+    for start in starts:
+        scheduler.start_answered(start.worker_id, start.task, start.run_id, "started", now)
+
+
+def item(start, percent, load=0.0):
+    """Return the report of a run in progress."""
+    return RunReport(
+        task=start.task, run_id=start.run_id, checkpoint="", percent=percent, load=load
+    )
+
+
+def watch(scheduler, start, percents, *, period=0.5, load=0.0):
+    """Report a run's progress at a fixed period; return all that is decided meanwhile."""
+    actions = []
+    for number, percent in enumerate(percents, start=1):
+        now = number * period
+        report = make_report([item(start, percent, load)], clock_s=now)
+        actions += scheduler.report(start.worker_id, report, asked_at=now, now=now)
+        actions += scheduler.plan(now, now)
+    return actions
+
+
+def test_run_that_stands_still_is_stopped_and_its_worker_rests():
+    """A worker with good health hangs: the run's progress stays at 30 percent."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000, estimate_s=1.0))
+    answer_started(scheduler, [start], 0.0)
+    actions = watch(scheduler, start, [30, 30, 30, 30, 30])
+    assert [action.why for action in actions if isinstance(action, StopRun)] == ["stands still"]
+    assert scheduler.workers[start.worker_id].n_bad >= 1
+
+
+def test_run_that_makes_progress_is_left_alone():
+    """The run takes twice its estimate, as sound ones may."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000, estimate_s=1.0))
+    answer_started(scheduler, [start], 0.0)
+    assert watch(scheduler, start, [25, 50, 75, 99]) == []
+
+
+def test_run_on_a_slow_worker_is_made_again_elsewhere():
+    """After three times its estimate a run is at a tenth: stopping it is the shorter way.
+
+    A run of the same step has long ended, so that it is the worker which is slow.
+    """
+    scheduler = make_scheduler()
+    step = StepSpec(n_tasks=2, cpu_milli=1000, estimate_s=1.0, max_per_worker=1)
+    [start, other] = add_job(scheduler, step)
+    answer_started(scheduler, [start, other], 0.0)
+    end = RunEnd(number=1, task=other.task, run_id=1, how="done", checkpoint="")
+    scheduler.report(other.worker_id, make_report(ended=[end]), asked_at=0.9, now=0.9)
+    actions = watch(scheduler, start, [2, 4, 6, 8, 10, 12])
+    assert [action.why for action in actions if isinstance(action, StopRun)] == ["slow"]
+
+
+def test_job_far_larger_than_its_estimate_is_left_alone():
+    """All its runs crawl, on every worker: to start them again would waste what is done."""
+    scheduler = make_scheduler()
+    step = StepSpec(n_tasks=2, cpu_milli=1000, estimate_s=1.0, max_per_worker=1)
+    starts = add_job(scheduler, step)
+    answer_started(scheduler, starts, 0.0)
+    for number in range(1, 12):
+        now = number * 0.5
+        for start in starts:
+            report = make_report([item(start, 2 * number)], clock_s=now)
+            scheduler.report(start.worker_id, report, asked_at=now, now=now)
+        assert scheduler.plan(now, now) == []
+
+
+def test_step_that_allows_copies_gets_one_beside_the_run_that_stands_still():
+    """The first copy to finish counts; the other is stopped."""
+    scheduler = make_scheduler()
+    step = StepSpec(n_tasks=1, cpu_milli=1000, estimate_s=1.0, speculative=True)
+    [start] = add_job(scheduler, step)
+    answer_started(scheduler, [start], 0.0)
+    actions = watch(scheduler, start, [30, 30, 30, 30])
+    [copy] = [action for action in actions if isinstance(action, StartRun)]
+    assert copy.worker_id != start.worker_id
+    assert not [action for action in actions if isinstance(action, StopRun)]
+    end = RunEnd(number=1, task=copy.task, run_id=copy.run_id, how="done", checkpoint="")
+    stops = scheduler.report(copy.worker_id, make_report(ended=[end]), asked_at=3.0, now=3.0)
+    assert [stop.worker_id for stop in stops] == [start.worker_id]
+
+
+def test_long_running_tasks_are_not_judged_by_progress():
+    """A task that serves stays at 100 percent for as long as it runs."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000, long_running=True))
+    answer_started(scheduler, [start], 0.0)
+    assert watch(scheduler, start, [100] * 20) == []
+
+
+def test_worker_that_fails_everything_gets_less_and_less_work():
+    """Two ends in a row that failed: the worker rests, and for longer after each further one."""
+    scheduler = make_scheduler(n_workers=1)
+    worker = scheduler.workers["w0"]
+    rests = []
+    for number in range(1, 5):
+        job_id = f"00000000000000b{number}"
+        now = number * 20.0
+        [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=now, job_id=job_id)
+        end = RunEnd(
+            number=number, task=start.task, run_id=start.run_id, how="failed", checkpoint=""
+        )
+        scheduler.report("w0", make_report(ended=[end]), asked_at=now, now=now)
+        rests.append(max(0.0, worker.retry_at - now))
+        scheduler.cancel_job(job_id, now)
+    assert rests == [0.0, 0.5, 1.0, 2.0]
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_what_fills_stands_still_while_users_beside_it_wait(late):
+    """A serving task's tail is over its target: what fills on that worker is paced to nothing.
+
+    When the tail has been calm for a while its speed comes back in steps.
+    """
+    scheduler = make_scheduler(n_workers=1)
+    [serve] = add_job(
+        scheduler, StepSpec(n_tasks=1, cpu_milli=1000, long_running=True, target_s=0.1)
+    )
+    [fill] = add_job(
+        scheduler,
+        StepSpec(n_tasks=1, cpu_milli=4000, fills=True, estimate_s=60.0),
+        job_id="00000000000000a2",
+    )
+    answer_started(scheduler, [serve, fill], 0.0)
+
+    def report(now, tail_ms):
+        active = [item(serve, 100, tail_ms), item(fill, 10)]
+        actions = scheduler.report("w0", make_report(active), asked_at=now, now=now)
+        return [action.percent for action in actions if isinstance(action, SetPace)]
+
+    assert report(1.0, 150.0 if late else 80.0) == ([0] if late else [])
+    assert report(1.5, 30.0) == []
+    paces = [report(now, 30.0) for now in (3.0, 5.0, 7.0, 9.0)]
+    assert paces == ([[25], [50], [100], []] if late else [[]] * 4)
+
+
+def test_end_that_is_told_again_after_a_take_over_counts_once():
+    """A worker tells the next home of a failure that the record counts already."""
+    from anvilflow.jobs import JobRecord
+
+    scheduler = make_scheduler(n_workers=1)
+    spec = JobSpec(
+        job_id="00000000000000a1", queue="q", payload="", steps=(StepSpec(n_tasks=1, cpu_milli=1),)
+    )
+    record = JobRecord(begun=True, failures={"0.0.0": (2, 2)})
+    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0, record=record, inherited=True)
+    task = "00000000000000a1.0.0.0"
+    again = RunEnd(number=7, task=task, run_id=2, how="failed", checkpoint="")
+    scheduler.report("w0", make_report(ended=[again]), asked_at=0.1, now=0.1)
+    assert str(scheduler.state_of("00000000000000a1")) == "running"
+    last = RunEnd(number=8, task=task, run_id=3, how="failed", checkpoint="")
+    scheduler.report("w0", make_report(ended=[last]), asked_at=0.2, now=0.2)
+    assert str(scheduler.jobs["00000000000000a1"].state) == "failed"
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -53,6 +53,7 @@
         self.offset_s = offset_s
         self.token = 0
         self.active = {}
+        self.lengths = {}
         self.finished = []
         self.n_ended = 0
         self.until = 0.0
@@ -132,6 +133,7 @@
         )
         self.spans.append(span)
         self.active[task] = span
+        self.lengths[task] = seconds
         self.clock.callLater(seconds, self._finish, task, run_id, how)
         return self._answer(200)
 
@@ -191,9 +193,15 @@
         late = self.clock.callLater(wait, wake)
         return done
 
+    def _percent(self, span):
+        elapsed = self.clock.seconds() - span.began_at
+        return min(99, int(100 * elapsed / max(0.001, self.lengths[span.task])))
+
     def _lists(self):
         tail = self.serving_tail_ms
-        active = [[span.task, span.run_id, "", 50, tail] for span in self.active.values()]
+        active = [
+            [span.task, span.run_id, "", self._percent(span), tail] for span in self.active.values()
+        ]
         return self._answer(200, active=active, finished=self.finished[:500])
 
 
