--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -19,7 +19,7 @@
 from ..runtime import Part
 from ..utils import encode
 from ._context import HomeChanged
-from ._home import cancel_stored_job, read_stored_job, store_job
+from ._job_store import cancel_stored_job, read_stored_job, store_job
 from ._tables import JobRow
 
 #: Wait for the home's answer before the store is asked instead. The home answers in a few
--- /dev/null
+++ b/anvilflow/cell/_fleet.py
@@ -0,0 +1,214 @@
+"""The home's sessions with all workers: what goes out to them and what comes back."""
+
+from ..exceptions import PlatformError
+from ..platform import decode_worker
+from ._session import WorkerSession
+
+#: Length of the leases that are sent. Renewals come each half second; a take-over from a home that
+#: fell silent takes about 1 s, a start of all instances after a loss of power 2 s. A longer lease
+#: would keep tasks of a lost worker waiting for longer. Unit: seconds.
+LEASE_S = 3.0
+
+#: Time that a worker's missing entry is given to come back, for example after an outage of the
+#: store in which it lapsed. Unit: seconds.
+UNLISTED_S = 2.5
+
+
+class Fleet:
+    """Sessions with the workers under one token.
+
+    Parameters
+    ----------
+    context : CellContext
+    log : Logger
+    scheduler : Scheduler
+    token : int
+    events : object
+        Hears what follows: ``act(actions)``, ``changed()``, ``ends_told()``, ``deposed()``,
+        ``fail_with(failure)``.
+    """
+
+    def __init__(self, *, context, log, scheduler, token, events):
+        self.context = context
+        self.log = log
+        self.scheduler = scheduler
+        self.token = token
+        self.events = events
+        self.closed = False
+        self._sessions = {}
+        self._unlisted = {}
+
+    def close(self):
+        """End all sessions."""
+        self.closed = True
+        for session in self._sessions.values():
+            session.close()
+        self._sessions.clear()
+
+    def acknowledge(self):
+        """Let the sessions go on that wait for records."""
+        for session in self._sessions.values():
+            session.acknowledge()
+
+    def _now(self):
+        return self.context.clock.seconds()
+
+    # Orders
+
+    def start(self, action):
+        """Start a task."""
+        self.log.info("start", task=action.task, run=action.run_id, worker=action.worker_id)
+        session = self._sessions.get(action.worker_id)
+        if session is not None:
+            session.start(action).addErrback(self.events.fail_with)
+
+    def stop(self, action):
+        """Stop a run."""
+        self.log.info(
+            "stop", task=action.task, run=action.run_id, worker=action.worker_id, why=action.why
+        )
+        session = self._sessions.get(action.worker_id)
+        if session is not None:
+            session.stop(action).addErrback(self.events.fail_with)
+
+    def set_pace(self, action):
+        """Change the pace of a run."""
+        self.log.info("pace", task=action.task, worker=action.worker_id, percent=action.percent)
+        session = self._sessions.get(action.worker_id)
+        if session is not None:
+            session.set_pace(action).addErrback(self.events.fail_with)
+
+    # Workers
+
+    def take_entry(self, row):
+        """Take a row of the registry: a worker is new, says something new of itself, or is gone."""
+        if row.value is None:
+            self.entry_gone(row.key)
+            return
+        try:
+            info = decode_worker(row.key, row.value)
+        except PlatformError as exc:
+            self.log.warning("worker's entry not understood", worker=row.key, error=str(exc))
+            return
+        self._unlisted.pop(info.worker_id, None)
+        if self.scheduler.worker_listed(info, self._now()):
+            self.log.info(
+                "worker found", worker=info.worker_id, address=info.address, rack=info.rack
+            )
+            self._open_session(info)
+        elif info.draining:
+            self.log.info("worker drains", worker=info.worker_id, left_s=info.leaves_in_s)
+
+    def entry_gone(self, worker_id):
+        """A worker is no longer registered."""
+        if worker_id in self.scheduler.workers:
+            self.log.info("worker's entry gone", worker=worker_id)
+            self.scheduler.worker_unlisted(worker_id)
+            self._unlisted[worker_id] = self._now()
+
+    def _open_session(self, info):
+        calls = self.context.make_worker(info, self.token)
+        session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, home=self)
+        self._sessions[info.worker_id] = session
+        session.run().addErrback(self.events.fail_with)
+
+    def seen(self, worker_id):
+        """Return the number up to which a worker may forget ends."""
+        worker = self.scheduler.workers.get(worker_id)
+        return self.scheduler.acknowledged(worker) if worker is not None else 0
+
+    def has_unseen(self, worker_id):
+        """Whether the worker told of ends that are not durable yet."""
+        worker = self.scheduler.workers.get(worker_id)
+        return worker is not None and self.seen(worker_id) < worker.last_ended
+
+    def is_silent(self, worker_id):
+        """Whether the last call to a worker had no answer."""
+        worker = self.scheduler.workers.get(worker_id)
+        return worker is not None and worker.silent
+
+    def lease_sent(self, worker_id, sent_at):
+        """Note that a lease is on its way to a worker."""
+        worker = self.scheduler.workers.get(worker_id)
+        if worker is not None:
+            worker.lease_sent(sent_at, LEASE_S)
+
+    def worker_reported(self, worker_id, report, asked_at):
+        """Take a worker's answer to a hold."""
+        worker = self.scheduler.workers.get(worker_id)
+        if worker is None:
+            return
+        if worker.silent or not worker.confirmed:
+            self.log.info("worker answers", worker=worker_id, active=len(report.active))
+        for end in report.ended:
+            if end.number > worker.last_ended:
+                self.log.info(
+                    "task ended",
+                    task=end.task,
+                    run=end.run_id,
+                    worker=worker_id,
+                    how=end.how,
+                    number=end.number,
+                )
+        self.events.act(
+            self.scheduler.report(worker_id, report, asked_at=asked_at, now=self._now())
+        )
+        if report.ended:
+            self.events.ends_told()
+        self.events.changed()
+
+    def worker_failed(self, worker_id, exc):
+        """A call to a worker had no answer."""
+        worker = self.scheduler.workers.get(worker_id)
+        if worker is not None and not worker.silent:
+            self.log.info("worker silent", worker=worker_id, error=str(exc))
+        self.scheduler.worker_silent(worker_id)
+        unlisted_at = self._unlisted.get(worker_id)
+        over = worker is None or self._now() >= worker.lease_over_at
+        if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_S and over:
+            self.worker_gone(worker_id)
+        self.events.changed()
+
+    def worker_gone(self, worker_id):
+        """The worker's life is over."""
+        self.log.info("worker gone", worker=worker_id)
+        session = self._sessions.pop(worker_id, None)
+        if session is not None:
+            session.close()
+        self._unlisted.pop(worker_id, None)
+        self.scheduler.worker_ended(worker_id, self._now())
+        self.events.changed()
+
+    def fenced(self, worker_id):
+        """A worker has seen a higher token: another home has begun."""
+        self.log.warning("fenced by a worker", worker=worker_id, token=self.token)
+        self.events.deposed()
+
+    # What sessions tell
+
+    def start_answered(self, action, outcome):
+        """Take the answer to a start."""
+        if outcome != "started":
+            self.log.info(
+                "start not taken",
+                task=action.task,
+                run=action.run_id,
+                worker=action.worker_id,
+                why=outcome,
+            )
+        self.events.act(
+            self.scheduler.start_answered(
+                action.worker_id, action.task, action.run_id, outcome, self._now()
+            )
+        )
+        if outcome != "started":
+            self.events.changed()
+
+    def stop_answered(self, action):
+        """Take the answer to a stop."""
+        if not self.closed:
+            self.scheduler.stop_answered(action.worker_id, action.task, action.run_id, self._now())
+
+    def pace_failed(self, action, exc):
+        """Note a change of pace that was not taken."""
+        self.log.info("pace not set", task=action.task, worker=action.worker_id, error=str(exc))
--- /dev/null
+++ b/anvilflow/cell/_follower.py
@@ -0,0 +1,73 @@
+"""Follows a table of the store, and reads it anew when its history is gone."""
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from ..exceptions import PlatformError, RevisionGoneError
+
+#: Time after the beginning of a home at which it first reads what came since. Unit: seconds.
+FIRST_FEED_S = 0.1
+
+#: Wait after a reading that failed. Unit: seconds.
+AGAIN_S = 0.3
+
+
+class TableFollower:
+    """Hands the changes of a table on until it is closed.
+
+    Parameters
+    ----------
+    context : CellContext
+    log : Logger
+    table : str
+    read : callable
+        Reads the table whole; returns a Deferred of its rows and version.
+    take : callable
+        Called with rows, and whether they are the whole table: what is not among them is gone.
+    wait_s, pause_s : float, default=0.0
+        Longest wait of one reading, and pause between two. Unit: seconds.
+    """
+
+    def __init__(self, *, context, log, table, read, take, wait_s=0.0, pause_s=0.0):
+        self.context = context
+        self.log = log
+        self.table = table
+        self.read = read
+        self.take = take
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.closed = False
+
+    def close(self):
+        """Hand nothing on any more."""
+        self.closed = True
+
+    @inlineCallbacks
+    def run(self, version):
+        """Follow the table from `version`."""
+        pause = min(FIRST_FEED_S, self.pause_s)
+        while not self.closed:
+            yield self._sleep(pause)
+            pause = self.pause_s
+            is_whole = version is None
+            try:
+                if is_whole:
+                    rows, version = yield self.read()
+                else:
+                    rows, version = yield self._changes(version)
+            except RevisionGoneError:
+                self.log.info("history gone, reading anew", table=self.table, after=version)
+                version = None
+                continue
+            except PlatformError as exc:
+                self.log.info("table not followed", table=self.table, error=str(exc))
+                pause = AGAIN_S
+                continue
+            if not self.closed:
+                self.take(rows, is_whole)
+
+    def _changes(self, version):
+        return self.context.store.follow(self.table, version, wait_s=self.wait_s)
+
+    def _sleep(self, delay):
+        return deferLater(self.context.clock, delay, lambda: None)
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -8,6 +8,9 @@
 
 from ..exceptions import SettingsError
 
+#: The one way in which workers take orders that is built: each is a call.
+ORDERS_BY_CALL = "invocation"
+
 
 class ListenSettings(Struct, kw_only=True):
     """Addresses that the process serves."""
@@ -38,6 +41,8 @@
     store, advice : str
         Addresses of the platform's services; `advice` may be empty.
     bounds : Bounds
+    orders : {"invocation"}
+        How workers take orders; only calls to them are built.
     log_level : str
     """
 
@@ -48,6 +53,7 @@
     advice: str = ""
     first_start: bool = False
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    orders: str = ORDERS_BY_CALL
     log_level: str = "info"
 
 
@@ -66,6 +72,10 @@
         settings = msgspec.convert(values, CellSettings, strict=True)
     except msgspec.ValidationError as exc:
         raise SettingsError(f"{path}: {exc}") from exc
+    if settings.orders != ORDERS_BY_CALL:
+        raise SettingsError(
+            f"{path}: $.orders: {settings.orders!r} is not built; allowed: {ORDERS_BY_CALL}"
+        )
     for name in ("front", "ready", "peers"):
         host, _, port = getattr(settings.listen, name).rpartition(":")
         if not host or not port.isdigit():
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -5,7 +5,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from anvilflow.cell import _entry, _home, _leadership, _recorder, _session
+from anvilflow.cell import _entry, _fleet, _leadership, _recorder, _session
 from anvilflow.cell._context import Claimed
 from anvilflow.jobs import Scheduler, StartRun
 from anvilflow.standins import OrderWorker, PlatformCell
@@ -427,7 +427,7 @@
 def test_constants_fit_together():
     """A silent home is replaced well within a lease, and a lease within the worker's maximum."""
     takeover = _leadership.SILENT_S + _leadership.STILL_S + 0.5
-    assert takeover + _session.HOLD_WAIT_S < _home.LEASE_S
+    assert takeover + _session.HOLD_WAIT_S < _fleet.LEASE_S
     assert _recorder.BEAT_S * 2 <= _leadership.STILL_S
 
 
@@ -445,7 +445,7 @@
     cell = make_cell(n_instances=3, n_workers=3)
     scheduler = cell.daemons[cell.home()].supervisor.part("home")._scheduler
     worker = cell.workers["i-0"]
-    calls = cell.daemons[cell.home()].supervisor.part("home")._sessions["i-0"].calls
+    calls = cell.daemons[cell.home()].supervisor.part("home")._fleet._sessions["i-0"].calls
     start = StartRun(
         worker_id="i-0",
         task=f"{JOB}.0.0.0",
@@ -471,7 +471,7 @@
     tasks would have waited for ever.
     """
     if not safeguard:
-        monkeypatch.setattr(_home.HomePart, "is_silent", lambda self, worker_id: False)
+        monkeypatch.setattr(_fleet.Fleet, "is_silent", lambda self, worker_id: False)
     cell = make_cell(n_instances=2, n_workers=2)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="3.0 done 6000")
     cell.advance(0.5)
--- a/anvilflow/cell/tests/test_whole_path.py
+++ b/anvilflow/cell/tests/test_whole_path.py
@@ -262,3 +262,14 @@
     cell.advance(1.5)
     [span] = cell.runs_of(f"{JOB}.0.0.0")
     assert (span.began_at - asked_at < 0.15) is safeguard
+
+
+def test_rows_of_ended_jobs_are_removed_after_their_time():
+    """States are kept for two minutes; then nothing of a job is left in the store."""
+    cell = make_cell(n_workers=1)
+    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="0.2 done 1000")
+    cell.advance(100.0)
+    assert cell.state("a1", JOB) == "completed"
+    cell.advance(45.0)
+    tables = {"jobs", "progress", "ended"}
+    assert not [key for key in cell.store.rows if key[0] in tables]
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -1,29 +1,11 @@
-"""What happens to jobs, workers and runs; what follows is planned in `_placement`."""
+"""What happens to jobs; what follows for their tasks is planned in `_placement`."""
 
 from collections import OrderedDict
 
-from ._actions import StopRun
-from ._job import JobRun, JobState, TaskState
-from ._pacing import pace_fillers
+from ._job import JobRun, JobState
 from ._placement import plan_starts
-from ._sickness import find_sick_runs, has_copy, note_duration
-from ._worker import CLOCK_DRIFT, LEASE_MARGIN_S, Run, Stray, Worker
-
-#: Runs that one home may start of a task before another home's numbers begin. A new home does not
-#: know how many its predecessor started, and a worker refuses a number that is not higher.
-RUNS_PER_TERM = 1000
-
-#: First wait before a worker that refused or failed without reason gets work again, doubled each
-#: time. Unit: seconds.
-FIRST_REST_S = 0.5
-MAX_REST_S = 8.0
-
-#: Ends without success in a row after which a worker rests. Two may be one job's own fault.
-BAD_ENDS = 2
-
-#: Time that a run of an unknown job goes on before it is stopped: the job may have been accepted
-#: while homes changed, and is heard of by the next reading of the feed. Unit: seconds.
-UNKNOWN_JOB_S = 1.5
+from ._run_book import RunBook
+from ._sickness import find_sick_runs, has_copy
 
 #: Time after a take-over in which a former home that lives may still start jobs that came since: it
 #: learns from its next write, or from any worker, that it is no longer the home. Unit: seconds.
@@ -33,7 +15,7 @@
 ENDED_KEPT = 2000
 
 
-class Scheduler:
+class Scheduler(RunBook):
     """The jobs and workers of a cell, as the home sees them.
 
     Inputs are methods that take what happened and the time; outputs are lists of actions. Nothing
@@ -59,17 +41,10 @@
     """
 
     def __init__(self, *, term, lease_s, now, n_advisers=1):
-        self.term = term
-        self.lease_s = lease_s
+        super().__init__(term=term, lease_s=lease_s, now=now)
         self.n_advisers = n_advisers
-        self.jobs = {}
         self.ended = OrderedDict()
-        self.workers = {}
-        self.asking = {}
         self.config = None
-        self.began_at = now
-        self.settled_at = now + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
-        self.pace_changed_at = {}
 
     # Configuration and jobs
 
@@ -128,15 +103,6 @@
                     actions += self._stop(run, now, why)
         return actions
 
-    def _stop(self, run, now, why):
-        if run.state == "stopping":
-            return []
-        run.state = "stopping"
-        run.sent_at = now
-        return [
-            StopRun(worker_id=run.worker.info.worker_id, task=run.task, run_id=run.run_id, why=why)
-        ]
-
     def _remember_end(self, job_id, state):
         self.ended[job_id] = state
         while len(self.ended) > ENDED_KEPT:
@@ -188,322 +154,6 @@
         job = self.jobs.get(job_id)
         return job is None or job.recorded_change >= change
 
-    # Workers
-
-    def worker_listed(self, info, now):
-        """A worker is on the list, perhaps with news of itself; return True when it is new."""
-        worker = self.workers.get(info.worker_id)
-        if worker is None:
-            self.workers[info.worker_id] = Worker(info=info, lease_over_at=self.settled_at)
-            return True
-        worker.info = info
-        worker.listed = True
-        return False
-
-    def worker_unlisted(self, worker_id):
-        """A worker is no longer on the list: it gets no new work, what runs there runs on."""
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.listed = False
-
-    def worker_ended(self, worker_id, now):
-        """The worker's life is certainly over: nothing runs there any more."""
-        worker = self.workers.pop(worker_id, None)
-        if worker is None:
-            return
-        for run in list(worker.runs.values()):
-            self._drop_run(run, now)
-
-    def worker_silent(self, worker_id):
-        """Calls to a worker fail: it gets no new work until it answers."""
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.silent = True
-
-    def _drop_run(self, run, now):
-        """Forget a run that has certainly ended without a listed end."""
-        run.worker.remove_run(run)
-        step, task = self.find_task(run.task)
-        if task is None:
-            return
-        if task.runs.get(run.worker.info.worker_id) is run:
-            del task.runs[run.worker.info.worker_id]
-        self._wait_again(step, task, now)
-
-    def _wait_again(self, step, task, now):
-        if task.state is not TaskState.DONE and not task.runs:
-            if task.state is TaskState.RUNNING:
-                task.waiting_since = now
-            task.state = TaskState.WAITING
-
-    def find_task(self, name):
-        """Return the step and the task called `name`, or (None, None)."""
-        job = self.jobs.get(name.split(".", 1)[0])
-        return job.task_named(name) if job is not None else (None, None)
-
-    # Reports
-
-    def report(self, worker_id, report, *, asked_at, now):
-        """Take a worker's answer to a hold that was sent at `asked_at`; return the stops.
-
-        Runs that were started or stopped after `asked_at` may be missing in it for that reason.
-        """
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            return []
-        actions = []
-        for end in report.ended:
-            if end.number > worker.last_ended:
-                worker.last_ended = end.number
-                actions += self._ended(worker, end, now)
-        listed = set()
-        for item in report.active:
-            listed.add((item.task, item.run_id))
-            actions += self._active(worker, item, asked_at, now)
-        for key in set(worker.strays) - listed:
-            del worker.strays[key]
-        for run in list(worker.runs.values()):
-            answered = run.state in ("running", "barred")
-            if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
-                self._drop_run(run, now)
-        worker.confirmed = True
-        worker.silent = False
-        actions += pace_fillers(self, worker, now)
-        return actions
-
-    def _active(self, worker, item, asked_at, now):
-        run = worker.runs.get(item.task)
-        if run is not None and run.run_id == item.run_id:
-            if run.state in ("starting", "unknown"):
-                self._began(run, now)
-            if item.percent != run.percent:
-                run.percent, run.percent_at = item.percent, now
-            run.reported_at = now
-            run.load = item.load
-            run.checkpoint = item.checkpoint or run.checkpoint
-            return []
-        return self._adopt(worker, item, run, now)
-
-    def _adopt(self, worker, item, known, now):
-        """Take on a run that another home started, or stop it when it has no place here."""
-        step, task = self.find_task(item.task)
-        wanted = (
-            known is None
-            and task is not None
-            and not step.job.is_ended
-            and task.state is TaskState.WAITING
-            and item.run_id >= task.run_id
-        )
-        if wanted:
-            run = self._make_run(worker, step, task, item.run_id, now)
-            run.percent = item.percent
-            run.load = item.load
-            run.checkpoint = item.checkpoint
-            self._began(run, now)
-            return []
-        stray = worker.strays.setdefault((item.task, item.run_id), Stray(item=item, now=now))
-        job_known = item.task.split(".", 1)[0] in self.jobs
-        if stray.stopped or not (job_known or now - stray.seen_at >= UNKNOWN_JOB_S):
-            return []
-        stray.stopped = True
-        return [
-            StopRun(
-                worker_id=worker.info.worker_id, task=item.task, run_id=item.run_id, why="stray"
-            )
-        ]
-
-    def _adopt_strays(self, job, now):
-        """Take on what a former home started of a job that is only heard of now.
-
-        Without it the job's tasks would be started a second time while the first runs go on.
-        """
-        for worker in self.workers.values():
-            for key, stray in list(worker.strays.items()):
-                step, task = job.task_named(stray.item.task)
-                if not stray.item.task.startswith(f"{job.job_id}.") or task is None:
-                    continue
-                if task.state is not TaskState.WAITING:
-                    continue
-                del worker.strays[key]
-                run = self._make_run(worker, step, task, stray.item.run_id, now)
-                self._began(run, now)
-                if stray.stopped:
-                    run.state = "barred"
-
-    def _make_run(self, worker, step, task, run_id, now):
-        run = Run(
-            task=task.name, run_id=run_id, worker=worker, job=step.job, step=step.spec, now=now
-        )
-        worker.add_run(run)
-        task.runs[worker.info.worker_id] = run
-        task.run_id = max(task.run_id, run_id)
-        task.state = TaskState.RUNNING
-        return run
-
-    def new_run(self, worker, step, task, now):
-        """Count a start that is about to be sent; return its run."""
-        floor = (self.term - 1) * RUNS_PER_TERM if step.job.inherited else 0
-        return self._make_run(worker, step, task, max(task.run_id, floor) + 1, now)
-
-    def _began(self, run, now):
-        run.state = "running"
-        run.began_at = run.percent_at = run.reported_at = now
-        job = run.job
-        if not job.begun:
-            job.begun = True
-            if not job.is_ended:
-                job.state = JobState.RUNNING
-        _, task = self.find_task(run.task)
-        if task is not None and task.started_at is None:
-            task.started_at = now
-
-    # Ends
-
-    def _ended(self, worker, end, now):
-        worker.strays.pop((end.task, end.run_id), None)
-        run = worker.runs.get(end.task)
-        if run is not None and run.run_id == end.run_id:
-            worker.remove_run(run)
-        else:
-            run = None
-        step, task = self.find_task(end.task)
-        if task is None or step.job.is_ended:
-            if task is not None and run is not None:
-                task.runs.pop(worker.info.worker_id, None)
-            return []
-        if run is not None:
-            task.runs.pop(worker.info.worker_id, None)
-        if end.checkpoint and step.spec.checkpointing:
-            task.checkpoint = end.checkpoint
-        actions = self._judge_end(worker, step, task, end, run, now)
-        self._wait_again(step, task, now)
-        if step.job.change > step.job.recorded_change:
-            worker.ack_queue.append((end.number, step.job.job_id, step.job.change))
-        return actions
-
-    def _judge_end(self, worker, step, task, end, run, now):
-        match end.how:
-            case "done":
-                self._worker_did_well(worker)
-                if run is not None and not step.spec.gang:
-                    note_duration(worker, step, now - run.began_at)
-                return self._task_done(step, task, now)
-            case "failed":
-                return self._task_failed(worker, step, task, end.run_id, now)
-            case _:
-                return []
-
-    def _task_done(self, step, task, now):
-        job = step.job
-        if task.state is TaskState.DONE:
-            return []
-        job.begun = True
-        done = step.tasks if step.spec.gang else [task]
-        actions = []
-        for each in done:
-            each.state = TaskState.DONE
-            if not step.spec.gang:
-                for run in list(each.runs.values()):
-                    actions += self._stop(run, now, "done elsewhere")
-        step.n_done = sum(each.state is TaskState.DONE for each in step.tasks)
-        job.touch(now)
-        if step.is_done:
-            self.asking.pop(step.key, None)
-            job.mark_ready(now)
-        if job.is_done:
-            actions += self._finish(job, JobState.COMPLETED, now)
-        return actions
-
-    def _task_failed(self, worker, step, task, run_id, now):
-        job = step.job
-        self._worker_did_badly(worker, now)
-        task.avoid.add(worker.info.worker_id)
-        if step.spec.long_running:
-            return []
-        counted = step.tasks[0] if step.spec.gang else task
-        if run_id <= counted.failed_run:
-            return []
-        counted.n_failed += 1
-        counted.failed_run = run_id
-        job.touch(now)
-        if counted.n_failed >= job.queue.max_attempts and task.state is not TaskState.DONE:
-            return self._finish(job, JobState.FAILED, now)
-        return []
-
-    def _worker_did_well(self, worker):
-        worker.n_bad = 0
-        worker.retry_at = 0.0
-
-    def _worker_did_badly(self, worker, now):
-        """Keep work off a worker that fails what others would do, a little longer each time."""
-        worker.n_bad += 1
-        if worker.n_bad >= BAD_ENDS:
-            rest = min(MAX_REST_S, FIRST_REST_S * 2 ** (worker.n_bad - BAD_ENDS))
-            worker.retry_at = now + rest
-
-    # Answers to calls
-
-    def start_answered(self, worker_id, task, run_id, outcome, now):
-        """Take a worker's answer to a start: started, unknown, or the reason of a refusal."""
-        worker = self.workers.get(worker_id)
-        run = worker.runs.get(task) if worker is not None else None
-        if run is None or run.run_id != run_id:
-            return []
-        if outcome == "started":
-            if run.state == "starting":
-                self._began(run, now)
-                run.sent_at = now
-            return []
-        if outcome == "unknown":
-            # It may be carried out seconds later. Stopping it bars it, and its place stays taken
-            # until the worker confirms that.
-            return self._stop(run, now, "start unanswered") if run.state == "starting" else []
-        if outcome == "ticket":
-            step, _ = self.find_task(task)
-            if step is not None:
-                step.tickets.pop(worker_id, None)
-        elif outcome in ("room", "unhealthy"):
-            self._worker_did_badly(worker, now)
-            worker.retry_at = max(worker.retry_at, now + FIRST_REST_S)
-        self._drop_run(run, now)
-        return []
-
-    def stop_answered(self, worker_id, task, run_id, now):
-        """The worker took the stop: the run ends within its time, or never begins."""
-        worker = self.workers.get(worker_id)
-        run = worker.runs.get(task) if worker is not None else None
-        if run is not None and run.run_id == run_id and run.state == "stopping":
-            run.state = "barred"
-            run.sent_at = now
-
-    def lost_leases(self, now):
-        """Forget the runs of silent workers whose leases have surely ended."""
-        for worker in list(self.workers.values()):
-            if now < worker.lease_over_at or not (worker.silent or not worker.listed):
-                continue
-            for run in list(worker.runs.values()):
-                self._drop_run(run, now)
-            if not worker.listed:
-                del self.workers[worker.info.worker_id]
-
-    def advised(self, step_key, asked, tickets, valid_until, now):
-        """Take the answer to an ask; `tickets` by worker is None when there was no answer."""
-        self.asking.pop(step_key, None)
-        job = self.jobs.get(step_key.split(".", 1)[0])
-        if job is None:
-            return
-        _, occurrence, number = step_key.split(".")
-        step = job.steps.get((int(occurrence), int(number)))
-        if step is None:
-            return
-        if tickets is None:
-            step.asked_at = None
-            return
-        step.allowed |= set(tickets)
-        step.refused |= set(asked) - set(tickets)
-        for worker_id, ticket in tickets.items():
-            step.tickets[worker_id] = (ticket, valid_until)
-
     # Plans
 
     def plan(self, now, wall_now):
