Leaving workers are emptied in time; a job's row is written twice before the entry gives up

Cause: tasks on a worker that drained ran into its end, then waited for its leases (4 s); with answers of the store lost, clients waited 0.8 s and more for their acceptance. Change: long-running tasks are moved 2 s before the end, others when they cannot end in time; a worker that left when it said so, whose entry is gone and that does not answer, is not waited for. The entry's first write has a time that follows the store's, the second finds its row. Tests: test_run_that_cannot_end_before_its_worker_is_moved, test_long_running_task_is_moved_…, test_worker_that_left_…, test_job_whose_acceptance_has_no_answer_….

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
+.PHONY: install demo test lint format chaos bench-cell days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -40,6 +40,14 @@
 		$(BIN)/python -m anvilflow.chaos run --first {} --seeds $(CHAOS_SHARE) --out out/chaos/{}.json
 	$(BIN)/python -m anvilflow.chaos total out/chaos/*.json
 
+# The cell on stand-ins of the users' platform: half a minute.
+bench-cell: $(STAMP)
+	$(BIN)/python benchmarks/bench_cell.py
+
+# Days of our own on a site of the users' kit: make days KIT=path/to/kit/program SITE=path/to/site
+days:
+	for day in days/*.toml; do $(KIT) run $(SITE) $$day --why "own days" || exit 1; done
+
 bench-decisions: $(STAMP)
 	$(BIN)/python benchmarks/bench_decisions.py
 
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -11,6 +11,7 @@
     NotReadyError,
     PlatformError,
     PlatformRefusedError,
+    PlatformUnavailableError,
     RequestError,
     UnknownOutcomeError,
 )
@@ -20,6 +21,7 @@
 from ..utils import encode
 from ._context import HomeChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job
+from ._recorder import answer_timeout
 from ._tables import JobRow
 
 #: Wait for the home's answer before the store is asked instead. The home answers in a few
@@ -111,7 +113,7 @@
         unsure = False
         if not self._store_in_doubt():
             try:
-                version = yield store_job(self.context.store, value)
+                version = yield self._store(value)
             except PlatformRefusedError:
                 self.context.store_health.bad()
             except PlatformError as exc:
@@ -119,7 +121,6 @@
                 self.log.info("job's row unanswered", job=job_id, error=str(exc))
                 unsure = True
             else:
-                self.context.store_health.good()
                 self.log.info("job accepted", job=job_id, queue=queue.name, version=version)
                 if version:
                     self._tell_home(value, version)
@@ -135,6 +136,36 @@
             details={"retry_after_s": self._retry_after()},
         )
 
+    @inlineCallbacks
+    def _store(self, value):
+        """Write the job's row, twice if the first write has no answer.
+
+        The second finds the row of the first. Where only answers are lost, clients are answered
+        after 0.3 s so, and not after the wait for a store that is away.
+        """
+        health = self.context.store_health
+        try:
+            began = self.now
+            version = yield store_job(
+                self.context.store, value, timeout=answer_timeout(health.answer_s)
+            )
+            health.answer_s = self.now - began
+        except PlatformRefusedError:
+            raise
+        except PlatformError:
+            version = yield self._store_again(value)
+        health.good()
+        return version
+
+    @inlineCallbacks
+    def _store_again(self, value):
+        try:
+            version = yield store_job(self.context.store, value)
+        except PlatformRefusedError as exc:
+            # Nothing was done now, but the first write is still in doubt.
+            raise PlatformUnavailableError(str(exc)) from exc
+        return version
+
     def _retry_after(self):
         wait = self.context.store_health.bad_for_s * RETRY_AFTER_SHARE
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -30,7 +30,7 @@
 
 
 @inlineCallbacks
-def store_job(store, value):
+def store_job(store, value, *, timeout=None):
     """Make a job durable; return the version of its row, or 0 when it was accepted before.
 
     The row stays for a while after the job has ended: the same job may come again seconds later.
@@ -39,7 +39,9 @@
     part = job_part(job_id)
     try:
         version = yield store.commit(
-            [condition(JOBS, job_id, 0, part=part)], [write(JOBS, job_id, value, part=part)]
+            [condition(JOBS, job_id, 0, part=part)],
+            [write(JOBS, job_id, value, part=part)],
+            timeout=timeout,
         )
     except PreconditionError:
         return 0
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -77,7 +77,7 @@
             term=claimed.term,
         )
         self._written = set()
-        self._timeout = _timeout_of(context.store_health.answer_s)
+        self._timeout = answer_timeout(context.store_health.answer_s)
         self._wake = None
 
     def note_progress_rows(self, job_ids):
@@ -161,7 +161,7 @@
                 continue
             health.good()
             health.answer_s = clock.seconds() - began
-            self._timeout = _timeout_of(health.answer_s)
+            self._timeout = answer_timeout(health.answer_s)
             self._done(snapshot, version)
             return
 
@@ -219,6 +219,6 @@
         return writes
 
 
-def _timeout_of(answer_s):
+def answer_timeout(answer_s):
     """Return how long a transaction is waited for when the last answer took `answer_s`."""
     return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_ANSWERS * answer_s))
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -510,3 +510,29 @@
     cell.advance(8.0)
     assert cell.state("a0", JOB) == "completed"
     assert ({span.how for span in cell.spans} == {"done"}) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_whose_acceptance_has_no_answer_is_found_by_a_second_write(monkeypatch, safeguard):
+    """The store takes the job and its answer is lost; its next answer is not.
+
+    The entry writes again, finds the row and says 200. Without it the client waits longer and,
+    where the home is away, hears that nobody knows.
+    """
+    if not safeguard:
+        monkeypatch.setattr(
+            _entry.EntryPart,
+            "_store",
+            lambda self, value: _entry.store_job(self.context.store, value),
+        )
+    cell = make_cell(n_instances=2)
+    name = cell.other()
+    cell.store_faults.loses_answers = True
+    cell.store_faults.only = {name}
+    answers = cell.submit(name, JOB, STEP)
+    cell.advance(0.2)
+    cell.store_faults.clear()
+    cell.advance(0.2)
+    assert (bool(answers) and answers[0][0] == 200) is safeguard
+    cell.advance(3.0)
+    assert cell.state(name, JOB) == "completed"
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -60,12 +60,14 @@
     def worker_listed(self, info, now):
         """A worker is on the list, perhaps with news of itself; return True when it is new."""
         worker = self.workers.get(info.worker_id)
-        if worker is None:
-            self.workers[info.worker_id] = Worker(info=info, lease_over_at=self.settled_at)
-            return True
+        is_new = worker is None
+        if is_new:
+            worker = Worker(info=info, lease_over_at=self.settled_at)
+            self.workers[info.worker_id] = worker
         worker.info = info
         worker.listed = True
-        return False
+        worker.note_leaving(now)
+        return is_new
 
     def worker_unlisted(self, worker_id):
         """A worker is no longer on the list: it gets no new work, what runs there runs on."""
@@ -346,7 +348,8 @@
     def lost_leases(self, now):
         """Forget the runs of silent workers whose leases have surely ended."""
         for worker in list(self.workers.values()):
-            if now < worker.lease_over_at or not (worker.silent or not worker.listed):
+            lapsed = now >= worker.lease_over_at and (worker.silent or not worker.listed)
+            if not (lapsed or worker.has_left(now)):
                 continue
             for run in list(worker.runs.values()):
                 self._drop_run(run, now)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from ._evacuation import find_leaving_runs
 from ._job import JobRun, JobState
 from ._placement import plan_starts
 from ._run_book import RunBook
@@ -162,7 +163,14 @@
             if job.spec.n_occurrences and not job.is_ended:
                 job.open_occurrences(now, wall_now)
         self.lost_leases(now)
-        return self._give_up_sick_runs(now) + plan_starts(self, now)
+        moved = self._move_leaving_runs(now)
+        return moved + self._give_up_sick_runs(now) + plan_starts(self, now)
+
+    def _move_leaving_runs(self, now):
+        actions = []
+        for run in find_leaving_runs(self, now):
+            actions += self._stop(run, now, "worker leaves")
+        return actions
 
     def _give_up_sick_runs(self, now):
         """Stop runs that stand still or crawl, and keep new work off their workers for a while.
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -129,6 +129,7 @@
         "info",
         "last_ended",
         "lease_over_at",
+        "leaves_at",
         "listed",
         "memory_free",
         "n_bad",
@@ -147,6 +148,7 @@
         self.silent = False
         self.listed = True
         self.lease_over_at = lease_over_at
+        self.leaves_at = None
         self.last_ended = 0
         self.ack_queue = []
         self.n_bad = 0
@@ -156,6 +158,18 @@
         self.memory_free = info.memory_mb
         self.gpu_free = info.accelerators
 
+    def note_leaving(self, now):
+        """Note until when a draining worker stays, as its entry says."""
+        if self.info.draining and self.info.leaves_in_s is not None:
+            leaves_at = now + self.info.leaves_in_s
+            self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
+
+    def has_left(self, now):
+        """Whether the worker's own time is over, and it is neither listed nor heard of."""
+        return (
+            self.leaves_at is not None and now > self.leaves_at and self.silent and not self.listed
+        )
+
     def add_run(self, run):
         """Count a run's room."""
         self.runs[run.task] = run
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -216,3 +216,52 @@
     last = RunEnd(number=8, task=task, run_id=3, how="failed", checkpoint="")
     scheduler.report("w0", make_report(ended=[last]), asked_at=0.2, now=0.2)
     assert str(scheduler.jobs["00000000000000a1"].state) == "failed"
+
+
+@pytest.mark.parametrize(
+    ("left_s", "percent", "moved"),
+    [(4.0, 10, True), (4.0, 60, False), (0.5, 60, True), (10.0, 10, False)],
+)
+def test_run_that_cannot_end_before_its_worker_is_moved(left_s, percent, moved):
+    """A worker says how long it stays. After a second the run is at `percent` of its way."""
+    scheduler = make_scheduler()
+    step = StepSpec(n_tasks=1, cpu_milli=1000, estimate_s=5.0, checkpointing=True)
+    [start] = add_job(scheduler, step)
+    answer_started(scheduler, [start], 0.0)
+    report = make_report([item(start, percent)], clock_s=1.0)
+    scheduler.report(start.worker_id, report, asked_at=1.0, now=1.0)
+    number = int(start.worker_id[1:])
+    scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=left_s), 1.0)
+    stops = [action.why for action in scheduler.plan(1.0, 1.0) if isinstance(action, StopRun)]
+    assert stops == (["worker leaves"] if moved else [])
+
+
+def test_long_running_task_is_moved_shortly_before_its_worker_leaves():
+    """It serves as long as it can, and is started elsewhere before its users would miss it."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000, long_running=True))
+    answer_started(scheduler, [start], 0.0)
+    number = int(start.worker_id[1:])
+    scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=4.0), 1.0)
+    assert scheduler.plan(2.0, 2.0) == []
+    [stop] = scheduler.plan(3.1, 3.1)
+    assert stop.why == "worker leaves"
+    end = RunEnd(number=1, task=start.task, run_id=1, how="stopped", checkpoint="")
+    scheduler.report(start.worker_id, make_report(ended=[end]), asked_at=3.5, now=3.5)
+    [again] = scheduler.plan(3.5, 3.5)
+    assert again.worker_id != start.worker_id
+
+
+def test_worker_that_left_when_it_said_so_is_not_waited_for():
+    """Its time is over, its entry is gone and it does not answer: what ran there has ended."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [start], 0.0)
+    number = int(start.worker_id[1:])
+    scheduler.workers[start.worker_id].lease_over_at = 99.0
+    scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=2.0), 1.0)
+    scheduler.worker_silent(start.worker_id)
+    scheduler.worker_unlisted(start.worker_id)
+    assert scheduler.plan(2.9, 2.9) == []
+    [again] = scheduler.plan(3.1, 3.1)
+    assert again.worker_id != start.worker_id
