A fault in the home part no longer leaves the cell without a home

The part was restarted without its claim while leadership held that this instance is the home; the cell then had none for ever (test: its job never runs). A home that failed while it stored a job for an entry was taken for a refusal, though the job may be stored. Change: the home part says that it ends when it stops; every answer to a submit but ok, refused and not home leaves the job in doubt (504). One base for the structures of the wire. Tests: test_fault_in_the_home_part_…, with and without; test_fault_of_the_home_while_it_stores_….

--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -19,7 +19,7 @@
 from ..platform import FrontResource, ReadyResource
 from ..runtime import Part
 from ..utils import encode
-from ._context import HomeChanged
+from ._context import Claimed, HomeChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job
 from ._recorder import answer_timeout
 from ._tables import JobRow
@@ -47,6 +47,9 @@
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 10
 
+#: What the home's answers to a submit mean; every other one leaves the job in doubt.
+_SUBMIT_OUTCOMES = {"ok": "ok", "refused": "refused", "not home": "refused"}
+
 _STATE_NAMES = frozenset(map(str, JobState))
 
 #: Time without the store and without the home after which the balancer is told to send no new
@@ -66,7 +69,6 @@
         super().__init__(context=context)
         self._ended = OrderedDict()
         self._untold = {}
-        self.n_open = 0
 
     @property
     def config(self):
@@ -90,6 +92,8 @@
             port, _ = network.listen(address, site)
             self._stack.callback(port.stopListening)
         self.on(HomeChanged, lambda *_: self._tell_again())
+        # A home reads the rows of all jobs when it begins.
+        self.on(Claimed, lambda *_: self._untold.clear())
         self.log.info("listening to clients", address=listen.front)
 
     def _is_ready(self):
@@ -182,7 +186,7 @@
         done = self.context.links.ask_home(
             HOME_TIMEOUT_S,
             verb="accepted",
-            job_id=value.spec.job_id,
+            job_id=job_id,
             queue=value.queue.name,
             version=version,
             body=encode(value),
@@ -220,7 +224,7 @@
             return "refused"
         except AnvilflowError:
             return "unsure"
-        return "refused" if reply.outcome == "not home" else reply.outcome
+        return _SUBMIT_OUTCOMES.get(reply.outcome, "unsure")
 
     def _ask(self, verb, job_id, queue, body=b"", timeout=HOME_TIMEOUT_S):
         return self.context.links.ask_home(
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -57,6 +57,7 @@
 #: Unit: seconds.
 STORE_BAD_S = 0.1
 
+#: Wait before a home that could not read its tables reads them again. Unit: seconds.
 _AGAIN_S = 0.3
 
 
@@ -89,8 +90,15 @@
         self.every(SWEEP_S, self._sweep, delay=SWEEP_S)
 
     def stop(self):
-        """Give up being home."""
+        """Give up being home.
+
+        A part that is restarted after a fault has forgotten that it was. Said here, this instance
+        looks for the home again; else it would wait for itself for ever.
+        """
+        was_home = self._claimed is not None
         self._end()
+        if was_home:
+            self.deposed()
         super().stop()
 
     def dump(self):
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -7,7 +7,7 @@
 from ..peers.gen.ttypes import HomeBeat
 from ..runtime import Part
 from ..utils import decode, jitter
-from ._context import Claimed, Deposed, HomeChanged, Leaving
+from ._context import Claimed, Deposed, HomeChanged
 from ._links import HomeLinkLost
 from ._tables import HOME, HOME_KEY, PART, HomeRow, condition, write
 
@@ -61,7 +61,6 @@
         self.on(HomeBeat, self._beat)
         self.on(HomeLinkLost, lambda *_: self._look())
         self.on(Deposed, self._deposed)
-        self.on(Leaving, lambda *_: None)
         self.every(LOOK_S, self._look)
 
     # What the home says
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -104,9 +104,8 @@
 
     def link_up(self, link):
         """The other end said hello."""
-        ready = getattr(link, "ready", None)
+        ready, link.ready = link.ready, None
         if ready is not None:
-            link.ready = None
             ready.callback(link)
             return
         self.peers[link.peer.instance] = link
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -3,9 +3,10 @@
 import statistics
 
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
+from twisted.python.failure import Failure
 
-from anvilflow.cell import _entry, _fleet, _leadership, _recorder, _session
+from anvilflow.cell import _entry, _fleet, _home, _leadership, _recorder, _session
 from anvilflow.cell._context import Claimed
 from anvilflow.jobs import Scheduler, StartRun
 from anvilflow.standins import OrderWorker, PlatformCell
@@ -536,3 +537,34 @@
     assert (bool(answers) and answers[0][0] == 200) is safeguard
     cell.advance(3.0)
     assert cell.state(name, JOB) == "completed"
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_fault_in_the_home_part_does_not_leave_the_cell_without_a_home(monkeypatch, safeguard):
+    """A decision raises at the home; the supervisor builds the part anew, which knows of nothing.
+
+    The instance then looks for the home and claims again. Unless the part says that it has ended,
+    leadership holds that this instance is the home, and its clients are never served again.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_home.HomePart, "deposed", lambda self: None)
+    cell = make_cell(n_instances=1)
+    part = cell.daemons["a0"].supervisor.part("home")
+    part.fail_with(Failure(RuntimeError("a fault of ours")))
+    cell.advance(2.0)
+    answers = cell.submit("a0", JOB, STEP)
+    cell.advance(3.0)
+    assert answers[0][0] == 200
+    assert (cell.state("a0", JOB) == "completed") is safeguard
+
+
+def test_fault_of_the_home_while_it_stores_a_job_is_no_refusal(monkeypatch):
+    """The home fails after it may have stored a job: its entry may not say that it was refused."""
+    cell = make_cell(n_instances=2)
+    name = cell.other()
+    cell.store_faults.status = 503
+    cell.store_faults.only = {name}
+    monkeypatch.setattr(_home, "store_job", lambda store, value: fail(RuntimeError("a fault")))
+    answers = cell.submit(name, JOB, STEP)
+    cell.advance(1.0)
+    assert answers[0][0] == 504
--- a/anvilflow/peers/_link.py
+++ b/anvilflow/peers/_link.py
@@ -44,6 +44,8 @@
         self.queue_limit = queue_limit
         self.events = events
         self.peer = None
+        #: Set by who dialled: fires with the link when the other end has said hello.
+        self.ready = None
         self.heard_at = clock.seconds()
         self.n_sent = 0
         self.n_received = 0
--- a/anvilflow/platform/_advice.py
+++ b/anvilflow/platform/_advice.py
@@ -5,6 +5,7 @@
 
 from ..exceptions import PlatformError, PlatformUnavailableError
 from ..utils import decode, encode
+from ._wire import Wire
 
 
 class Advice(Struct, kw_only=True):
@@ -14,7 +15,7 @@
     valid_s: float
 
 
-class _WireAdvice(Struct, rename=lambda name: name.replace("_", "-")):
+class _WireAdvice(Wire):
     good: list[tuple[str, str]] = []
     valid_ms: float = 0
 
--- a/anvilflow/platform/_config.py
+++ b/anvilflow/platform/_config.py
@@ -1,23 +1,20 @@
 """The operator's configuration."""
 
-from msgspec import Struct, field
+from msgspec import field
 
 from ..exceptions import PlatformError
 from ..jobs import AdviceRules, CellConfig, Limits, Queue
 from ..utils import decode
+from ._wire import Wire
 
 
-class _Wire(Struct, rename=lambda name: name.replace("_", "-")):
-    """Fields are spelled with hyphens on the wire."""
-
-
-class _WireAdvice(_Wire):
+class _WireAdvice(Wire):
     decide_ms: float = 0.0
     each_ms: float = 0.0
     valid_ms: float = 0.0
 
 
-class _WireRoute(_Wire):
+class _WireRoute(Wire):
     """A route is one of our queues; its ``target-latency-ms`` is not a bound on one call."""
 
     name: str
@@ -32,14 +29,14 @@
     advice: _WireAdvice | None = None
 
 
-class _WireLimits(_Wire):
+class _WireLimits(Wire):
     max_header_bytes: int = 16384
     max_body_bytes: int = 262144
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
 
-class _WireConfig(_Wire):
+class _WireConfig(Wire):
     version: int
     routes: list[_WireRoute] = []
     limits: _WireLimits = field(default_factory=_WireLimits)
--- a/anvilflow/platform/_jobs.py
+++ b/anvilflow/platform/_jobs.py
@@ -2,11 +2,10 @@
 
 import re
 
-from msgspec import Struct
-
 from ..exceptions import CallError
 from ..jobs import JobSpec, StepSpec
 from ..utils import decode
+from ._wire import Wire
 
 #: What a client may call a job.
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
@@ -19,11 +18,7 @@
 MAX_TASKS = 5000
 
 
-class _Wire(Struct, rename=lambda name: name.replace("_", "-")):
-    """Fields are spelled with hyphens on the wire; those that are zero or false are left out."""
-
-
-class _WireStep(_Wire):
+class _WireStep(Wire):
     count: int = 1
     cpu: int = 0
     mem_mb: int = 0
@@ -44,7 +39,7 @@
     may_miss: int = 0
 
 
-class _WireJob(_Wire):
+class _WireJob(Wire):
     """A job; its ``spec`` is only the text for its tasks."""
 
     spec: str = ""
--- a/anvilflow/platform/_registry.py
+++ b/anvilflow/platform/_registry.py
@@ -1,23 +1,20 @@
 """Workers as they register themselves in the store."""
 
-from msgspec import Struct, field
+from msgspec import field
 
 from ..exceptions import PlatformError
 from ..jobs import WorkerInfo
 from ..utils import decode
+from ._wire import Wire
 
 
-class _Wire(Struct, rename=lambda name: name.replace("_", "-")):
-    """Fields are spelled with hyphens on the wire."""
-
-
-class _WireCapacity(_Wire):
+class _WireCapacity(Wire):
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
 
 
-class _WireWorker(_Wire):
+class _WireWorker(Wire):
     """An entry. Its ``labels`` are the worker's kind and its rack, in this order."""
 
     service: str
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -1,18 +1,18 @@
 """Orders to one life of a worker."""
 
-from msgspec import Struct
 from twisted.internet.defer import inlineCallbacks
 
 from ..clients import NOT_SENT
 from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
 from ..jobs import RunEnd, RunReport, WorkerReport
 from ..utils import decode, encode
+from ._wire import Wire
 
 #: What a refusal's reason on the wire says of the worker, in our terms.
 _REASONS = {"fence": "fenced", "old": "old", "late": "late", "room": "room", "ticket": "ticket"}
 
 
-class _WireReport(Struct, rename=lambda name: name.replace("_", "-")):
+class _WireReport(Wire):
     """``finished`` lists ends of every kind; a row of ``active`` may end with the load."""
 
     clock_ms: float = 0
