Reports say 'not checked' where a promise had no occasion

Cause: make processes and the demo called promises held with 0 occasions. Change: a verdict has its word: BROKEN, held or not checked; both reports use it. Exit codes stay.

--- a/anvilflow/demo/_demo.py
+++ b/anvilflow/demo/_demo.py
@@ -178,8 +178,7 @@
 def _show_verdicts(verdicts, cell, load, left):
     print()
     for verdict in verdicts:
-        state = "held" if verdict.held else "BROKEN"
-        print(f"{state:7} {verdict.promise} ({verdict.n_checked} checked)")
+        print(f"{verdict.word:11} {verdict.promise} ({verdict.n_checked} checked)")
         for line in verdict.broken[:3]:
             print(f"        {line}")
     held = all(verdict.held for verdict in verdicts)
--- a/anvilflow/history/_checker.py
+++ b/anvilflow/history/_checker.py
@@ -42,6 +42,19 @@
         """Whether the promise was never broken."""
         return not self.broken
 
+    @property
+    def word(self):
+        """What a report says: a run without an occasion shows nothing.
+
+        Examples
+        --------
+        >>> Verdict(promise="no task in two places", n_checked=0, broken=[]).word
+        'not checked'
+        """
+        if self.broken:
+            return "BROKEN"
+        return "held" if self.n_checked else "not checked"
+
 
 def check_history(events, *, config_limit_s=5.0, instances=None, ended_at=None):
     """Return the verdicts on `events`, in the order of the brief's promises.
--- a/benchmarks/bench_cell.py
+++ b/benchmarks/bench_cell.py
@@ -1,16 +1,17 @@
 """What the cell costs and how fast it starts: one virtual minute of a steady load on stand-ins.
 
-Prints processor time a task start (home, entries and stand-ins together, so only a comparison of two
-versions means something), store calls and bytes a job, calls to workers a start, and the time from a
-job's acceptance to the start of its tasks.
+Prints processor time a task start, store calls and bytes a job, calls to workers a start, and the
+time from a job's acceptance to the start of its tasks. Home, entries and stand-ins share the process:
+its time only means something beside that of another version.
 """
 
 import time
 
-from anvilflow.metrics._metrics import summarize
-from anvilflow.standins import PlatformCell, make_job_body
 from hdrh.histogram import HdrHistogram
 
+from anvilflow.metrics import summarize
+from anvilflow.standins import PlatformCell, make_job_body
+
 #: Load: jobs a second of two steps with six tasks each, as the quick queue of today's sites.
 JOBS_PER_S = 7
 SECONDS = 60
--- a/benchmarks/standins_process.py
+++ b/benchmarks/standins_process.py
@@ -151,8 +151,9 @@
         counts = {phase: phases.count(phase) for phase in sorted(set(phases))}
         print(f"jobs by phase: {counts}")
         for verdict in verdicts:
-            state = "held" if verdict.held else "BROKEN"
-            print(f"{state:7} {verdict.promise} ({verdict.n_checked} checked) {verdict.broken[:2]}")
+            print(
+                f"{verdict.word:11} {verdict.promise} ({verdict.n_checked} checked) {verdict.broken[:2]}"
+            )
         return all(verdict.held for verdict in verdicts) and set(phases) == {"completed"}
 
 
