A refusal of a start that is sent again says nothing of the first try

The start was sent again, the short run had ended meanwhile, and the worker refused it as old; taken for 'not run', the task started on another worker. Change: any answer but started and fenced to a later try leaves the run in doubt: it is stopped, barred, and made elsewhere when a report shows that it is neither running nor ended. Failures are counted by run, not by the highest one.

--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -146,12 +146,14 @@
             self.home.start_answered(action, "unreached")
             return
         outcome = "unknown"
-        for timeout in START_TIMEOUTS_S:
+        for number, timeout in enumerate(START_TIMEOUTS_S):
             try:
                 outcome = yield self._start_once(action, timeout)
             except WorkerGoneError as exc:
                 self._failed(exc)
                 return
+            if number > 0:
+                outcome = outcome_after_silence(outcome)
             if outcome != "unknown" or self.stopped or self.home.is_silent(self.worker_id):
                 break
         if self.stopped:
@@ -201,3 +203,12 @@
             yield self.calls.set_pace(action)
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self.home.pace_failed(action, exc)
+
+
+def outcome_after_silence(outcome):
+    """Return what a worker's answer to a start says when an earlier try of it had no answer.
+
+    A refusal speaks of this try alone. The earlier one may have run and ended meanwhile, which the
+    worker then calls old, or may be carried out yet: taken for "not run", the task ran twice.
+    """
+    return outcome if outcome in ("started", "fenced") else "unknown"
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -568,3 +568,34 @@
     answers = cell.submit(name, JOB, STEP)
     cell.advance(1.0)
     assert answers[0][0] == 504
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_run_that_ended_before_its_start_was_sent_again_is_not_made_twice(monkeypatch, safeguard):
+    """A worker runs a short task; the answers to its start and to holds are lost for a while.
+
+    The start is sent again, and the worker refuses it as old, since the run has ended. The end is
+    still to be told; taken for "not run", the task was started on another worker.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_session, "outcome_after_silence", lambda outcome: outcome)
+    cell = PlatformCell(n_instances=2, n_workers=2)
+    lost = {"left": 1}
+
+    class LosesOne(OrderWorker):
+        def handle(self, method, path, query, body, headers):
+            answer = super().handle(method, path, query, body, headers)
+            if path.endswith("run-start") and lost["left"]:
+                lost["left"] -= 1
+                return Deferred()
+            if path.endswith("hold") and 1.0 < cell.clock.seconds() < 2.2:
+                return Deferred()
+            return answer
+
+    for worker in cell.workers.values():
+        worker.__class__ = LosesOne
+    cell.start()
+    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="0.1 done 1000")
+    cell.advance(6.0)
+    assert (cell.check() == []) is safeguard
+    assert cell.state("a0", JOB) == "completed"
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -33,10 +33,9 @@
     __slots__ = (
         "avoid",
         "checkpoint",
-        "failed_run",
+        "failed_runs",
         "given_up",
         "index",
-        "n_failed",
         "name",
         "run_id",
         "runs",
@@ -50,8 +49,7 @@
         self.index = index
         self.state = TaskState.WAITING
         self.run_id = 0
-        self.n_failed = 0
-        self.failed_run = 0
+        self.failed_runs = set()
         self.checkpoint = ""
         self.avoid = set()
         self.given_up = False
@@ -251,8 +249,8 @@
             if done:
                 record.done_tasks[key] = done
             for task in step.tasks:
-                if task.n_failed:
-                    record.failures[f"{key}.{task.index}"] = (task.n_failed, task.failed_run)
+                if task.failed_runs:
+                    record.failures[f"{key}.{task.index}"] = sorted(task.failed_runs)
                 if task.checkpoint and task.state is not TaskState.DONE:
                     record.checkpoints[f"{key}.{task.index}"] = task.checkpoint
         return record
@@ -270,7 +268,7 @@
             step.n_done = len(done)
             for task in step.tasks:
                 name = f"{key}.{task.index}"
-                task.n_failed, task.failed_run = record.failures.get(name, (0, 0))
+                task.failed_runs = set(record.failures.get(name, ()))
                 task.checkpoint = record.checkpoints.get(name, "")
         for step in self.steps.values():
             step.ready_at = None
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -14,16 +14,16 @@
         ``OCCURRENCE.STEP`` of each step that is done.
     done_tasks : dict of str to list of int
         Done tasks of each step that is partly done.
-    failures : dict of str to (int, int)
-        By ``OCCURRENCE.STEP.INDEX``: ends that count as attempts, and the highest run among them.
-        An end that is listed again after a take-over is known by its run.
+    failures : dict of str to list of int
+        By ``OCCURRENCE.STEP.INDEX``: the runs whose ends count as attempts. An end that is listed
+        again after a take-over, or later than that of a newer run, is known by its run.
     checkpoints : dict of str to str
     """
 
     begun: bool = False
     done_steps: list[str] = []
     done_tasks: dict[str, list[int]] = {}
-    failures: dict[str, tuple[int, int]] = {}
+    failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
 
 
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -290,12 +290,11 @@
         if step.spec.long_running:
             return []
         counted = step.tasks[0] if step.spec.gang else task
-        if run_id <= counted.failed_run:
+        if run_id in counted.failed_runs:
             return []
-        counted.n_failed += 1
-        counted.failed_run = run_id
+        counted.failed_runs.add(run_id)
         job.touch(now)
-        if counted.n_failed >= job.queue.max_attempts and task.state is not TaskState.DONE:
+        if len(counted.failed_runs) >= job.queue.max_attempts and task.state is not TaskState.DONE:
             return self._finish(job, JobState.FAILED, now)
         return []
 
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -207,7 +207,7 @@
     spec = JobSpec(
         job_id="00000000000000a1", queue="q", payload="", steps=(StepSpec(n_tasks=1, cpu_milli=1),)
     )
-    record = JobRecord(begun=True, failures={"0.0.0": (2, 2)})
+    record = JobRecord(begun=True, failures={"0.0.0": [1, 2]})
     scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0, record=record, inherited=True)
     task = "00000000000000a1.0.0.0"
     again = RunEnd(number=7, task=task, run_id=2, how="failed", checkpoint="")
@@ -265,3 +265,21 @@
     assert scheduler.plan(2.9, 2.9) == []
     [again] = scheduler.plan(3.1, 3.1)
     assert again.worker_id != start.worker_id
+
+
+def test_failures_that_are_told_in_another_order_all_count():
+    """A worker falls silent, its task fails elsewhere, and then it comes back with a failure, too.
+
+    Counted by the highest run alone the older failure would be overlooked, and the task would be
+    started once more than allowed.
+    """
+    scheduler = make_scheduler(n_workers=2)
+    [first] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [first], 0.0)
+    scheduler.worker_silent(first.worker_id)
+    [second] = [item for item in scheduler.plan(9.0, 9.0) if isinstance(item, StartRun)]
+    for start, now in ((second, 10.0), (first, 11.0)):
+        end = RunEnd(number=1, task=start.task, run_id=start.run_id, how="failed", checkpoint="")
+        scheduler.report(start.worker_id, make_report(ended=[end]), asked_at=now, now=now)
+    _, task = scheduler.find_task(first.task)
+    assert task.failed_runs == {1, 2}
