A full report does not say that a run is gone

A worker tells of 500 ends at once; where more wait, a run that ended among the rest was taken for lost and its task started again. Change: runs are dropped for not being listed only by reports with room left. Test: test_run_that_a_full_report_leaves_out_is_not_started_again, at 499 and 500 ends.

--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -18,6 +18,9 @@
 #: Ends without success in a row after which a worker rests. Two may be one job's own fault.
 BAD_ENDS = 2
 
+#: Ends that a worker tells of in one report at the most, as its contract states.
+ENDS_PER_REPORT = 500
+
 #: Time that a run of an unknown job goes on before it is stopped: the job may have been accepted
 #: while homes changed, and is heard of by the next reading of the feed. Unit: seconds.
 UNKNOWN_JOB_S = 1.5
@@ -131,7 +134,10 @@
             actions += self._active(worker, item, asked_at, now)
         for key in set(worker.strays) - listed:
             del worker.strays[key]
-        for run in list(worker.runs.values()):
+        # A worker tells of a limited number of ends at once. Where more wait, as after a long outage
+        # of the store, a run that is not listed may have ended among the rest.
+        is_whole = len(report.ended) < ENDS_PER_REPORT
+        for run in list(worker.runs.values()) if is_whole else ():
             answered = run.state in ("running", "barred")
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, now)
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -283,3 +283,22 @@
         scheduler.report(start.worker_id, make_report(ended=[end]), asked_at=now, now=now)
     _, task = scheduler.find_task(first.task)
     assert task.failed_runs == {1, 2}
+
+
+@pytest.mark.parametrize("n_ends", [499, 500])
+def test_run_that_a_full_report_leaves_out_is_not_started_again(n_ends):
+    """After a long outage a worker has more ends to tell of than fit into one report.
+
+    A run that is neither running nor among them may have ended as done: only a report with room
+    left says that it is gone.
+    """
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [start], 0.0)
+    ends = [
+        RunEnd(number=number, task="f" * 16 + ".0.0.0", run_id=1, how="done", checkpoint="")
+        for number in range(1, n_ends + 1)
+    ]
+    scheduler.report("w0", make_report(ended=ends), asked_at=1.0, now=1.0)
+    again = [item for item in scheduler.plan(1.0, 1.0) if isinstance(item, StartRun)]
+    assert bool(again) is (n_ends < 500)
