--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -134,8 +134,8 @@
             actions += self._active(worker, item, asked_at, now)
         for key in set(worker.strays) - listed:
             del worker.strays[key]
-        # A worker tells of a limited number of ends at once. Where more wait, as after a long outage
-        # of the store, a run that is not listed may have ended among the rest.
+        # A worker tells of a limited number of ends at once. Where more wait, as after a long
+        # outage of the store, a run that is not listed may have ended among the rest.
         is_whole = len(report.ended) < ENDS_PER_REPORT
         for run in list(worker.runs.values()) if is_whole else ():
             answered = run.state in ("running", "barred")
