Faults of single orders are switches of the worker's stand-in; worker tests in a file of their own

Change: lost and late starts and unanswered holds are attributes of OrderWorker; 22 tests stay, 8 moved to test_worker_faults.py with their assertions; one make_cell. Product code is untouched.

--- a/anvilflow/cell/tests/test_whole_path.py
+++ b/anvilflow/cell/tests/test_whole_path.py
@@ -2,16 +2,9 @@
 
 import pytest
 
-from anvilflow.standins import AdviceServer, PlatformCell, make_platform_config
+from anvilflow.standins import AdviceServer, make_platform_config
 
-JOB = "00000000000000a1"
-
-
-def make_cell(**values):
-    """Return a started cell."""
-    cell = PlatformCell(**values)
-    cell.start()
-    return cell
+from ._helpers import JOB, make_cell
 
 
 def test_job_is_accepted_run_and_shown():
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -10,6 +10,9 @@
 MAX_LEASE_S = 6.0
 STOP_S = 0.3
 
+#: How much later a late start is carried out. Unit: seconds.
+LATE_S = 2.0
+
 
 class RunSpan(Struct, kw_only=True):
     """One run as it happened; `ended_at` is None while it lasts. Unit: seconds of true time."""
@@ -39,7 +42,10 @@
 
     Notes
     -----
-    It does not guard its capacity: that it is never exceeded is the system's promise.
+    It does not guard its capacity: that it is never exceeded is the system's promise. Faults of
+    single calls are attributes: the next `n_lost_starts` starts are carried out and not answered,
+    the next `n_late_starts` are carried out `LATE_S` later and not answered, and holds that come
+    within `deaf_between` (seconds of true time) get no answer.
     """
 
     def __init__(self, *, clock, worker_id, address, cpu, spans, sizes, rack="r1", offset_s=100.0):
@@ -64,6 +70,9 @@
         self.alive = True
         self.fail_all = False
         self.paces = []
+        self.n_lost_starts = 0
+        self.n_late_starts = 0
+        self.deaf_between = (0.0, 0.0)
         self.serving_tail_ms = 0
 
     def entry(self, *, state="ready"):
@@ -88,7 +97,22 @@
             self._end(task, "crashed", listed=False)
 
     def handle(self, method, path, query, body, headers):
-        """Answer an order."""
+        """Answer an order, or leave it unanswered as the faults say."""
+        is_start = path == "/-/run-start"
+        if is_start and self.n_late_starts:
+            self.n_late_starts -= 1
+            self.clock.callLater(LATE_S, self._act, path, body, headers)
+            return Deferred()
+        answer = self._act(path, body, headers)
+        if is_start and self.n_lost_starts:
+            self.n_lost_starts -= 1
+            return Deferred()
+        first, last = self.deaf_between
+        if path == "/-/hold" and first < self.clock.seconds() < last:
+            return Deferred()
+        return answer
+
+    def _act(self, path, body, headers):
         expected = headers.get(b"x-expect-instance", [b""])[0].decode()
         if expected != self.worker_id or not self.alive:
             return 421, b""
