The store's return and a new home are seen at once by all instances

Instances learnt of the return only by their next call: feeds waited up to 3.8 s for answers that were lost. And each instance held back 0.06 s times its rank before it even looked for the new home, so that the last of 41 found it 0.8 s after its claim. Ruled out: the new home itself (begins 0.15 s after the return). Change: a part reads the home's row every 0.15 s while the last call had no answer. Looking for the home is not held back any more, only claiming is.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -16,6 +16,7 @@
 from ._home import HomePart
 from ._leadership import LeadershipPart
 from ._links import LinksPart
+from ._store_watch import StoreWatchPart
 
 #: Wait for an answer of the store. It answers in 4 ms; slowed sixty times, in 0.25 s.
 #: Unit: seconds.
@@ -53,6 +54,7 @@
         context.bus.on_failure = self.supervisor.on_failure
         for name, kind in (
             ("links", LinksPart),
+            ("store", StoreWatchPart),
             ("config", ConfigPart),
             ("home", HomePart),
             ("leadership", LeadershipPart),
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -101,8 +101,10 @@
 
     @inlineCallbacks
     def _check(self, linked):
-        """Find out whether there is a home; claim when there is none."""
-        yield self._sleep(self._rank() * RANK_STEP_S)
+        """Find out whether there is a home; claim when there is none.
+
+        Looking is not held back, only claiming: a home that has just begun is found by all at once.
+        """
         try:
             changed = yield self._read_row()
         except PlatformError as exc:
@@ -110,14 +112,14 @@
             yield self._sleep(jitter(self.context.random_state, AGAIN_S))
             return
         if self.row is None or (self._yielding and not changed):
-            yield self._claim("no home" if self.row is None else "home yields")
+            yield self._claim_in_turn("no home" if self.row is None else "home yields")
             return
         # A connection that is open but silent says what a new one would only say after its time.
         reached = "not reached" if linked and not changed else (yield self._dial())
         if reached == "home":
             return
         if reached == "not home":
-            yield self._claim("home gone")
+            yield self._claim_in_turn("home gone")
             return
         yield self._wait_for_writes()
 
@@ -174,17 +176,33 @@
         A refused connection proves no more than a silent one: a cut may refuse, too.
         """
         before = self.row_version
-        yield self._sleep(max(STILL_S, STILL_READS * self._read_s))
-        yield self._read_row()
-        if self.row_version == before:
-            yield self._claim("home does not write")
-        else:
-            self.log.info("home writes but is not reached", home=self.row.holder)
-            self.context.links.leave_home()
-            yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+        wait_s = max(STILL_S, STILL_READS * self._read_s) + self._rank() * RANK_STEP_S
+        n_looks = 1 + int(wait_s / LOOK_S)
+        for _ in range(n_looks):
+            yield self._sleep(wait_s / n_looks)
+            if (yield self._read_row()):
+                yield self._dial()
+                return
+            if self.row_version != before:
+                self.log.info("home writes but is not reached", home=self.row.holder)
+                self.context.links.leave_home()
+                yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+                return
+        yield self._claim("home does not write")
 
     # Claiming
 
+    @inlineCallbacks
+    def _claim_in_turn(self, why):
+        """Claim unless another instance, whose turn comes first, has done so meanwhile."""
+        delay = self._rank() * RANK_STEP_S
+        if delay > 0:
+            yield self._sleep(delay)
+            if (yield self._read_row()):
+                yield self._dial()
+                return
+        yield self._claim(why)
+
     @inlineCallbacks
     def _claim(self, why):
         if self.context.leaving:
