Sick runs are judged by the worker's clock and by their siblings, within half a second

A report that was late on the way could also be taken for a run that stands still. Change: a run stands still when two reports half a second apart, by the worker's own clock, show the same progress; it is slow when runs of the same step on other workers are twice as fast and a stop and a new run would end well before it. Each time a task is given up its patience doubles, where it was never given up again before. Looks at all runs ten times a second at most. The stop's length comes from the settings. Fields that nothing read are gone.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -149,7 +149,8 @@
         (jobs, jobs_version), (records, _), (ended, _), (workers, workers_version) = results
         if self._claimed is not claimed:
             return
-        scheduler = Scheduler(term=claimed.term, lease_s=LEASE_S, now=self.now)
+        stop_s = self.context.settings.bounds.stop_s
+        scheduler = Scheduler(term=claimed.term, lease_s=LEASE_S, stop_s=stop_s, now=self.now)
         if self.context.config is not None:
             scheduler.configure(self.context.config)
         self._scheduler = scheduler
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -34,8 +34,8 @@
         "avoid",
         "checkpoint",
         "failed_runs",
-        "given_up",
         "index",
+        "n_given_up",
         "name",
         "run_id",
         "runs",
@@ -52,7 +52,7 @@
         self.failed_runs = set()
         self.checkpoint = ""
         self.avoid = set()
-        self.given_up = False
+        self.n_given_up = 0
         self.runs = {}
         self.waiting_since = now
         self.started_at = None
@@ -62,12 +62,10 @@
     """One step of one occurrence."""
 
     __slots__ = (
-        "allowed",
-        "asked_at",
         "copies",
+        "durations",
         "job",
         "key",
-        "longest_s",
         "n_done",
         "number",
         "occurrence",
@@ -89,11 +87,9 @@
         ]
         self.n_done = 0
         self.ready_at = None
-        self.asked_at = None
         self.tickets = {}
         self.copies = []
-        self.longest_s = 0.0
-        self.allowed = set()
+        self.durations = []
         self.refused = set()
 
     @property
@@ -207,12 +203,6 @@
         all_opened = self.next_occurrence >= max(1, self.spec.n_occurrences)
         return all_opened and all(step.is_done for step in self.steps.values())
 
-    def ready_steps(self):
-        """Return the steps that have tasks to start."""
-        return [
-            step for step in self.steps.values() if step.ready_at is not None and not step.is_done
-        ]
-
     def task_named(self, name):
         """Return the step and the task called ``JOB.OCCURRENCE.STEP.INDEX``, or (None, None)."""
         try:
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -35,13 +35,15 @@
     Parameters
     ----------
     term : int
-    lease_s, now : float
-        Unit: seconds.
+    lease_s, stop_s, now : float
+        Length of the leases, longest time that a stop takes, and when this home took over. Unit:
+        seconds.
     """
 
-    def __init__(self, *, term, lease_s, now):
+    def __init__(self, *, term, lease_s, stop_s, now):
         self.term = term
         self.lease_s = lease_s
+        self.stop_s = stop_s
         self.jobs = {}
         self.workers = {}
         self.asking = {}
@@ -152,7 +154,7 @@
         listed = set()
         for item in report.active:
             listed.add((item.task, item.run_id))
-            actions += self._active(worker, item, asked_at, now)
+            actions += self._active(worker, item, report.clock_s, now)
         for key in set(worker.strays) - listed:
             del worker.strays[key]
         # A worker tells of a limited number of ends at once. Where more wait, as after a long
@@ -168,14 +170,12 @@
         actions += pace_fillers(self, worker, now)
         return actions
 
-    def _active(self, worker, item, asked_at, now):
+    def _active(self, worker, item, clock_s, now):
         run = worker.runs.get(item.task)
         if run is not None and run.run_id == item.run_id:
             if run.state in ("starting", "unknown"):
                 self._began(run, now)
-            if item.percent != run.percent:
-                run.percent, run.percent_at = item.percent, now
-            run.reported_at = now
+            _note_progress(run, item, clock_s, now)
             run.load = item.load
             run.checkpoint = item.checkpoint or run.checkpoint
             return []
@@ -193,7 +193,7 @@
         )
         if wanted:
             run = self._make_run(worker, step, task, item.run_id, now)
-            run.percent = item.percent
+            run.percent = run.first_percent = item.percent
             run.load = item.load
             run.checkpoint = item.checkpoint
             self._began(run, now)
@@ -240,11 +240,13 @@
     def new_run(self, worker, step, task, now):
         """Count a start that is about to be sent; return its run."""
         floor = (self.term - 1) * RUNS_PER_TERM if step.job.inherited else 0
-        return self._make_run(worker, step, task, max(task.run_id, floor) + 1, now)
+        run = self._make_run(worker, step, task, max(task.run_id, floor) + 1, now)
+        run.resumes = bool(task.checkpoint)
+        return run
 
     def _began(self, run, now):
         run.state = "running"
-        run.began_at = run.percent_at = run.reported_at = now
+        run.began_at = run.reported_at = now
         job = run.job
         if not job.begun:
             job.begun = True
@@ -394,9 +396,19 @@
         if step is None:
             return
         if tickets is None:
-            step.asked_at = None
             return
-        step.allowed |= set(tickets)
         step.refused |= set(asked) - set(tickets)
         for worker_id, ticket in tickets.items():
             step.tickets[worker_id] = (ticket, valid_until)
+
+
+def _note_progress(run, item, clock_s, now):
+    if run.reported_clock is None:
+        run.percent_clock = clock_s
+        # What a resumed run shows at first was done by the run before.
+        run.first_percent = item.percent if run.resumes else run.first_percent
+    elif item.percent != run.percent:
+        run.percent_clock = clock_s
+    run.percent = item.percent
+    run.reported_clock = clock_s
+    run.reported_at = now
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -6,12 +6,16 @@
 from ._job import JobRun, JobState
 from ._placement import plan_starts
 from ._run_book import RunBook
-from ._sickness import find_sick_runs, has_copy
+from ._sickness import GIVEN_UP_SLOWNESS, find_sick_runs, has_copy
 
 #: Time after a take-over in which a former home that lives may still start jobs that came since: it
 #: learns from its next write, or from any worker, that it is no longer the home. Unit: seconds.
 FORMER_HOME_S = 1.0
 
+#: Period of looking for sick runs. Workers report twice a second, and a look goes through all runs:
+#: 14,000 at the target. Unit: seconds.
+SICK_CHECK_S = 0.1
+
 #: Ended jobs whose state is kept in memory; older ones are read from the store.
 ENDED_KEPT = 2000
 
@@ -26,8 +30,8 @@
     ----------
     term : int
         How many homes there were, this one included.
-    lease_s : float
-        Length of the leases that are sent. Unit: seconds.
+    lease_s, stop_s : float
+        Length of the leases that are sent, and the longest time that a stop takes. Unit: seconds.
     now : float
         When this home took over. Unit: seconds.
     n_advisers : int, default=1
@@ -41,11 +45,12 @@
     until all have answered, or until every lease of that home has surely ended.
     """
 
-    def __init__(self, *, term, lease_s, now, n_advisers=1):
-        super().__init__(term=term, lease_s=lease_s, now=now)
+    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1):
+        super().__init__(term=term, lease_s=lease_s, stop_s=stop_s, now=now)
         self.n_advisers = n_advisers
         self.ended = OrderedDict()
         self.config = None
+        self._sick_checked_at = now
 
     # Configuration and jobs
 
@@ -177,16 +182,22 @@
 
         What may have copies keeps the first run: the plan starts a second beside it.
         """
+        if now < self._sick_checked_at + SICK_CHECK_S:
+            return []
+        self._sick_checked_at = now
         actions = []
-        for run, why in find_sick_runs(self, now):
+        sick = find_sick_runs(self, now)
+        sick_runs = {id(run) for run, _ in sick}
+        for run, why in sick:
             step, task = self.find_task(run.task)
-            if task is None or step.job.is_ended:
+            if step.job.is_ended or any(id(other) not in sick_runs for other in task.runs.values()):
                 continue
             task.avoid.add(run.worker.info.worker_id)
-            task.given_up = True
+            task.n_given_up += 1
             if why == "stands still":
-                run.percent_at = now
                 self._worker_did_badly(run.worker, now)
+            else:
+                run.worker.slowness = max(run.worker.slowness, GIVEN_UP_SLOWNESS)
             if step.spec.speculative and not has_copy(task):
                 step.copies.append(task)
             else:
--- a/anvilflow/jobs/_sickness.py
+++ b/anvilflow/jobs/_sickness.py
@@ -1,32 +1,49 @@
 """Runs that stand still or are far too slow, while the worker's health is good."""
 
+from statistics import median
+
 from ._job import TaskState
 
-#: Time without progress after which a run counts as standing still: workers report twice a second,
-#: and a run that resumes from a checkpoint shows nothing for 0.6 s. Unit: seconds.
-STALL_S = 1.3
+#: Time without progress after which a run counts as standing still. Workers report twice a second,
+#: so it is seen by the first report without progress. Measured by the worker's own clock: a report
+#: that was late on the way says nothing of the run. Unit: seconds.
+STALL_S = 0.45
+
+#: The same in parts of the run's full time: progress comes in whole percents, and a worker that
+#: has turned slow in the middle takes several times as long for each.
+STALL_SHARE = 0.04
+
+#: A resumed run shows no progress while its checkpoint is read. Unit: seconds.
+RESTORE_S = 0.6
 
-#: The same in parts of the task's estimate: progress comes in whole percents.
-STALL_SHARE = 0.1
+#: Share of the work from which a run's progress tells its speed: steps of a whole percent are off
+#: by a third at the most.
+MIN_PERCENT = 3
 
-#: Times its estimate after which a run is looked at for slowness. Estimates are off by a fifth and
-#: tasks of a step differ by a third, so that a sound run stays under twice its estimate.
-SLOW_TIMES = 2.2
+#: Time from which it does. Unit: seconds.
+MIN_ELAPSED_S = 0.4
 
-#: Time that a stop may take; a run that needs less than this and a whole new run is left alone.
-#: Unit: seconds.
-STOP_S = 0.9
+#: Times that sound workers take for a task after which a run is slow: workers are 1.25 times as
+#: fast or as slow as the mean, and tasks of a step differ by a third.
+SLOW_TIMES = 2.0
+
+#: Times that a stop and a run elsewhere must be shorter than what is left of a slow run.
+GAIN_TIMES = 1.3
 
 #: Weight of the newest run in a worker's slowness.
 SLOWNESS_WEIGHT = 0.3
 
-#: Slowness from which other workers are preferred: twice as long as estimated.
-SLOW_WORKER = 2.0
+#: Slowness of a worker on which a run was given up for slowness. It ends well nowhere else, so that
+#: the worker would go on getting tasks; a few that end well there make up for it.
+GIVEN_UP_SLOWNESS = 4.0
+
+#: Estimates are off by a half, either way. An estimated length counts this many times over.
+ESTIMATE_TIMES = 2.0
 
 
 def note_duration(worker, step, seconds):
     """Let a run that ended well count towards the worker's slowness and the step's real length."""
-    step.longest_s = max(step.longest_s, seconds)
+    step.durations.append(seconds)
     if step.spec.estimate_s > 0 and not step.spec.data_rack:
         ratio = seconds / step.spec.estimate_s
         worker.slowness += SLOWNESS_WEIGHT * (ratio - worker.slowness)
@@ -34,7 +51,7 @@
 
 def is_slow(worker):
     """Whether a worker takes far longer than estimated."""
-    return worker.slowness > SLOW_WORKER
+    return worker.slowness > SLOW_TIMES
 
 
 def find_sick_runs(scheduler, now):
@@ -42,8 +59,12 @@
 
     Long-running tasks show no progress, members of a gang wait for each other, and what fills may
     be slowed down on purpose: none of these is judged.
+
+    A task that was given up before is given twice as long each time: the task may be what is wrong.
+    Without that, a job whose estimate was a tenth of its length was stopped for ever.
     """
     sick = []
+    usual_times = {}
     for worker in scheduler.workers.values():
         if worker.silent:
             continue
@@ -51,56 +72,97 @@
             step = run.step
             if run.state != "running" or step.long_running or step.gang or step.fills:
                 continue
-            why = _why_sick(run, now)
-            if why is None or _was_given_up(scheduler, run):
+            step_run, task = scheduler.find_task(run.task)
+            if task is None or run.reported_clock is None:
                 continue
-            if why == "stands still" or _others_are_faster(scheduler, run, now):
-                sick.append((run, why))
+            patience = 2**task.n_given_up
+            if _stands_still(run, patience):
+                sick.append((run, "stands still"))
+            elif _looks_slow(run, patience):
+                times = usual_times.get(step_run.key)
+                if times is None:
+                    times = usual_times[step_run.key] = _full_times(step_run)
+                if _is_better_elsewhere(scheduler, times, run, now, patience):
+                    sick.append((run, "slow"))
     return sick
 
 
-def _was_given_up(scheduler, run):
-    """Whether a run of this task was given up before: the task may be what is wrong.
+def _stands_still(run, patience):
+    full_s = _full_time(run) or ESTIMATE_TIMES * run.step.estimate_s
+    allowed_s = STALL_S + STALL_SHARE * full_s
+    if run.resumes:
+        allowed_s += RESTORE_S
+    return run.reported_clock - run.percent_clock > patience * allowed_s
+
+
+def _elapsed(run):
+    """Return for how long a run had worked when it was last reported. Unit: seconds."""
+    return run.reported_at - run.began_at
+
+
+def _full_time(run):
+    """Return how long the whole run takes at its speed so far, or None when that is not known."""
+    worked = run.percent - run.first_percent
+    if _elapsed(run) < MIN_ELAPSED_S or worked < MIN_PERCENT:
+        return None
+    return 100 * _elapsed(run) / worked
 
-    Without this bound a job whose estimate was a tenth of its length was stopped for ever.
+
+def _least_full_time(run):
+    """Return how long the whole run takes at the least, or None when it has hardly begun."""
+    full_s = _full_time(run)
+    if full_s is None and _elapsed(run) >= MIN_ELAPSED_S and not run.resumes:
+        full_s = 100 * _elapsed(run) / MIN_PERCENT
+    return full_s
+
+
+def _looks_slow(run, patience):
+    """Whether a run may be slow at all; this alone is asked of each run at each look.
+
+    Judged is its speed against that of others. What is far from its data is slow everywhere.
     """
-    _, task = scheduler.find_task(run.task)
-    return task is None or task.given_up
+    if run.step.data_rack or run.step.rack_sensitive:
+        return False
+    full_s = _least_full_time(run)
+    return full_s is not None and full_s > patience * run.step.estimate_s
 
 
-def _others_are_faster(scheduler, run, now):
-    """Whether it is the worker that is slow, and not the work.
+def _full_times(step):
+    """Return the times that runs of a step take, as ``(worker, seconds)``; worker None: it ended."""
+    times = [(None, seconds) for seconds in step.durations]
+    for task in step.tasks:
+        if task.state is TaskState.RUNNING:
+            times += [(run.worker, _full_time(run)) for run in task.runs.values()]
+    return [(worker, seconds) for worker, seconds in times if seconds is not None]
 
-    A job may be far larger than its estimate, or never end at all. Judged by the estimate alone,
-    643 runs of such jobs were stopped in a day, and 2,200 core-seconds of their work thrown away.
+
+def _is_better_elsewhere(scheduler, times, run, now, patience):
+    """Whether a run is far slower than others like it, and a new one would end well before it.
+
+    Judged by other runs of the step, not by the estimate: a job may be far larger than it says.
+    Judged by the estimate alone, 643 runs of such jobs were stopped in a day, and 2,200
+    core-seconds of their work thrown away.
     """
-    if is_slow(run.worker):
-        return True
-    step, _ = scheduler.find_task(run.task)
-    if step is None:
+    full_s = _least_full_time(run)
+    usual_s = _usual_time(times, run, now)
+    if usual_s is None or full_s < patience * SLOW_TIMES * usual_s:
         return False
-    if step.longest_s:
-        return now - run.began_at > SLOW_WORKER * step.longest_s
-    speeds = sorted(
-        other.percent / max(0.1, now - other.began_at)
-        for task in step.tasks
-        for other in task.runs.values()
-        if other.worker is not run.worker and other.state == "running"
-    )
-    own = run.percent / max(0.1, now - run.began_at)
-    return bool(speeds) and speeds[len(speeds) // 2] > SLOW_WORKER * own
-
-
-def _why_sick(run, now):
-    estimate = run.step.estimate_s
-    # Up to the last report: no news is no sign of a run that stands still.
-    if run.reported_at - run.percent_at > STALL_S + STALL_SHARE * estimate:
-        return "stands still"
+    done = run.percent / 100
+    kept = done if run.step.checkpointing and run.checkpoint else 0.0
+    elsewhere_s = scheduler.stop_s + usual_s * (1.0 - kept)
+    return full_s * (1.0 - done) > GAIN_TIMES * elsewhere_s
+
+
+def _usual_time(times, run, now):
+    """Return how long other workers take for a task of the step, or None when that is not known."""
+    others = [seconds for worker, seconds in times if worker is not run.worker]
     elapsed = now - run.began_at
-    if estimate <= 0 or elapsed < SLOW_TIMES * estimate or run.percent <= 0:
-        return None
-    left = elapsed * (100 - run.percent) / run.percent
-    return "slow" if left > STOP_S + SLOW_TIMES * estimate else None
+    if len(others) >= 2:
+        return median(others)
+    if others and elapsed > SLOW_TIMES * others[0]:
+        return others[0]
+    estimate_s = ESTIMATE_TIMES * run.step.estimate_s
+    return estimate_s if is_slow(run.worker) and 0 < estimate_s < elapsed else None
 
 
 def has_copy(task):
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -74,18 +74,25 @@
 
 
 class Run:
-    """One start of a task on a worker, from the decision to its listed end."""
+    """One start of a task on a worker, from the decision to its listed end.
+
+    `percent_clock` and `reported_clock` are the worker's time of the last progress and of the last
+    report, None before the first one; `reported_at` is our time of the last report, and
+    `first_percent` the progress that the run began with.
+    """
 
     __slots__ = (
         "began_at",
         "checkpoint",
+        "first_percent",
         "job",
         "load",
-        "over_since",
         "pace",
         "percent",
-        "percent_at",
+        "percent_clock",
         "reported_at",
+        "reported_clock",
+        "resumes",
         "run_id",
         "sent_at",
         "state",
@@ -104,12 +111,14 @@
         self.sent_at = now
         self.began_at = now
         self.percent = 0.0
-        self.percent_at = now
+        self.first_percent = 0.0
+        self.percent_clock = None
         self.reported_at = now
+        self.reported_clock = None
+        self.resumes = False
         self.checkpoint = ""
         self.load = 0.0
         self.pace = 100
-        self.over_since = None
 
 
 class Worker:
