Metrics, a dump, reload at SIGHUP, and `anvilflow explain` for the users' platform

Change: an observer part serves /metrics and /dump at an address of its own; the page is made when somebody asks, so that an instance that is not asked pays for counting alone. Settings are read anew at SIGHUP and taken whole, or the old ones stay. `anvilflow explain ID LOG...` puts a job's lines of several instances in order and says what held it up. The setting that nothing read (first_start) is gone. Instances may be reached at another address than they listen at (`peers_public`), which a proxy in between needs.

--- a/anvilflow/cell/__main__.py
+++ b/anvilflow/cell/__main__.py
@@ -13,13 +13,17 @@
 
 def main():
     """Run until SIGTERM."""
+
+    def load():
+        return load_cell_settings(os.environ.get("ANVILFLOW_CONFIG", ""))
+
     try:
-        settings = load_cell_settings(os.environ.get("ANVILFLOW_CONFIG", ""))
+        settings = load()
     except AnvilflowError as exc:
         print(exc, file=sys.stderr)
         return exc.exit_status
     install_json_logs(settings.instance, level=lookup_level(settings.log_level.upper()))
-    return run_cell(settings)
+    return run_cell(settings, load)
 
 
 if __name__ == "__main__":
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from ..metrics import Meters
+
 
 class ConfigChanged(Struct, kw_only=True):
     """A newer configuration is in force in this process."""
@@ -89,6 +91,8 @@
         self.config = None
         self.leaving = False
         self.store_health = StoreHealth(clock=clock)
+        self.meters = Meters()
+        self.dump = dict
         self.links = None
         self.home = None
         self.config_part = None
--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from ..clients import HttpClient
+from ..exceptions import SettingsError
 from ..platform import AdviceClient, StoreClient, WorkerCalls
 from ..runtime import Bus, ReactorNetwork, Supervisor
 from ._config import ConfigPart
@@ -16,6 +17,7 @@
 from ._home import HomePart
 from ._leadership import LeadershipPart
 from ._links import LinksPart
+from ._observer import ObserverPart
 from ._store_watch import StoreWatchPart
 
 #: Wait for an answer of the store. It answers in 4 ms; slowed sixty times, in 0.25 s.
@@ -52,7 +54,9 @@
         self.context = context
         self.supervisor = Supervisor(clock=context.clock, name=context.name, give_up=give_up)
         context.bus.on_failure = self.supervisor.on_failure
+        context.dump = self.dump
         for name, kind in (
+            ("observer", ObserverPart),
             ("links", LinksPart),
             ("store", StoreWatchPart),
             ("config", ConfigPart),
@@ -66,6 +70,38 @@
         """Start all parts."""
         self.supervisor.start()
 
+    def dump(self):
+        """Return the state of each part as plain values."""
+        names = ("links", "config", "home", "leadership", "entry")
+        return {name: self.supervisor.part(name).dump() for name in names}
+
+    def reload(self, load):
+        """Take newer settings whole, or keep the old ones and say why.
+
+        Parameters
+        ----------
+        load : callable
+            Returns the new :class:`CellSettings`.
+        """
+        old = self.context.settings
+        try:
+            new = load()
+        except SettingsError as exc:
+            _log.warning("settings not reloaded", error=str(exc))
+            return
+        if (new.instance, new.failure_domain, new.listen) != (
+            old.instance,
+            old.failure_domain,
+            old.listen,
+        ):
+            _log.warning("settings not reloaded", error="name or addresses need a new start")
+            return
+        self.context.settings = new
+        self.context.store.address = new.store
+        if self.context.advice is not None and new.advice:
+            self.context.advice.address = new.advice
+        _log.info("settings reloaded", store=new.store, advice=new.advice)
+
     @inlineCallbacks
     def drain(self):
         """Hand over what is held here and finish what is in progress, then stop."""
@@ -108,8 +144,15 @@
     return CellDaemon(context=context, give_up=give_up)
 
 
-def run_cell(settings):
-    """Run an instance until SIGTERM; return the exit status."""
+def run_cell(settings, load):
+    """Run an instance until SIGTERM; return the exit status.
+
+    Parameters
+    ----------
+    settings : CellSettings
+    load : callable
+        Reads the settings anew, at SIGHUP.
+    """
     from twisted.internet import reactor
 
     failures = []
@@ -125,7 +168,11 @@
         reactor.callFromThread(lambda: daemon.drain().addBoth(lambda _: reactor.stop()))
 
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, terminated)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, lambda *_: _log.info("reload asked"))
+
+    def reload_asked(_, __):
+        reactor.callFromThread(daemon.reload, load)
+
+    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload_asked)
     reactor.callWhenRunning(daemon.start)
     _log.info("started", incarnation=daemon.context.incarnation)
     reactor.run(installSignalHandlers=True)
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -50,6 +50,9 @@
 #: What the home's answers to a submit mean; every other one leaves the job in doubt.
 _SUBMIT_OUTCOMES = {"ok": "ok", "refused": "refused", "not home": "refused"}
 
+#: Verbs that are counted under their own name: a client may send any text.
+_VERBS = frozenset({"POST", "GET", "DELETE"})
+
 _STATE_NAMES = frozenset(map(str, JobState))
 
 #: Time without the store and without the home after which the balancer is told to send no new
@@ -103,6 +106,11 @@
         alone = context.links is not None and not context.links.reaches_home
         return not (alone and context.store_health.bad_for_s > CUT_OFF_S)
 
+    def answered(self, verb, status):
+        """Count an answer to a client."""
+        verb = verb if verb in _VERBS else "other"
+        self.context.meters.count("calls", verb, str(status))
+
     def not_ready(self):
         """Refuse a call that comes before any configuration."""
         raise NotReadyError("no configuration yet", details={"retry_after_s": 1})
@@ -155,6 +163,7 @@
         )
         health.answer_s = self.now - began
         health.good()
+        self.context.meters.timed("accept", self.now - began)
         return version
 
     def _retry_after(self):
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -64,6 +64,7 @@
 
     def stop(self, action):
         """Stop a run."""
+        self.context.meters.count("stops", action.why)
         self.log.info(
             "stop", task=action.task, run=action.run_id, worker=action.worker_id, why=action.why
         )
@@ -157,6 +158,7 @@
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
         for end in report.ended:
             if end.number > worker.last_ended:
+                self.context.meters.count("ends", end.how)
                 self.log.info(
                     "task ended",
                     task=end.task,
@@ -203,6 +205,7 @@
 
     def start_answered(self, action, outcome):
         """Take the answer to a start."""
+        self.context.meters.count("starts", outcome)
         if outcome != "started":
             self.log.info(
                 "start not taken",
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -15,6 +15,7 @@
     EndedJob,
     JobRecord,
     JobState,
+    NoteWait,
     Scheduler,
     SetPace,
     StartRun,
@@ -23,7 +24,7 @@
 from ..peers.gen.ttypes import HomeBeat, JobReply
 from ..platform import REGISTRY_TABLE
 from ..runtime import Part
-from ..utils import decode, jitter
+from ..utils import decode, jitter, to_builtins
 from ._advisers import Advisers
 from ._context import Claimed, ConfigChanged, Deposed, Leaving
 from ._fleet import LEASE_S, Fleet
@@ -138,6 +139,7 @@
     def _load(self, claimed):
         """Read what lasts, then hear the workers: only then anything is started."""
         store = self.context.store
+        claimed_at = self.now
         # All at once: where the store is slow each of them takes a quarter of a second.
         reads = [
             read_jobs(store),
@@ -178,6 +180,7 @@
             self._fleet.take_apart(apart)
         self._loaded = True
         self.context.home = self
+        self.context.meters.timed("load", self.now - claimed_at)
         self.log.info(
             "home begins",
             term=claimed.term,
@@ -329,6 +332,7 @@
                 queue=value.queue.name,
                 version=version,
                 inherited=inherited,
+                tasks=sum(step.n_tasks for step in value.spec.steps),
             )
 
     # Decisions
@@ -344,6 +348,8 @@
         if scheduler is None or not self._loaded:
             return
         scheduler.n_advisers = self._advisers.n_advisers
+        for seconds in scheduler.take_first_starts():
+            self.context.meters.timed("first_start", seconds)
         self.act(scheduler.plan(self.now, self.context.wall_clock()))
 
     def _plan_due(self):
@@ -364,6 +370,8 @@
                     self._fleet.stop(action)
                 case SetPace():
                     self._fleet.set_pace(action)
+                case NoteWait():
+                    self.log.info("tasks wait", **to_builtins(action))
 
     def _ask_advice(self, action):
         done = self._advisers.ask(action.step, action.workers, action.length_s)
@@ -373,6 +381,7 @@
     def _advised(self, advice, action, scheduler, asked_at):
         if self._scheduler is not scheduler:
             return
+        self.context.meters.timed("advice", self.now - asked_at)
         if advice is None:
             scheduler.advised(action.step, action.workers, None, 0.0, self.now)
         else:
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -13,9 +13,9 @@
 from ..utils import decode
 from ._tables import CANCEL_MARK, ENDED, JOB_PARTS, JOBS, PART, condition, job_part, write
 
-#: Longest wait for the write of a job's row. A part of the store queues for 1 s at the most and then
-#: refuses; a write itself takes 0.3 s, and its answer 0.4 s, where the store is a hundred times as
-#: slow as usual. Clients wait for 3 s. Unit: seconds.
+#: Longest wait for the write of a job's row. A part of the store queues for 1 s at the most and
+#: then refuses. Where the store is a hundred times as slow as usual, a write itself takes 0.3 s and
+#: its answer 0.4 s. Clients wait for 3 s. Unit: seconds.
 LONGEST_WRITE_S = 1.8
 
 #: Least pause between readings of the row, and the wait for one. A store that answers none is away.
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -210,7 +210,7 @@
         row = HomeRow(
             holder=self.context.name,
             incarnation=self.context.incarnation,
-            address=self.context.settings.listen.peers,
+            address=self.context.settings.listen.peers_address,
             term=(self.row.term if self.row is not None else 0) + 1,
             apart=self.row.apart if self.row is not None else [],
         )
@@ -232,5 +232,6 @@
         self.is_home = True
         self._yielding = False
         self.context.links.leave_home()
+        self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term)
         self.post(Claimed(token=version, term=row.term, row_version=version, apart=row.apart))
--- /dev/null
+++ b/anvilflow/cell/_observer.py
@@ -0,0 +1,60 @@
+"""Shows operators what an instance counts and holds; never to clients."""
+
+from twisted.internet.error import CannotListenError
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from ..runtime import Part
+from ..utils import encode
+
+
+class ObserverPart(Part):
+    """Serves ``/metrics`` and ``/dump`` at an address of its own."""
+
+    prefix = "observer"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self.dumps = {}
+
+    def start(self):
+        """Listen, if the settings name an address; without it nothing else is worse off."""
+        address = self.context.settings.listen.metrics
+        if not address:
+            return
+        site = Site(_ObserverResource(context=self.context), timeout=60)
+        site.log = lambda request: None
+        try:
+            port, _ = self.context.network.listen(address, site)
+        except CannotListenError as exc:
+            self.log.warning("metrics are not served", address=address, error=str(exc))
+            return
+        self._stack.callback(port.stopListening)
+
+
+class _ObserverResource(Resource):
+    isLeaf = True
+
+    def __init__(self, *, context):
+        super().__init__()
+        self.context = context
+
+    def render_GET(self, request):
+        """Answer an operator."""
+        match request.path:
+            case b"/metrics":
+                request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+                return self._metrics()
+            case b"/dump":
+                request.setHeader(b"content-type", b"application/json")
+                return encode(self.context.dump())
+            case _:
+                request.setResponseCode(404)
+                return b""
+
+    def _metrics(self):
+        context = self.context
+        store = context.store
+        context.meters.counts["store_calls", ("read",)] = store.n_reads
+        context.meters.counts["store_calls", ("write",)] = store.n_writes
+        return context.meters.page()
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -142,7 +142,7 @@
         return HomeRow(
             holder=self.context.name,
             incarnation=self.context.incarnation,
-            address=self.context.settings.listen.peers,
+            address=self.context.settings.listen.peers_address,
             term=self._term,
             apart=apart,
         )
@@ -210,6 +210,8 @@
         now = self.context.clock.seconds()
         ended = []
         for job, change, _ in snapshot:
+            if job.changed_at is not None:
+                self.context.meters.timed("record", now - job.changed_at)
             self.scheduler.recorded(job.job_id, change, now)
             if job.is_ended:
                 self._written.discard(job.job_id)
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -15,9 +15,9 @@
 
 #: Waits for the answer to a start, one after the other. The same start may be sent again: a worker
 #: that has the run says so, and one that was lost on the way is made up for before the other
-#: members of a gang give up. Workers answer in some 3 ms, and a home's processor may stand still for
-#: a tenth of a second. The first wait is short: where 6 of 100 orders have no answer, two of three
-#: lookups of ten tasks lose one, and waited 0.3 s for it. Unit: seconds.
+#: members of a gang give up. Workers answer in some 3 ms, and a home's processor may stand still
+#: for a tenth of a second. The first wait is short: where 6 of 100 orders have no answer, two of
+#: three lookups of ten tasks lose one, and waited 0.3 s for it. Unit: seconds.
 START_TIMEOUTS_S = (0.12, 0.3, 0.3, 0.5)
 
 #: Wait before a call to a worker that failed is made again. Unit: seconds.
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -13,11 +13,28 @@
 
 
 class ListenSettings(Struct, kw_only=True):
-    """Addresses that the process serves."""
+    """Addresses that the process serves.
+
+    Parameters
+    ----------
+    front, ready, peers : str
+        For clients, for the balancer's check, for other instances. ``IP:PORT``.
+    peers_public : str, default=""
+        Where other instances reach `peers` when something stands in between; empty: at `peers`.
+    metrics : str, default=""
+        For operators: metrics and a dump of the state; empty: not served.
+    """
 
     front: str
     ready: str
     peers: str
+    peers_public: str = ""
+    metrics: str = ""
+
+    @property
+    def peers_address(self):
+        """Where other instances reach this one."""
+        return self.peers_public or self.peers
 
 
 class Bounds(Struct, kw_only=True):
@@ -35,8 +52,6 @@
     Parameters
     ----------
     instance, failure_domain : str
-    first_start : bool
-        Whether the whole system starts for the first time.
     listen : ListenSettings
     store, advice : str
         Addresses of the platform's services; `advice` may be empty.
@@ -51,7 +66,6 @@
     listen: ListenSettings
     store: str
     advice: str = ""
-    first_start: bool = False
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     orders: str = ORDERS_BY_CALL
     log_level: str = "info"
@@ -76,8 +90,10 @@
         raise SettingsError(
             f"{path}: $.orders: {settings.orders!r} is not built; allowed: {ORDERS_BY_CALL}"
         )
-    for name in ("front", "ready", "peers"):
-        host, _, port = getattr(settings.listen, name).rpartition(":")
-        if not host or not port.isdigit():
+    for name in ("front", "ready", "peers", "peers_public", "metrics"):
+        address = getattr(settings.listen, name)
+        host, _, port = address.rpartition(":")
+        is_left_out = not address and name in ("peers_public", "metrics")
+        if not is_left_out and not (host and port.isdigit()):
             raise SettingsError(f"{path}: $.listen.{name}: allowed: IP:PORT")
     return settings
--- a/anvilflow/cli/_program.py
+++ b/anvilflow/cli/_program.py
@@ -5,9 +5,11 @@
 import sys
 
 import fire
+from fire.decorators import SetParseFn
 from logbook import StderrHandler, lookup_level
 
 from ..exceptions import AnvilflowError, CallError, RequestError
+from ..logs import explain_job, read_log
 from ..settings import load_settings, parse_address
 from ..utils import decode
 from ._api import Api
@@ -59,6 +61,25 @@
         checked = load_settings(str(settings))
         print(f"{settings}: good; instance {checked.instance.name}")
 
+    # Without it, fire would take an id such as 00000000000000e1 for a number.
+    @SetParseFn(str)
+    def explain(self, job, *logs):
+        """Say what happened to a job, from the logs of instances.
+
+        Example: anvilflow explain 5c0e7a21d94b36f8 a1.log a2.log
+        """
+        if not logs:
+            raise CallError("name at least one log file")
+        lines = []
+        for path in logs:
+            try:
+                with open(path, encoding="utf-8", errors="replace") as file:
+                    lines += read_log(file)
+            except OSError as exc:
+                raise CallError(f"{path}: cannot be read: {exc.strerror}") from exc
+        for line in explain_job(str(job), lines):
+            print(line)
+
     def apply(self, *paths, operators=None, dry_run=False, output="table"):
         """Bring declarations into force, and print the difference.
 
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -22,6 +22,7 @@
     "RequestError",
     "RevisionGoneError",
     "SettingsError",
+    "SlowWriteError",
     "TooLargeError",
     "UnknownOutcomeError",
     "WorkerGoneError",
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs of a cell: what clients submit and what is decided next, without input or output."""
 
-from ._actions import AskAdvice, SetPace, StartRun, StopRun
+from ._actions import AskAdvice, NoteWait, SetPace, StartRun, StopRun
 from ._apart import ApartWorker, held_apart
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
 from ._record import EndedJob, JobRecord
@@ -20,6 +20,7 @@
     "JobSpec",
     "JobState",
     "Limits",
+    "NoteWait",
     "Queue",
     "RunEnd",
     "RunReport",
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -38,3 +38,26 @@
     step: str
     workers: list[str]
     length_s: float
+
+
+class NoteWait(Struct, kw_only=True):
+    """Say why tasks of a step wait.
+
+    Parameters
+    ----------
+    step : str
+    n_waiting : int
+    n_allowed, n_refused : int
+        Workers that advice has allowed at some time, and those that it has not.
+    n_open : int
+        Workers that may run the step and take work now.
+    n_with_room : int
+        Those of them on which a task fits.
+    """
+
+    step: str
+    n_waiting: int
+    n_allowed: int
+    n_refused: int
+    n_open: int
+    n_with_room: int
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -48,6 +48,7 @@
         self.workers = {}
         self.asking = {}
         self.pace_changed_at = {}
+        self._first_starts = []
         self.began_at = now
         self.settled_at = now + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
@@ -60,6 +61,11 @@
             StopRun(worker_id=run.worker.info.worker_id, task=run.task, run_id=run.run_id, why=why)
         ]
 
+    def take_first_starts(self):
+        """Return how long jobs waited that have begun since the last call. Unit: seconds."""
+        taken, self._first_starts = self._first_starts, []
+        return taken
+
     # Workers
 
     def worker_listed(self, info, now):
@@ -250,6 +256,8 @@
         job = run.job
         if not job.begun:
             job.begun = True
+            if not job.inherited and not job.spec.n_occurrences:
+                self._first_starts.append(now - job.accepted_at)
             if not job.is_ended:
                 job.state = JobState.RUNNING
         _, task = self.find_task(run.task)
--- /dev/null
+++ b/anvilflow/metrics/_meters.py
@@ -0,0 +1,108 @@
+"""What one instance of a cell counts and times, and its page of metrics."""
+
+import resource
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+_MICROSECONDS = 1_000_000
+_LONGEST_US = 600 * _MICROSECONDS
+_DIGITS = 2
+
+#: Quantiles on the page.
+QUANTILES = (0.5, 0.95, 0.99)
+
+#: Counters by name: meaning and labels.
+COUNTS = {
+    "calls": ("Calls of clients.", ("verb", "status")),
+    "starts": ("Orders to start a task, by the worker's answer.", ("answer",)),
+    "ends": ("Ends of tasks that workers told, by how they ended.", ("how",)),
+    "stops": ("Orders to stop a run, by reason.", ("why",)),
+    "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
+    "store_calls": ("Calls to the store.", ("kind",)),
+}
+
+#: Times by name, with their meaning. Unit: seconds.
+TIMES = {
+    "accept": "From a client's job to its row being durable.",
+    "first_start": "From the acceptance of a job to its first task at work, at the home.",
+    "record": "From the first change of a job that is not durable to its record.",
+    "advice": "From an ask for advice to its answer.",
+    "load": "From the claim of the home's place to the first decision.",
+}
+
+
+class Meters:
+    """Counts and times, kept cheap: the page is made when somebody asks for it.
+
+    Examples
+    --------
+    >>> meters = Meters()
+    >>> meters.count("ends", "done")
+    >>> meters.timed("accept", 0.25)
+    >>> b'anvilflow_accept_seconds_count 1.0' in meters.page()
+    True
+    """
+
+    def __init__(self):
+        self.counts = Counter()
+        self._times = {}
+
+    def count(self, name, *labels, n=1):
+        """Add to a counter of :data:`COUNTS`."""
+        if len(labels) != len(COUNTS[name][1]):
+            raise ValueError(f"{name} takes the labels {COUNTS[name][1]}")
+        self.counts[name, labels] += n
+
+    def timed(self, name, seconds):
+        """Record a time of :data:`TIMES`."""
+        histogram = self._times.get(name)
+        if histogram is None:
+            if name not in TIMES:
+                raise KeyError(name)
+            histogram = self._times[name] = HdrHistogram(1, _LONGEST_US, _DIGITS)
+        histogram.record_value(min(_LONGEST_US, max(1, int(seconds * _MICROSECONDS))))
+
+    def collect(self):
+        """Yield the families of the page."""
+        # Imported here: most instances are never asked, and each start would pay for it.
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+        from prometheus_client.metrics_core import Metric
+
+        for name, (meaning, labels) in COUNTS.items():
+            family = CounterMetricFamily(f"anvilflow_{name}", meaning, labels=labels)
+            for (counted, values), n in sorted(self.counts.items()):
+                if counted == name:
+                    family.add_metric(values, n)
+            yield family
+        for name, meaning in TIMES.items():
+            full = f"anvilflow_{name}_seconds"
+            family = Metric(full, meaning, "summary")
+            histogram = self._times.get(name)
+            n_values = histogram.get_total_count() if histogram else 0
+            for quantile in QUANTILES if n_values else ():
+                value = histogram.get_value_at_percentile(100 * quantile) / _MICROSECONDS
+                family.add_sample(full, {"quantile": str(quantile)}, value)
+            total = histogram.get_mean_value() * n_values / _MICROSECONDS if n_values else 0.0
+            family.add_sample(f"{full}_count", {}, n_values)
+            family.add_sample(f"{full}_sum", {}, total)
+            yield family
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        yield CounterMetricFamily(
+            "anvilflow_processor_seconds",
+            "Processor time of the process.",
+            value=usage.ru_utime + usage.ru_stime,
+        )
+        yield GaugeMetricFamily(
+            "anvilflow_peak_memory_bytes",
+            "Peak memory of the process.",
+            value=usage.ru_maxrss * 1024,
+        )
+
+    def page(self):
+        """Return the page in the usual text format."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -39,7 +39,8 @@
     ----------
     entry : object
         Offers ``config``, ``closing``, ``submit(spec, queue)``, ``state(queue, job_id)``,
-        ``cancel(queue, job_id)`` and ``pending(queue)``; all but the first two return Deferreds.
+        ``cancel(queue, job_id)`` and ``pending(queue)``, which return Deferreds, and
+        ``answered(verb, status)``.
     """
 
     isLeaf = True
@@ -104,6 +105,7 @@
     def _write(self, request, gone, status, value, retry_after):
         if gone:
             return
+        self.entry.answered(request.method.decode("latin-1"), status)
         request.setResponseCode(status)
         request.setHeader(b"content-type", b"application/json")
         if retry_after is not None:
--- a/anvilflow/reference/_pages.py
+++ b/anvilflow/reference/_pages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from .. import exceptions
-from ..metrics import Metrics
+from ..metrics import COUNTS, TIMES, Metrics
 from ..resources import BatchPolicy, Customer, GangPolicy, ServicePolicy, Workload
 from ..settings import Settings
 
@@ -64,6 +64,11 @@
         labels = {label for sample in family.samples for label in sample.labels}
         names = ", ".join(sorted(labels)) or _LABELS.get(family.name, "")
         lines.append(f"| `{family.name}` | {names} | {family.documentation} |")
+    lines += ["", "On the users' platform:", "", "| metric | labels | meaning |", "|---|---|---|"]
+    for name, (meaning, labels) in COUNTS.items():
+        lines.append(f"| `anvilflow_{name}` | {', '.join(labels)} | {meaning} |")
+    for name, meaning in TIMES.items():
+        lines.append(f"| `anvilflow_{name}_seconds` | quantile | {meaning} |")
     return "\n".join([*lines, ""])
 
 
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -8,7 +8,12 @@
 from ._network import MemoryNetwork
 from ._objects import MemoryObjects, ObjectServer, ObjectState
 from ._order_worker import AdviceServer, OrderWorker, RunSpan
-from ._platform_cell import PlatformCell, make_job_body, make_platform_config
+from ._platform_cell import (
+    PlatformCell,
+    find_broken_runs,
+    make_job_body,
+    make_platform_config,
+)
 from ._samples import make_declarations
 from ._server import listen
 from ._table import MemoryTable, TableServer, TableState
@@ -41,6 +46,7 @@
     "WireNetwork",
     "WorkerServer",
     "WorkerState",
+    "find_broken_runs",
     "listen",
     "make_client",
     "make_declarations",
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -252,7 +252,7 @@
 
     def check(self):
         """Return what was broken: two runs at once, runs after a done one, capacity exceeded."""
-        return _overlaps(self.spans) + _over_capacity(self.spans, self.workers)
+        return find_broken_runs(self.spans, self.workers)
 
 
 def _sizes_of_payload(task, payload):
@@ -260,6 +260,11 @@
     return float(seconds), how, int(cpu)
 
 
+def find_broken_runs(spans, workers):
+    """Return what the runs of some workers broke: twice at once, after done, over capacity."""
+    return _overlaps(spans) + _over_capacity(spans, workers)
+
+
 def _overlaps(spans):
     broken = []
     by_task = {}
