A fault soak of real processes

Change: soak/ starts instances as processes, stands in for store, advice and workers, and puts a loopback proxy before each of them: signals (kill, pause, drain, reload, all at once), stores that are silent, refuse, are slow, lose answers or carry out late, workers that crash, drain, lose their entry, connections that are reset, silenced, cut one way, delayed. It checks what callers and workers see. Not shaken: clocks.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos bench-cell days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
+.PHONY: install demo test lint format chaos soak soak-regressions bench-cell days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -23,13 +23,13 @@
 	$(BIN)/python -m pytest $$(sed -n 's/^\(anvilflow[^ ]*\) .*/--deselect=\1/p' KNOWN-RED.txt)
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet anvilflow benchmarks deploy
-	$(BIN)/ruff check anvilflow benchmarks deploy
+	$(BIN)/black --check --quiet anvilflow benchmarks deploy soak
+	$(BIN)/ruff check anvilflow benchmarks deploy soak
 	$(BIN)/mypy anvilflow
 
 format: $(STAMP)
-	-$(BIN)/ruff check --fix --quiet anvilflow benchmarks deploy
-	$(BIN)/black --quiet anvilflow benchmarks deploy
+	-$(BIN)/ruff check --fix --quiet anvilflow benchmarks deploy soak
+	$(BIN)/black --quiet anvilflow benchmarks deploy soak
 
 # 1,000 seeds, several processes at once; some six minutes on eight cores.
 CHAOS_SEEDS ?= 1000
@@ -40,6 +40,17 @@
 		$(BIN)/python -m anvilflow.chaos run --first {} --seeds $(CHAOS_SHARE) --out out/chaos/{}.json
 	$(BIN)/python -m anvilflow.chaos total out/chaos/*.json
 
+# Real processes under random faults, some 30 s a seed: make soak SOAK_FIRST=1 SOAK_SEEDS=50. Without
+# SOAK_FIRST the seeds are fresh ones. A broken seed's logs stay under out/soak.
+SOAK_SEEDS ?= 8
+SOAK_JOBS ?= 4
+soak: $(STAMP)
+	$(BIN)/python -m soak many $(if $(SOAK_FIRST),--first $(SOAK_FIRST)) --seeds $(SOAK_SEEDS) --jobs $(SOAK_JOBS)
+
+# Every seed that ever failed, from soak/seeds.txt.
+soak-regressions: $(STAMP)
+	$(BIN)/python -m soak regressions --jobs $(SOAK_JOBS)
+
 # The cell on stand-ins of the users' platform: half a minute.
 bench-cell: $(STAMP)
 	$(BIN)/python benchmarks/bench_cell.py
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,141 @@
+"""Callers: each submits a job, repeats what is in doubt, watches it, and sometimes cancels it."""
+
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from anvilflow.clients import HttpClient
+from anvilflow.standins import make_job_body
+from anvilflow.utils import decode_lenient
+
+#: Wait for an answer. Unit: seconds.
+ANSWER_S = 3.0
+
+#: Time for which a caller repeats a submit that is in doubt or refused. Unit: seconds.
+PATIENCE_S = 12.0
+
+#: Pause between looks at a job's state. Unit: seconds.
+LOOK_S = 0.4
+
+_HOST = {b"host": [b"desk.example"], b"content-type": [b"application/json"]}
+
+
+class Call(Struct, kw_only=True):
+    """What a caller knows of its job."""
+
+    job_id: str
+    path: str
+    steps: list[dict]
+    how: str
+    n_tasks: int
+    accepted_at: float | None = None
+    in_doubt: bool = False
+    cancelled: bool = False
+    shown: str = ""
+
+
+class Callers:
+    """Makes jobs and follows them.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    fronts : dict of str to str
+        Where each instance takes calls.
+    random_state : random.Random
+    judge : Judge
+    """
+
+    def __init__(self, *, reactor, fronts, random_state, judge):
+        self.reactor = reactor
+        self.fronts = fronts
+        self.random_state = random_state
+        self.judge = judge
+        self.calls = []
+        self._http = HttpClient(clock=reactor, connections=4)
+
+    def _now(self):
+        return self.reactor.seconds()
+
+    def _sleep(self, delay):
+        return deferLater(self.reactor, delay, lambda: None)
+
+    def make_call(self):
+        """Return a new job: one to three steps; one in eight fails, one in six is cancelled."""
+        rng = self.random_state
+        job_id = f"{rng.getrandbits(64):016x}"
+        queue = rng.choice(["urgent", "urgent", "bulk"])
+        how = "failed" if rng.random() < 0.12 else "done"
+        steps = []
+        for number in range(rng.choice([1, 1, 2, 3])):
+            step = {"count": rng.randint(1, 5), "cpu": 1000, "estimate-ms": 600}
+            if number:
+                step["after"] = [number - 1]
+            steps.append(step)
+        return Call(
+            job_id=job_id,
+            path=f"/{queue}/{job_id}",
+            steps=steps,
+            how=how,
+            n_tasks=sum(step["count"] for step in steps),
+        )
+
+    @inlineCallbacks
+    def run_one(self):
+        """Submit one job and follow it until its end is shown, or until the judge says stop."""
+        call = self.make_call()
+        self.calls.append(call)
+        cancels = self.random_state.random() < 0.16
+        seconds = round(self.random_state.uniform(0.2, 1.6), 2)
+        body = make_job_body(*call.steps, spec=f"{seconds} {call.how} 1000")
+        yield self._submit(call, body)
+        if call.accepted_at is None:
+            return
+        if cancels:
+            yield self._sleep(self.random_state.uniform(0.0, 2.0))
+            yield self._cancel(call)
+        while not self.judge.over and call.shown not in ("completed", "failed", "cancelled"):
+            yield self._look(call)
+            yield self._sleep(LOOK_S)
+
+    @inlineCallbacks
+    def _submit(self, call, body):
+        until = self._now() + PATIENCE_S
+        while self._now() < until:
+            status, _ = yield self._ask(b"POST", call.path, body)
+            if status == 200:
+                call.accepted_at = self._now()
+                return
+            call.in_doubt = call.in_doubt or status not in (429, 503)
+            yield self._sleep(self.random_state.uniform(0.2, 1.0))
+
+    @inlineCallbacks
+    def _cancel(self, call):
+        # Said before it is asked: a cancelling without an answer may take effect.
+        call.cancelled = True
+        while not self.judge.over:
+            status, _ = yield self._ask(b"DELETE", call.path)
+            if status in (200, 410):
+                return
+            yield self._sleep(LOOK_S)
+
+    @inlineCallbacks
+    def _look(self, call):
+        status, value = yield self._ask(b"GET", call.path)
+        if status == 200:
+            call.shown = value["state"]
+            self.judge.state_shown(call)
+        elif status == 410:
+            self.judge.job_denied(call)
+
+    @inlineCallbacks
+    def _ask(self, method, path, body=b""):
+        front = self.fronts[self.random_state.choice(sorted(self.fronts))]
+        url = f"http://{front}{path}"
+        try:
+            status, answer = yield self._http.call(
+                method, url, body, timeout=ANSWER_S, headers=_HOST
+            )
+        except Exception:  # whatever way a call fails in: it has no answer, and the caller says so
+            return None, None
+        return status, decode_lenient(answer) if answer else None
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,201 @@
+"""Random faults, in series and overlapping, from one seed."""
+
+import signal
+
+from msgspec import Struct
+
+#: Kinds of faults with their weights: what hits the deciding instance comes most often.
+KINDS = {
+    "kill": 3,
+    "kill home": 4,
+    "kill half": 1,
+    "kill all": 1,
+    "pause": 2,
+    "pause home": 3,
+    "drain": 2,
+    "drain home": 2,
+    "reload": 1,
+    "store silent": 2,
+    "store refuses": 2,
+    "store slow": 2,
+    "store loses answers": 2,
+    "store late": 2,
+    "store forgets": 1,
+    "config": 2,
+    "reset": 2,
+    "silence": 2,
+    "cut to": 2,
+    "cut from": 2,
+    "delay": 2,
+    "worker silent": 3,
+    "worker loses answers": 2,
+    "worker late": 2,
+    "worker crash": 2,
+    "worker drains": 1,
+    "worker unregistered": 1,
+}
+
+
+class Fault(Struct, kw_only=True):
+    """One fault. Unit of `at` and `for_s`: seconds."""
+
+    at: float
+    for_s: float
+    kind: str
+    pick: float
+
+
+def make_faults(random_state, *, n_faults, seconds):
+    """Return `n_faults` within a time, ordered by their beginnings."""
+    kinds = random_state.choices(list(KINDS), weights=list(KINDS.values()), k=n_faults)
+    faults = [
+        Fault(
+            at=random_state.uniform(0.5, seconds),
+            for_s=random_state.choice([0.3, 1.0, 2.0, 4.0]),
+            kind=kind,
+            pick=random_state.random(),
+        )
+        for kind in kinds
+    ]
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+class Injector:
+    """Carries faults out.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    world : World
+    instances : Instances
+    random_state : random.Random
+    """
+
+    def __init__(self, *, reactor, world, instances, random_state):
+        self.reactor = reactor
+        self.world = world
+        self.instances = instances
+        self.random_state = random_state
+
+    def plan(self, faults):
+        """Set the clock for each fault."""
+        for fault in faults:
+            self.reactor.callLater(fault.at, self.inject, fault)
+
+    def _later(self, delay, call, *args):
+        self.reactor.callLater(delay, call, *args)
+
+    def _home(self):
+        row = self.world.store.value("home", "home", part="cell")
+        return row["holder"] if row else self.instances.names[0]
+
+    def _instance(self, fault):
+        names = self.instances.names
+        return self._home() if "home" in fault.kind else names[int(fault.pick * len(names))]
+
+    def _place(self, fault):
+        return self.world.places[int(fault.pick * len(self.world.places))]
+
+    def _proxy(self, fault):
+        names = sorted(self.world.proxies)
+        return self.world.proxies[names[int(fault.pick * len(names))]]
+
+    def inject(self, fault):
+        """Begin a fault and set the time of its end."""
+        match fault.kind.split():
+            case ["kill", "all" | "half" as share]:
+                self._kill_many(fault, 1.0 if share == "all" else 0.5)
+            case ["kill", *_]:
+                self._kill(self._instance(fault), fault.for_s)
+            case ["pause", *_]:
+                name = self._instance(fault)
+                self.instances.send(name, signal.SIGSTOP)
+                self._later(fault.for_s, self.instances.send, name, signal.SIGCONT)
+            case ["drain", *_]:
+                name = self._instance(fault)
+                self.instances.send(name, signal.SIGTERM)
+                self._later(7.0, self.instances.start, name)
+            case ["reload"]:
+                self.instances.send(self._instance(fault), signal.SIGHUP)
+            case ["config"]:
+                self.world.change_config()
+            case ["store", *what]:
+                self._store(" ".join(what), fault.for_s)
+            case ["worker", *what]:
+                self._worker(" ".join(what), self._place(fault), fault.for_s)
+            case _:
+                self._connections(fault, self._proxy(fault))
+
+    def _kill(self, name, down_s):
+        self.instances.send(name, signal.SIGKILL)
+        self._later(down_s, self.instances.start, name)
+
+    def _kill_many(self, fault, share):
+        for name in self.instances.names:
+            if self.random_state.random() < share:
+                self._kill(name, fault.for_s / 2)
+
+    def _store(self, what, for_s):
+        faults = self.world.store_faults
+        match what:
+            case "silent":
+                faults.silent = True
+            case "refuses":
+                faults.status = 503
+            case "slow":
+                faults.slow_s = 0.3
+            case "loses answers":
+                faults.loses_answers = True
+            case "late":
+                faults.late_s = 1.5
+            case "forgets":
+                self.world.store.forget_history()
+                return
+        self._later(for_s, faults.clear)
+
+    def _worker(self, what, place, for_s):
+        match what:
+            case "silent":
+                place.faults.silent = True
+                self._later(for_s, place.faults.clear)
+            case "loses answers":
+                place.faults.loses_answers = True
+                self._later(min(for_s, 1.0), place.faults.clear)
+            case "late":
+                place.worker.n_late_starts = 2
+            case "crash":
+                self.world.crash(place)
+                self._later(for_s, self.world.new_life, place)
+            case "drains":
+                self.world.drain(place)
+                self._later(for_s, self._leave, place)
+            case "unregistered":
+                worker_id = place.worker.worker_id
+                self.world.store.remove("servers", worker_id)
+                self._later(for_s, self._register, place, worker_id)
+
+    def _leave(self, place):
+        if place.worker.alive:
+            self.world.crash(place)
+            self.world.new_life(place)
+
+    def _register(self, place, worker_id):
+        worker = place.worker
+        if worker.alive and worker.worker_id == worker_id:
+            self.world.store.put("servers", worker_id, worker.entry())
+
+    def _connections(self, fault, proxy):
+        match fault.kind:
+            case "reset":
+                proxy.reset(self.random_state, 0.7)
+                return
+            case "silence":
+                proxy.silence()
+                return
+            case "cut to":
+                proxy.cut_to_target = True
+            case "cut from":
+                proxy.cut_from_target = True
+            case "delay":
+                proxy.delay_s = 0.2
+        self._later(fault.for_s, proxy.heal)
--- /dev/null
+++ b/soak/_instances.py
@@ -0,0 +1,100 @@
+"""The instances: real processes, started and ended by their ids."""
+
+import os
+import signal
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+from anvilflow.utils import encode
+
+#: Time that a process has for its end after SIGTERM. Unit: seconds.
+GRACE_S = 6.0
+
+
+class Instances:
+    """Processes of a cell.
+
+    Parameters
+    ----------
+    world : World
+    folder : Path
+        Where settings and logs are kept.
+    n_instances : int
+    free_address : callable
+        Returns an address that nobody uses.
+    """
+
+    def __init__(self, *, world, folder, n_instances, free_address):
+        self.world = world
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.names = [f"a{number}" for number in range(n_instances)]
+        self.fronts = {}
+        self._running = {}
+        self._stopped = set()
+        self._logs = {}
+        self._stack = ExitStack()
+        for name in self.names:
+            self._write_settings(name, free_address)
+
+    def _write_settings(self, name, free_address):
+        front, ready, peers = (free_address() for _ in range(3))
+        self.fronts[name] = front
+        host, port = peers.split(":")
+        world = self.world
+        public = world.make_proxy(f"{name} peers", (host, int(port))).address
+        settings = {
+            "instance": name,
+            "failure_domain": "z1",
+            "listen": {"front": front, "ready": ready, "peers": peers, "peers_public": public},
+            "store": world.make_proxy(f"{name} store", world.store_target).address,
+            "advice": world.make_proxy(f"{name} advice", world.advice_target).address,
+        }
+        (self.folder / f"{name}.json").write_bytes(encode(settings))
+
+    @property
+    def running(self):
+        """Names of the instances that have a process which is not stopped."""
+        return [name for name in self._running if name not in self._stopped]
+
+    def start(self, name):
+        """Start an instance unless it runs."""
+        if self.is_running(name):
+            return
+        log = self._logs.get(name)
+        if log is None:
+            log = self._stack.enter_context((self.folder / f"{name}.log").open("ab"))
+            self._logs[name] = log
+        env = {**os.environ, "ANVILFLOW_CONFIG": str(self.folder / f"{name}.json")}
+        self._running[name] = subprocess.Popen(
+            [sys.executable, "-m", "anvilflow.cell"], stdout=log, stderr=log, env=env
+        )
+
+    def is_running(self, name):
+        """Whether the instance has a process, stopped or not."""
+        process = self._running.get(name)
+        if process is not None and process.poll() is not None:
+            del self._running[name]
+            self._stopped.discard(name)
+            process = None
+        return process is not None
+
+    def send(self, name, number):
+        """Send a signal to an instance's process."""
+        if not self.is_running(name):
+            return
+        self._running[name].send_signal(number)
+        match number:
+            case signal.SIGSTOP:
+                self._stopped.add(name)
+            case signal.SIGCONT:
+                self._stopped.discard(name)
+
+    def close(self):
+        """Kill what still runs."""
+        for process in self._running.values():
+            process.kill()
+            process.wait()
+        self._stack.close()
--- /dev/null
+++ b/soak/_judge.py
@@ -0,0 +1,66 @@
+"""Checks what callers and workers saw against what the system promises."""
+
+from anvilflow.standins import find_broken_runs
+
+#: Time that a cancelled job's tasks may still run, after everything works again. Unit: seconds.
+CANCEL_S = 4.0
+
+
+class Judge:
+    """Collects what is broken.
+
+    Parameters
+    ----------
+    world : World
+    """
+
+    def __init__(self, *, world):
+        self.world = world
+        self.over = False
+        self.broken = []
+        self.n_checked = 0
+
+    def state_shown(self, call):
+        """Check a state that a caller was told."""
+        self.n_checked += 1
+        if call.shown == "completed" and self._n_done(call) < call.n_tasks:
+            self.broken.append(f"{call.job_id} is shown as completed, but not all is done")
+        if call.shown == "cancelled" and not call.cancelled:
+            self.broken.append(f"{call.job_id} is shown as cancelled, and nobody cancelled it")
+        if call.shown == "failed" and call.how != "failed":
+            self.broken.append(f"{call.job_id} is shown as failed without cause")
+
+    def job_denied(self, call):
+        """Note that an accepted job was said not to exist."""
+        self.broken.append(f"{call.job_id} was accepted and is denied")
+
+    def _n_done(self, call):
+        # What was untold at some time may have been told later, and then counts.
+        tasks = {
+            span.task
+            for span in self.world.spans
+            if span.how in ("done", "untold") and span.task.startswith(f"{call.job_id}.")
+        }
+        return len(tasks)
+
+    def unfinished(self, calls):
+        """Return the accepted jobs whose end has not been shown."""
+        ends = ("completed", "failed", "cancelled")
+        return [call for call in calls if call.accepted_at is not None and call.shown not in ends]
+
+    def finish(self, calls):
+        """Check everything at the end; return what is broken."""
+        self.over = True
+        for call in self.unfinished(calls):
+            self.broken.append(f"{call.job_id} was accepted and has not ended: {call.shown}")
+        known = {call.job_id: call for call in calls}
+        for span in self.world.spans:
+            call = known.get(span.task.split(".")[0])
+            if call is None:
+                self.broken.append(f"{span.task} was started, and nobody submitted it")
+            elif call.accepted_at is None and not call.in_doubt:
+                self.broken.append(f"{span.task} was started, and its job was refused")
+            elif call.cancelled and span.ended_at is None:
+                self.broken.append(f"{span.task} still runs, and its job was cancelled")
+        self.broken += find_broken_runs(self.world.spans, self.world.workers)
+        return self.broken
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,171 @@
+"""One soak: a cell of processes, callers, faults, a verdict."""
+
+import os
+import socket
+from pathlib import Path
+from random import Random
+
+from msgspec import Struct
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from anvilflow.utils import encode
+
+from ._callers import Callers
+from ._faults import Injector, make_faults
+from ._instances import Instances
+from ._judge import CANCEL_S, Judge
+from ._world import World
+
+#: Time for the processes to start and find their home. Unit: seconds.
+START_S = 3.0
+
+#: Longest time from the end of the last fault to the end of the last job. Unit: seconds.
+SETTLE_S = 45.0
+
+#: Callers begin this often. Unit: seconds.
+CALL_EVERY_S = 0.15
+
+
+class Verdict(Struct, kw_only=True):
+    """What came out of a soak."""
+
+    seed: int
+    n_jobs: int
+    n_accepted: int
+    n_runs: int
+    n_checked: int
+    faults: list[str]
+    broken: list[str]
+
+
+class SoakRun:
+    """A soak of one seed.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+    seed : int
+    folder : Path
+    seconds : float
+        For how long faults begin. Unit: seconds.
+    n_faults, n_instances, n_workers : int
+    """
+
+    def __init__(
+        self, *, reactor, seed, folder, seconds=14.0, n_faults=12, n_instances=5, n_workers=6
+    ):
+        self.reactor = reactor
+        self.seed = seed
+        self.folder = Path(folder)
+        self.seconds = seconds
+        self.n_faults = n_faults
+        self.n_instances = n_instances
+        self.n_workers = n_workers
+
+    def _sleep(self, delay):
+        return deferLater(self.reactor, delay, lambda: None)
+
+    @inlineCallbacks
+    def run(self):
+        """Play the soak; return its :class:`Verdict`."""
+        rng = Random(self.seed)
+        host = loopback_host()
+        world = World(reactor=self.reactor, host=host, n_workers=self.n_workers)
+        instances = Instances(
+            world=world,
+            folder=self.folder,
+            n_instances=self.n_instances,
+            free_address=lambda: _free_address(host),
+        )
+        faults = make_faults(rng, n_faults=self.n_faults, seconds=self.seconds)
+        try:
+            verdict = yield self._play(rng, world, instances, faults)
+        finally:
+            instances.close()
+            world.close()
+        return verdict
+
+    @inlineCallbacks
+    def _play(self, rng, world, instances, faults):
+        for name in instances.names:
+            instances.start(name)
+        yield self._sleep(START_S)
+        judge = Judge(world=world)
+        callers = Callers(
+            reactor=self.reactor, fronts=instances.fronts, random_state=rng, judge=judge
+        )
+        injector = Injector(
+            reactor=self.reactor, world=world, instances=instances, random_state=rng
+        )
+        injector.plan(faults)
+        calls = []
+        for _ in range(int((self.seconds + 2.0) / CALL_EVERY_S)):
+            calls.append(callers.run_one())
+            yield self._sleep(CALL_EVERY_S)
+        yield self._sleep(max((fault.for_s for fault in faults), default=0.0))
+        yield self._settle(world, instances, callers, judge)
+        broken = judge.finish(callers.calls)
+        yield gatherResults(calls, consumeErrors=True)
+        return Verdict(
+            seed=self.seed,
+            n_jobs=len(callers.calls),
+            n_accepted=sum(call.accepted_at is not None for call in callers.calls),
+            n_runs=len(world.spans),
+            n_checked=judge.n_checked,
+            faults=[f"{fault.at:.1f} {fault.kind} {fault.for_s}" for fault in faults],
+            broken=broken,
+        )
+
+    @inlineCallbacks
+    def _settle(self, world, instances, callers, judge):
+        """End all faults, start what is down, and wait for the last job."""
+        world.heal()
+        until = self.reactor.seconds() + SETTLE_S
+        while self.reactor.seconds() < until:
+            for name in instances.names:
+                instances.start(name)
+            yield self._sleep(0.5)
+            submitting = any(call.accepted_at is None and not call.shown for call in callers.calls)
+            if not judge.unfinished(callers.calls) and not (
+                submitting and until - self.reactor.seconds() > SETTLE_S / 2
+            ):
+                break
+        yield self._sleep(CANCEL_S)
+
+
+def loopback_host():
+    """Return a loopback address of this process alone.
+
+    A killed instance's port may be given to somebody else before it is back. On an address that
+    only this soak listens at, no other soak's answers are taken for the instance's.
+    """
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{1 + pid % 254}"
+
+
+def _free_address(host):
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
+def run_seed(seed, folder, **values):
+    """Play one seed on the reactor of this process; return its :class:`Verdict`."""
+    from twisted.internet import reactor
+
+    results = []
+    run = SoakRun(reactor=reactor, seed=seed, folder=folder, **values)
+
+    def play():
+        done = run.run()
+        done.addBoth(results.append)
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(play)
+    reactor.run()
+    [result] = results
+    if not isinstance(result, Verdict):
+        result.raiseException()
+    (Path(folder) / "verdict.json").write_bytes(encode(result))
+    return result
