A new home waits for workers that it cannot know of, and a former one stops ordering

Entries also lapse in outages of the store, in which no home can write its row. Found while thinking it through: a home that was paused or is cut off with one worker went on renewing that worker's leases, while the new one waited for the end of the last lease as reckoned from its own beginning. Change: the row says up to where its home has followed the registry. The next home reads the registry's history from there; workers that have left since keep inherited tasks waiting until they are back or all leases have ended. A home sends starts and leases only for 0.7 s after it last knew that it is the home: by its row, or by more than half of its workers. The wait for leases begins when the new home has heard more than half of the workers, so that no two homes can both go on. Tests: test_apart.py (entries that lapse in an outage; home that is cut off with a worker), each with the safeguard taken out; an outage alone stops nothing.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -28,14 +28,14 @@
         How many homes there were, this one included.
     row_version : int
         Version of the row at present.
-    apart : list of ApartWorker
-        What the former home said of workers that this one may not find or reach.
+    former : HomeRow or None
+        What the former home said of itself and of its workers.
     """
 
     token: int
     term: int
     row_version: int
-    apart: list = []
+    former: object = None
 
 
 class Deposed(Struct, kw_only=True):
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -1,8 +1,9 @@
 """The home's sessions with all workers: what goes out to them and what comes back."""
 
 from ..exceptions import PlatformError
+from ..jobs import ORDER_S
 from ..platform import decode_worker
-from ._session import WorkerSession
+from ._session import HOLD_WAIT_S, WorkerSession
 
 #: Length of the leases that are sent. Renewals come each half second; a take-over from a home that
 #: fell silent takes about 1 s, a start of all instances after a loss of power 2 s. A longer lease
@@ -35,8 +36,10 @@
         self.token = token
         self.events = events
         self.closed = False
+        self.confirmed_at = context.clock.seconds()
         self._sessions = {}
         self._unlisted = {}
+        self._heard_at = {}
 
     def close(self):
         """End all sessions."""
@@ -53,6 +56,32 @@
     def _now(self):
         return self.context.clock.seconds()
 
+    # Whether this is the home
+
+    def confirm(self, at):
+        """Note that a call that was sent at `at` showed that this is the home."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def is_confirmed(self):
+        """Whether the store has shown a moment ago that this is the home."""
+        return self._now() - self.confirmed_at <= ORDER_S
+
+    def may_order(self):
+        """Whether starts and leases may be sent.
+
+        A home that was paused or is cut off must not prolong leases whose end another home waits
+        for. In an outage of the store, more than half of the workers tell that there is no other.
+        """
+        if self.is_confirmed():
+            return True
+        now = self._now()
+        n_heard = sum(now - at <= ORDER_S for at in self._heard_at.values())
+        return 2 * n_heard > len(self.scheduler.workers)
+
+    def hold_wait(self):
+        """Return how long a hold may wait; shorter where only workers can confirm the home."""
+        return HOLD_WAIT_S if self.is_confirmed() else HOLD_WAIT_S / 2
+
     # Orders
 
     def start(self, action):
@@ -154,6 +183,7 @@
         worker = self.scheduler.workers.get(worker_id)
         if worker is None:
             return
+        self._heard_at[worker_id] = asked_at
         if worker.silent or not worker.confirmed:
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
         for end in report.ended:
@@ -193,6 +223,7 @@
         if session is not None:
             session.close()
         self._unlisted.pop(worker_id, None)
+        self._heard_at.pop(worker_id, None)
         self.scheduler.worker_ended(worker_id, self._now())
         self.events.changed()
 
--- a/anvilflow/cell/_follower.py
+++ b/anvilflow/cell/_follower.py
@@ -23,7 +23,8 @@
     read : callable
         Reads the table whole; returns a Deferred of its rows and version.
     take : callable
-        Called with rows, and whether they are the whole table: what is not among them is gone.
+        Called with rows, whether they are the whole table (what is not among them is gone), and
+        the version up to which the table is known now.
     wait_s, pause_s : float, default=0.0
         Longest wait of one reading, and pause between two. Unit: seconds.
     """
@@ -64,7 +65,7 @@
                 pause = AGAIN_S
                 continue
             if not self.closed:
-                self.take(rows, is_whole)
+                self.take(rows, is_whole, version)
 
     def _changes(self, version):
         return self.context.store.follow(self.table, version, wait_s=self.wait_s)
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -18,6 +18,7 @@
     NoteWait,
     Scheduler,
     SetPace,
+    Settling,
     StartRun,
     StopRun,
 )
@@ -32,6 +33,7 @@
 from ._janitor import SWEEP_S, Janitor
 from ._job_store import gather, read_jobs, store_job
 from ._recorder import Recorder
+from ._registry import find_missing
 from ._tables import (
     CANCEL_MARK,
     ENDED,
@@ -146,13 +148,16 @@
             store.read(PROGRESS, PART),
             store.read(ENDED, PART),
             store.read(REGISTRY_TABLE, ""),
+            find_missing(store, claimed.former),
         ]
         results = yield gather(reads)
-        (jobs, jobs_version), (records, _), (ended, _), (workers, workers_version) = results
+        (jobs, jobs_version), (records, _), (ended, _), (workers, workers_version), missing = (
+            results
+        )
         if self._claimed is not claimed:
             return
-        stop_s = self.context.settings.bounds.stop_s
-        scheduler = Scheduler(term=claimed.term, lease_s=LEASE_S, stop_s=stop_s, now=self.now)
+        scheduler = self._make_scheduler(claimed, missing)
+        scheduler.registry_version = workers_version
         if self.context.config is not None:
             scheduler.configure(self.context.config)
         self._scheduler = scheduler
@@ -171,12 +176,13 @@
             scheduler=scheduler,
             on_recorded=self._recorded,
             on_deposed=self.deposed,
+            on_confirmed=self._fleet.confirm,
         )
         self._recorder.note_progress_rows(row.key for row in records)
         self._take_over_jobs(jobs, records, ended)
         for row in workers:
             self._fleet.take_entry(row)
-        for apart in claimed.apart:
+        for apart in claimed.former.apart if claimed.former is not None else ():
             self._fleet.take_apart(apart)
         self._loaded = True
         self.context.home = self
@@ -192,6 +198,24 @@
         self._recorder.run().addErrback(self.fail_with)
         self._follow_all(jobs_version, workers_version)
 
+    def _make_scheduler(self, claimed, missing):
+        former = claimed.former
+        settling = Settling(
+            term=claimed.term,
+            lease_s=LEASE_S,
+            now=self.now,
+            n_workers=former.n_workers if former is not None else 0,
+            missing=missing or (),
+            is_known=missing is not None,
+        )
+        return Scheduler(
+            term=claimed.term,
+            lease_s=LEASE_S,
+            stop_s=self.context.settings.bounds.stop_s,
+            now=self.now,
+            settling=settling,
+        )
+
     def _sweep(self):
         return self._janitor.sweep() if self._janitor is not None else None
 
@@ -285,12 +309,13 @@
         for follower, version in zip(self._followers, (jobs_version, workers_version), strict=True):
             follower.run(version).addErrback(self.fail_with)
 
-    def _take_jobs(self, rows, _):
+    def _take_jobs(self, rows, _, __):
         for row in rows:
             self._job_row(row)
         self.changed()
 
-    def _take_workers(self, rows, is_whole):
+    def _take_workers(self, rows, is_whole, version):
+        self._scheduler.registry_version = version
         for row in rows:
             self._fleet.take_entry(row)
         if is_whole:
@@ -345,7 +370,7 @@
     def _plan(self):
         self._planned = None
         scheduler = self._scheduler
-        if scheduler is None or not self._loaded:
+        if scheduler is None or not self._loaded or not self._fleet.may_order():
             return
         scheduler.n_advisers = self._advisers.n_advisers
         for seconds in scheduler.take_first_starts():
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -207,13 +207,19 @@
     def _claim(self, why):
         if self.context.leaving:
             return
+        former = self.row
         row = HomeRow(
             holder=self.context.name,
             incarnation=self.context.incarnation,
             address=self.context.settings.listen.peers_address,
-            term=(self.row.term if self.row is not None else 0) + 1,
-            apart=self.row.apart if self.row is not None else [],
+            term=1,
         )
+        if former is not None:
+            # What it said of its workers stays true until this home has heard them.
+            row.term = former.term + 1
+            row.apart = former.apart
+            row.registry_version = former.registry_version
+            row.n_workers = former.n_workers
         conditions = [condition(HOME, HOME_KEY, self.row_version)]
         try:
             version = yield self.context.store.commit(conditions, [write(HOME, HOME_KEY, row)])
@@ -234,4 +240,4 @@
         self.context.links.leave_home()
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term)
-        self.post(Claimed(token=version, term=row.term, row_version=version, apart=row.apart))
+        self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -63,6 +63,8 @@
     on_recorded : callable
         Called after each transaction with the ids of the jobs that have ended in it.
     on_deposed : callable
+    on_confirmed : callable
+        Called with the time at which a call was sent that showed that this is the home.
 
     Notes
     -----
@@ -71,11 +73,12 @@
     an outage gave its place away again and again.
     """
 
-    def __init__(self, *, context, claimed, scheduler, on_recorded, on_deposed):
+    def __init__(self, *, context, claimed, scheduler, on_recorded, on_deposed, on_confirmed):
         self.context = context
         self.scheduler = scheduler
         self.on_recorded = on_recorded
         self.on_deposed = on_deposed
+        self.on_confirmed = on_confirmed
         self.stopped = False
         self.n_commits = 0
         self._row_version = claimed.row_version
@@ -145,6 +148,8 @@
             address=self.context.settings.listen.peers_address,
             term=self._term,
             apart=apart,
+            registry_version=self.scheduler.registry_version,
+            n_workers=len(self.scheduler.workers),
         )
 
     @inlineCallbacks
@@ -168,16 +173,20 @@
             except PlatformError as exc:
                 unsure = unsure or not isinstance(exc, PlatformRefusedError)
                 self._timeout = min(MAX_TIMEOUT_S, 2 * self._timeout)
+                began = clock.seconds()
                 row = yield self._read_row()
                 if row is not None and row.version != self._row_version:
                     self._refused(row, snapshot, unsure)
                     return
+                if row is not None:
+                    self.on_confirmed(began)
                 yield self._sleep(jitter(self.context.random_state, AGAIN_S))
                 continue
             self._answered()
             answer_s = clock.seconds() - began
             self.context.store_health.answer_s = answer_s
             self._timeout = answer_timeout(answer_s)
+            self.on_confirmed(began)
             self._done(snapshot, version)
             return
 
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -38,7 +38,8 @@
         ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``; and of each lease before
         it is sent, ``lease_sent``. ``seen(worker_id)`` gives the number of the last durable end,
         ``has_unseen(worker_id)`` tells whether there are later ones, ``is_silent(worker_id)``
-        whether the last call to the worker had no answer.
+        whether the last call to the worker had no answer, ``may_order()`` whether starts and
+        leases may be sent, ``hold_wait()`` how long a hold may wait.
     """
 
     def __init__(self, *, clock, calls, lease_s, home):
@@ -72,6 +73,8 @@
             if not answered:
                 # Once at once: an answer that was lost says nothing about the worker.
                 yield deferLater(self.clock, AGAIN_S if failed_before else 0.0, lambda: None)
+            elif not self.home.may_order():
+                yield deferLater(self.clock, AGAIN_S, lambda: None)
             elif self.home.has_unseen(self.worker_id):
                 yield self._wait_for_record()
 
@@ -105,12 +108,13 @@
         # A lease that may have been renewed keeps the worker's tasks from starting elsewhere. A
         # worker that does not answer is asked without one, so that the wait for its tasks has an
         # end: renewed with each try, they waited until it came back.
-        until = None if first or self.home.is_silent(self.worker_id) else self._until(sent)
+        asks_only = first or self.home.is_silent(self.worker_id) or not self.home.may_order()
+        until = None if asks_only else self._until(sent)
         try:
             report = yield self.calls.hold(
                 seen=self.home.seen(self.worker_id),
                 until_s=until,
-                wait_s=0.0 if until is None else HOLD_WAIT_S,
+                wait_s=0.0 if asks_only else self.home.hold_wait(),
             )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self._failed(exc)
@@ -168,6 +172,8 @@
 
     @inlineCallbacks
     def _start_once(self, action, timeout):
+        if not self.home.may_order():
+            return "unreached"
         until = self._until(self.clock.seconds())
         try:
             yield self.calls.start(action, until_s=until, timeout=timeout)
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -28,6 +28,8 @@
     """Who is the home; written anew with each of its transactions, which fences them all.
 
     `apart` names what runs on workers that the next home cannot ask, or would not know of.
+    `registry_version` says up to where the home has followed the registry; `n_workers` how many it
+    holds.
     """
 
     holder: str
@@ -35,6 +37,8 @@
     address: str
     term: int
     apart: list[ApartWorker] = []
+    registry_version: int = 0
+    n_workers: int = 0
 
 
 class JobRow(Struct, kw_only=True):
--- a/anvilflow/cell/tests/test_apart.py
+++ b/anvilflow/cell/tests/test_apart.py
@@ -1,8 +1,9 @@
 """Take-overs beside workers that the next home cannot ask, or would not even know of."""
 
 import pytest
+from twisted.internet.defer import succeed
 
-from anvilflow.cell import _recorder
+from anvilflow.cell import _fleet, _home, _recorder
 from anvilflow.jobs import Scheduler, Worker
 
 from ._helpers import JOB, STEP, make_cell
@@ -110,3 +111,86 @@
 
 def _accepts_without_word(self, now):
     return self.confirmed and self.listed and not self.silent and not self.info.draining
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_entries_that_lapse_in_an_outage_do_not_hide_their_workers(monkeypatch, safeguard):
+    """Workers' entries lapse while the store is away, and the home, which cannot say so, dies.
+
+    The store returns; the next home finds no such workers for two seconds, while their tasks run.
+    It knows from the row up to when the former home had followed the registry, and from the
+    registry's history that entries have gone since: it waits. Without that it starts the tasks a
+    second time.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_home, "find_missing", lambda *args: succeed(frozenset()))
+    cell = make_cell(n_instances=3, n_workers=4)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="20.0 done 9000")
+    cell.advance(1.0)
+    hidden = {span.worker for span in cell.spans}
+    cell.store_faults.silent = True
+    cell.advance(1.0)
+    for worker_id in hidden:
+        cell.store.remove("servers", worker_id)
+    cell.kill(cell.home())
+    cell.advance(1.0)
+    cell.store_faults.clear()
+    cell.advance(2.0)
+    for worker_id in hidden:
+        cell.store.put("servers", worker_id, cell.workers[worker_id].entry())
+    cell.advance(4.0)
+    assert (cell.check() == []) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_is_cut_off_with_a_worker_lets_its_leases_end(monkeypatch, safeguard):
+    """The home reaches neither store nor instances, but one worker that nobody else reaches.
+
+    Another instance claims and waits until the leases that it cannot ask about have ended. Were
+    they renewed by the home that is cut off, their tasks would run in two places.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "may_order", lambda self: True)
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 5000}, spec="30.0 done 5000")
+    cell.advance(1.0)
+    former, others = cell.home(), {name for name in cell.daemons if name != cell.home()}
+    cell.isolate(former)
+    cell.store_faults.silent = True
+    cell.store_faults.only = {former}
+    for worker_id, faults in cell.worker_faults.items():
+        faults.silent = True
+        faults.only = others if worker_id == cell.spans[0].worker else {former}
+    cell.advance(9.0)
+    assert cell.home() != former
+    assert (cell.check() == []) is safeguard
+
+
+def test_home_that_loses_the_store_alone_goes_on_ordering():
+    """In an outage for all, the home hears its workers: leases are renewed and steps follow."""
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.submit("a0", JOB, STEP, {**STEP, "after": [0]}, spec="4.0 done 1000")
+    cell.advance(0.5)
+    cell.store_faults.silent = True
+    cell.advance(9.0)
+    assert [span.how for span in cell.spans] == ["done"] * 8
+
+
+def test_home_that_was_paused_sends_no_lease_before_it_has_heard_of_anybody():
+    """The home is paused for ten seconds, and with it the worker's tasks lapse; then it wakes.
+
+    Its first holds carry no lease: another home may wait for the end of the last one meanwhile.
+    """
+    cell = make_cell(n_instances=2, n_workers=2)
+    home = cell.home()
+    cell.advance(1.0)
+    cell.pause(home)
+    cell.advance(5.0)
+    before = {name: worker.until for name, worker in cell.workers.items()}
+    for faults in cell.worker_faults.values():
+        faults.loses_answers = True
+    cell.resume(home)
+    cell.advance(0.3)
+    assert all(cell.workers[name].until <= max(before[name], 0.0) for name in before) or (
+        cell.home() != home
+    )
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -5,11 +5,13 @@
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
+from ._settling import ORDER_S, Settling
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 
 __all__ = [
     "ENDED_STATES",
+    "ORDER_S",
     "AdviceRules",
     "ApartWorker",
     "AskAdvice",
@@ -26,6 +28,7 @@
     "RunReport",
     "Scheduler",
     "SetPace",
+    "Settling",
     "StartRun",
     "StepSpec",
     "StopRun",
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -3,8 +3,9 @@
 from ._actions import StopRun
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
+from ._settling import Settling
 from ._sickness import note_duration
-from ._worker import CLOCK_DRIFT, LEASE_MARGIN_S, Run, Stray, Worker
+from ._worker import Run, Stray, Worker, lease_end
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
 #: know how many its predecessor started, and a worker refuses a number that is not higher.
@@ -25,6 +26,8 @@
 #: while homes changed, and is heard of by the next reading of the feed. Unit: seconds.
 UNKNOWN_JOB_S = 1.5
 
+_NEVER = float("inf")
+
 
 class RunBook:
     """What runs where, by worker.
@@ -38,9 +41,11 @@
     lease_s, stop_s, now : float
         Length of the leases, longest time that a stop takes, and when this home took over. Unit:
         seconds.
+    settling : Settling, default=None
+        What is left of earlier homes; None: what only the term tells.
     """
 
-    def __init__(self, *, term, lease_s, stop_s, now):
+    def __init__(self, *, term, lease_s, stop_s, now, settling=None):
         self.term = term
         self.lease_s = lease_s
         self.stop_s = stop_s
@@ -50,7 +55,8 @@
         self.pace_changed_at = {}
         self._first_starts = []
         self.began_at = now
-        self.settled_at = now + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+        self.settling = settling or Settling(term=term, lease_s=lease_s, now=now)
+        self.registry_version = 0
 
     def _stop(self, run, now, why):
         if run.state == "stopping":
@@ -73,13 +79,35 @@
         worker = self.workers.get(info.worker_id)
         is_new = worker is None
         if is_new:
-            worker = Worker(info=info, lease_over_at=self.settled_at)
+            worker = Worker(info=info, lease_over_at=self._unheard_lease_over_at())
             self.workers[info.worker_id] = worker
+            self.settling.worker_found(info.worker_id)
         worker.info = info
         worker.listed = True
         worker.note_leaving(now)
         return is_new
 
+    def _unheard_lease_over_at(self):
+        over_at = self.settling.leases_over_at
+        return _NEVER if over_at is None else over_at
+
+    def _settled(self):
+        """All leases of earlier homes have an end now: those of unheard workers, too."""
+        for worker in self.workers.values():
+            if not worker.confirmed:
+                worker.lease_over_at = self.settling.leases_over_at
+
+    def _hear(self, worker, now):
+        """Note that a worker has answered this home: it refuses every earlier one from now on."""
+        if worker.confirmed:
+            return
+        worker.confirmed = True
+        worker.accounted = False
+        worker.lease_over_at = lease_end(now, self.lease_s)
+        n_heard = sum(each.confirmed for each in self.workers.values())
+        if self.settling.heard(n_heard, len(self.workers), now):
+            self._settled()
+
     def worker_unlisted(self, worker_id):
         """A worker is no longer on the list: it gets no new work, what runs there runs on."""
         worker = self.workers.get(worker_id)
@@ -170,8 +198,7 @@
             answered = run.state in ("running", "barred")
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, now)
-        worker.confirmed = True
-        worker.accounted = False
+        self._hear(worker, now)
         worker.silent = False
         actions += pace_fillers(self, worker, now)
         return actions
@@ -384,6 +411,8 @@
 
     def lost_leases(self, now):
         """Forget the runs of silent workers whose leases have surely ended."""
+        if self.settling.waited(now):
+            self._settled()
         for worker in list(self.workers.values()):
             lapsed = now >= worker.lease_over_at and (worker.silent or not worker.listed)
             if not (lapsed or worker.has_left(now)):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -8,10 +8,6 @@
 from ._run_book import RunBook
 from ._sickness import GIVEN_UP_SLOWNESS, find_sick_runs, has_copy
 
-#: Time after a take-over in which a former home that lives may still start jobs that came since: it
-#: learns from its next write, or from any worker, that it is no longer the home. Unit: seconds.
-FORMER_HOME_S = 1.0
-
 #: Period of looking for sick runs. Workers report twice a second, and a look goes through all runs:
 #: 14,000 at the target. Unit: seconds.
 SICK_CHECK_S = 0.1
@@ -36,17 +32,19 @@
         When this home took over. Unit: seconds.
     n_advisers : int, default=1
         Advice calls that may be under way at once.
+    settling : Settling, default=None
+        What is left of earlier homes; None: what only the term tells.
 
     Notes
     -----
     Starts are not recorded. A new home learns from each worker what runs there before it starts
     anything on it, and the worker refuses the former home from then on. What no worker lists may
     still run on one that has not answered yet: a task that an earlier home may have started waits
-    until all have answered, or until every lease of that home has surely ended.
+    until all have answered, or until every lease of that home has surely ended, see `_settling`.
     """
 
-    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1):
-        super().__init__(term=term, lease_s=lease_s, stop_s=stop_s, now=now)
+    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1, settling=None):
+        super().__init__(term=term, lease_s=lease_s, stop_s=stop_s, now=now, settling=settling)
         self.n_advisers = n_advisers
         self.ended = OrderedDict()
         self.config = None
@@ -210,7 +208,8 @@
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
-        unsettled_until = self.settled_at if job.inherited else self.began_at + FORMER_HOME_S
-        if now >= unsettled_until:
+        if self.settling.is_over(job.inherited, now):
             return True
-        return all(worker.confirmed or worker.accounted for worker in self.workers.values())
+        return self.settling.knows_all and all(
+            worker.confirmed or worker.accounted for worker in self.workers.values()
+        )
--- /dev/null
+++ b/anvilflow/jobs/_settling.py
@@ -0,0 +1,91 @@
+"""When the orders of earlier homes can do nothing any more."""
+
+from ._worker import lease_end
+
+#: Time for which a home may go on ordering after it last knew that it is the home: from a write
+#: under its row, or from more than half of its workers, which took its token. Workers are held each
+#: half second, and twice as often while the store is away. Unit: seconds.
+ORDER_S = 0.7
+
+#: Time after which a home that has not heard more than half of the workers waits no longer: those
+#: that are gone for good must not keep it waiting for ever. Unit: seconds.
+LONGEST_S = 15.0
+
+
+class Settling:
+    """What a new home must wait for before it may start what an earlier one may have started.
+
+    Parameters
+    ----------
+    term : int
+        How many homes there were, this one included.
+    lease_s, now : float
+        Unit: seconds.
+    n_workers : int, default=0
+        Workers that the former home held.
+    missing : frozenset of str, default=frozenset()
+        Workers that have left the registry since the former home last wrote about it. They may run
+        on, and nobody knows where they are.
+    is_known : bool, default=True
+        Whether the registry's history reaches back that far.
+
+    Notes
+    -----
+    A former home that lives and is cut off goes on for :data:`ORDER_S` after it last knew that it
+    is the home. Two homes cannot both hear more than half of the workers: one that took the new
+    token refuses the old one. So `ORDER_S` after this home has heard that many, no order of a
+    former home is sent any more, and a lease later none is in force.
+    """
+
+    def __init__(self, *, term, lease_s, now, n_workers=0, missing=frozenset(), is_known=True):
+        self.lease_s = lease_s
+        self.began_at = now
+        self.n_workers = n_workers
+        self.missing = set(missing)
+        self.is_known = is_known
+        self.orders_over_at = None
+        self.leases_over_at = None
+        if term == 1:
+            self._settle(now - ORDER_S - lease_end(0.0, lease_s))
+
+    def worker_found(self, worker_id):
+        """A worker has registered."""
+        self.missing.discard(worker_id)
+
+    def heard(self, n_heard, n_workers, now):
+        """Take how many of the workers have answered; return True when that settles it."""
+        n_all = max(self.n_workers, n_workers + len(self.missing))
+        if self.leases_over_at is None and 2 * n_heard > n_all:
+            self._settle(now)
+            return True
+        return False
+
+    def waited(self, now):
+        """Give up waiting for more workers after a long time; return True when it does."""
+        if self.leases_over_at is None and now >= self.began_at + LONGEST_S:
+            self._settle(now)
+            return True
+        return False
+
+    def _settle(self, now):
+        self.orders_over_at = now + ORDER_S
+        self.leases_over_at = lease_end(self.orders_over_at, self.lease_s)
+
+    def is_over(self, inherited, now):
+        """Whether no order of an earlier home can matter for a job.
+
+        Parameters
+        ----------
+        inherited : bool
+            Whether the job was there when this home began; what came later can only have been
+            started since, by a home that does not know yet that it was replaced.
+        now : float
+            Unit: seconds.
+        """
+        over_at = self.leases_over_at if inherited else self.orders_over_at
+        return over_at is not None and now >= over_at
+
+    @property
+    def knows_all(self):
+        """Whether every worker that may run something is known."""
+        return self.is_known and not self.missing
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -55,6 +55,11 @@
     ended: tuple[RunEnd, ...]
 
 
+def lease_end(sent_at, lease_s):
+    """Return when a lease that was sent has surely ended, by a slow clock. Unit: seconds."""
+    return sent_at + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+
+
 class Stray:
     """A run that a worker lists and that has no place here: of a job not known, or out of date.
 
@@ -235,5 +240,4 @@
 
     def lease_sent(self, sent_at, lease_s):
         """Note that a lease of `lease_s` was sent: it may last that long on a slow clock."""
-        end = sent_at + lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
-        self.lease_over_at = max(self.lease_over_at, end)
+        self.lease_over_at = max(self.lease_over_at, lease_end(sent_at, lease_s))
