An instance starts 0.1 s sooner and sees the successor of a dark home at once

Change: the home's row is watched while the connection is being made; a home reads new jobs ten times a second for its first 1.5 s; prometheus_client is imported when a page is made, and bodies are read by Twisted itself. Test: test_instance_that_starts_beside_a_dark_home_finds_its_successor_at_once.

--- a/anvilflow/cell/_follower.py
+++ b/anvilflow/cell/_follower.py
@@ -5,8 +5,11 @@
 
 from ..exceptions import PlatformError, RevisionGoneError
 
-#: Time after the beginning of a home at which it first reads what came since. Unit: seconds.
-FIRST_FEED_S = 0.1
+#: Pause between readings after the beginning of a home, and for how long. Instances that have not
+#: found it yet cannot tell it of the jobs that they accept: a lookup waited for up to a second.
+#: Unit: seconds.
+QUICK_PAUSE_S = 0.1
+QUICK_S = 1.5
 
 #: Wait after a reading that failed. Unit: seconds.
 AGAIN_S = 0.3
@@ -46,10 +49,12 @@
     @inlineCallbacks
     def run(self, version):
         """Follow the table from `version`."""
-        pause = min(FIRST_FEED_S, self.pause_s)
+        quick_until = self.context.clock.seconds() + QUICK_S
+        pause = min(QUICK_PAUSE_S, self.pause_s)
         while not self.closed:
             yield self._sleep(pause)
-            pause = self.pause_s
+            is_quick = self.context.clock.seconds() < quick_until
+            pause = min(QUICK_PAUSE_S, self.pause_s) if is_quick else self.pause_s
             is_whole = version is None
             try:
                 if is_whole:
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -1,7 +1,6 @@
 """Accepted jobs in the store: written once by an entry, marked when they are cancelled."""
 
-from twisted.internet.defer import Deferred, FirstError, gatherResults, inlineCallbacks, succeed
-from twisted.python.failure import Failure
+from twisted.internet.defer import FirstError, gatherResults, inlineCallbacks
 
 from ..exceptions import (
     PlatformError,
@@ -11,6 +10,7 @@
 )
 from ..jobs import EndedJob, JobState
 from ..utils import decode
+from ._outcome import Outcome
 from ._tables import CANCEL_MARK, ENDED, JOB_PARTS, JOBS, PART, condition, job_part, write
 
 #: Longest wait for the write of a job's row. A part of the store queues for 1 s at the most and
@@ -88,7 +88,7 @@
     SlowWriteError
         AF405, the same, while the store answers: another instance would do no better.
     """
-    writing = _Outcome(store_job(store, value, timeout=LONGEST_WRITE_S))
+    writing = Outcome(store_job(store, value, timeout=LONGEST_WRITE_S))
     until = clock.seconds() + LONGEST_WRITE_S
     pause = doubt_s
     while True:
@@ -116,40 +116,6 @@
     return rows[0] if rows else None
 
 
-class _Outcome:
-    """The result of a call, which can be waited for with a limit and looked at later."""
-
-    def __init__(self, call):
-        self.is_known = False
-        self._result = None
-        self._waiting = None
-        call.addBoth(self._take)
-
-    def _take(self, result):
-        self.is_known = True
-        self._result = result
-        self._wake()
-
-    def _wake(self):
-        waiting, self._waiting = self._waiting, None
-        if waiting is not None:
-            waiting.callback(None)
-
-    def wait(self, clock, delay):
-        """Return a Deferred that fires with the result's arrival, at the latest after `delay`."""
-        if self.is_known:
-            return succeed(None)
-        self._waiting = waiting = Deferred()
-        late = clock.callLater(max(0.0, delay), self._wake)
-        return waiting.addBoth(lambda _: late.cancel() if late.active() else None)
-
-    def get(self):
-        """Return the result, or raise the failure."""
-        if isinstance(self._result, Failure):
-            self._result.raiseException()
-        return self._result
-
-
 @inlineCallbacks
 def read_stored_job(store, job_id):
     """Return a job's :class:`JobState` and its row as the store has them, or (None, None)."""
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -9,6 +9,7 @@
 from ..utils import decode, jitter
 from ._context import Claimed, Deposed, HomeChanged
 from ._links import HomeLinkLost
+from ._outcome import Outcome
 from ._tables import HOME, HOME_KEY, PART, HomeRow, condition, write
 
 #: Period of looking at the home. Unit: seconds.
@@ -29,6 +30,9 @@
 #: one begins: a claim takes one call of some 5 ms. Unit: seconds.
 RANK_STEP_S = 0.06
 
+#: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
+_TICK_S = 1e-4
+
 #: Wait before the store or an unreachable home is tried again. Unit: seconds.
 AGAIN_S = 0.3
 
@@ -115,13 +119,7 @@
             yield self._claim_in_turn("no home" if self.row is None else "home yields")
             return
         # A connection that is open but silent says what a new one would only say after its time.
-        reached = "not reached" if linked and not changed else (yield self._dial())
-        if reached == "home":
-            return
-        if reached == "not home":
-            yield self._claim_in_turn("home gone")
-            return
-        yield self._wait_for_writes()
+        yield self._watch(None if linked and not changed else Outcome(self._dial()))
 
     def _rank(self):
         name = self.context.name
@@ -159,7 +157,8 @@
         except Exception as exc:  # every way in which a connection can fail is an answer here
             self.log.info("home not reached", home=row.holder, error=type(exc).__name__)
             return "not reached"
-        if link.peer.incarnation != row.incarnation:
+        known = self.row.incarnation if self.row is not None else None
+        if link.peer.incarnation != row.incarnation or known != row.incarnation:
             link.abort()
             return "not home"
         self.context.links.follow_home(link)
@@ -170,25 +169,47 @@
         return "home"
 
     @inlineCallbacks
-    def _wait_for_writes(self):
-        """Claim from a home that is not reached, unless it goes on writing its row.
+    def _watch(self, dialling):
+        """Look at a home's row until it is reached, has a successor, or writes no more.
+
+        A home that goes on writing is left alone: that it cannot be reached, or that a connection
+        to it is refused, a cut may do, too. A dark home is not waited for: it takes the dial 0.4 s
+        to find that out, and an instance that starts would see its successor that much later.
 
-        A refused connection proves no more than a silent one: a cut may refuse, too.
+        Parameters
+        ----------
+        dialling : Outcome or None
+            Of the connection that is being made to it; None: it is not reached.
         """
         before = self.row_version
         wait_s = max(STILL_S, STILL_READS * self._read_s) + self._rank() * RANK_STEP_S
-        n_looks = 1 + int(wait_s / LOOK_S)
-        for _ in range(n_looks):
-            yield self._sleep(wait_s / n_looks)
+        until = self.now + wait_s
+        while True:
+            pause = min(LOOK_S, max(_TICK_S, until - self.now))
+            yield (
+                self._sleep(pause) if dialling is None else dialling.wait(self.context.clock, pause)
+            )
+            if dialling is not None and dialling.is_known:
+                reached, dialling = dialling.get(), None
+                if reached == "home":
+                    return
+                if reached == "not home":
+                    yield self._claim_in_turn("home gone")
+                    return
             if (yield self._read_row()):
                 yield self._dial()
                 return
-            if self.row_version != before:
+            if self.row_version == before:
+                if self.now >= until - _TICK_S:
+                    yield self._claim("home does not write")
+                    return
+                continue
+            before, until = self.row_version, self.now + wait_s
+            if dialling is None:
                 self.log.info("home writes but is not reached", home=self.row.holder)
                 self.context.links.leave_home()
                 yield self._sleep(jitter(self.context.random_state, AGAIN_S))
                 return
-        yield self._claim("home does not write")
 
     # Claiming
 
--- a/anvilflow/cell/tests/test_recovery.py
+++ b/anvilflow/cell/tests/test_recovery.py
@@ -155,3 +155,24 @@
         cell.daemons[home].context.store_health.bad()
         cell.advance(0.1)
     assert cell.store.value("home", "home", part="cell")["term"] == term
+
+
+def test_instance_that_starts_beside_a_dark_home_finds_its_successor_at_once():
+    """The home's machine is dark; all others start, and one of them claims within 0.4 s.
+
+    An instance that waited for its connection to the dark one first would find the successor
+    0.4 s later, and what its clients submit meanwhile.
+    """
+    cell = make_cell(n_instances=4)
+    home = cell.home()
+    cell.power_off(home)
+    others = list(cell.daemons)
+    for name in others:
+        cell.kill(name)
+    cell.advance(0.5)
+    for name in others:
+        cell.start_instance(name)
+    cell.advance(0.6)
+    assert cell.home() in others
+    followers = [name for name in others if name != cell.home()]
+    assert [name for name in followers if cell.daemons[name].context.links.home_link] == followers
--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -1,6 +1,5 @@
 """HTTP calls with a time limit, over connections that are kept open."""
 
-import treq
 from twisted.internet.defer import CancelledError, TimeoutError, inlineCallbacks, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, DNSLookupError
@@ -8,9 +7,11 @@
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
+    PartialDownloadError,
     RequestNotSent,
     RequestTransmissionFailed,
     ResponseNeverReceived,
+    readBody,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
@@ -125,7 +126,8 @@
         headers : dict, default=None
         """
         # The agent below treq's client: parsing the URL, cookies and content encodings, which no
-        # service here uses, took as long again as the exchange itself.
+        # service here uses, took as long again as the exchange itself; and an instance that starts
+        # again imports 35 ms less.
         response = self._agent.request(
             method,
             url.encode("ascii"),
@@ -150,7 +152,11 @@
 
 @inlineCallbacks
 def _read(response):
-    body = yield treq.content(response)
+    try:
+        body = yield readBody(response)
+    except PartialDownloadError as exc:
+        # The end of the connection ends a body whose length was not said.
+        body = exc.response
     return response.code, body
 
 
--- a/anvilflow/metrics/_metrics.py
+++ b/anvilflow/metrics/_metrics.py
@@ -1,8 +1,6 @@
 """Waiting times by customer and kind in HDR histograms, and counters for the metrics page."""
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import SummaryMetricFamily
 
 _MICROSECONDS = 1_000_000
 _LONGEST_US = 3600 * _MICROSECONDS
@@ -22,6 +20,9 @@
     """
 
     def __init__(self):
+        # Imported here: instances that make no page start 40 ms sooner without it.
+        from prometheus_client import CollectorRegistry, Counter
+
         self._waits = {}
         self.registry = CollectorRegistry()
         self.outcomes = Counter(
@@ -51,6 +52,8 @@
 
     def collect(self):
         """Yield the waiting times in the form of the metrics page."""
+        from prometheus_client.core import SummaryMetricFamily
+
         family = SummaryMetricFamily(
             "anvilflow_waiting_seconds", "Waiting time for a place.", labels=["customer", "kind"]
         )
@@ -62,6 +65,8 @@
 
     def page(self):
         """Return the metrics page."""
+        from prometheus_client import generate_latest
+
         return generate_latest(self.registry)
 
 
