The home part and the run book are split by job

Change: what a home reads before it begins (_home_state), what it answers to entries (_home_calls), rows of jobs (_job_intake) and the workers with their leases (_worker_book) are modules of their own.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -1,20 +1,10 @@
 """The home of the cell: runs the scheduler, talks to the workers, answers about jobs."""
 
-from twisted.internet.defer import (
-    Deferred,
-    inlineCallbacks,
-    succeed,
-)
+from twisted.internet.defer import inlineCallbacks
 
-from ..exceptions import (
-    PlatformError,
-    PlatformRefusedError,
-)
+from ..exceptions import PlatformError
 from ..jobs import (
     AskAdvice,
-    EndedJob,
-    JobRecord,
-    JobState,
     NoteWait,
     Scheduler,
     SetPace,
@@ -22,25 +12,22 @@
     StartRun,
     StopRun,
 )
-from ..peers.gen.ttypes import HomeBeat, JobReply
+from ..peers.gen.ttypes import HomeBeat
 from ..platform import REGISTRY_TABLE
 from ..runtime import Part
-from ..utils import decode, jitter, to_builtins
+from ..utils import jitter, to_builtins
 from ._advisers import Advisers
 from ._context import Claimed, ConfigChanged, Deposed, Leaving
 from ._fleet import LEASE_S, Fleet
 from ._follower import TableFollower
+from ._home_calls import HomeCalls
+from ._home_state import read_state
 from ._janitor import SWEEP_S, Janitor
-from ._job_store import gather, read_jobs, store_job
+from ._job_intake import JobIntake
+from ._job_store import read_jobs
 from ._recorder import Recorder
-from ._registry import find_missing
 from ._tables import (
-    CANCEL_MARK,
-    ENDED,
     JOBS,
-    PART,
-    PROGRESS,
-    JobRow,
 )
 
 #: Period of telling the instances that the home lives. Unit: seconds.
@@ -77,10 +64,11 @@
         self._advisers = None
         self._fleet = None
         self._followers = []
-        self._waiters = {}
+        self._calls = None
         self._planned = None
         self._loaded = False
         self._janitor = None
+        self._intake = None
 
     def start(self):
         """Wait for a claim."""
@@ -140,24 +128,12 @@
     @inlineCallbacks
     def _load(self, claimed):
         """Read what lasts, then hear the workers: only then anything is started."""
-        store = self.context.store
         claimed_at = self.now
-        # All at once: where the store is slow each of them takes a quarter of a second.
-        reads = [
-            read_jobs(store),
-            store.read(PROGRESS, PART),
-            store.read(ENDED, PART),
-            store.read(REGISTRY_TABLE, ""),
-            find_missing(store, claimed.former),
-        ]
-        results = yield gather(reads)
-        (jobs, jobs_version), (records, _), (ended, _), (workers, workers_version), missing = (
-            results
-        )
+        state = yield read_state(self.context.store, claimed.former)
         if self._claimed is not claimed:
             return
-        scheduler = self._make_scheduler(claimed, missing)
-        scheduler.registry_version = workers_version
+        scheduler = self._make_scheduler(claimed, state.missing)
+        scheduler.registry_version = state.workers_version
         if self.context.config is not None:
             scheduler.configure(self.context.config)
         self._scheduler = scheduler
@@ -178,9 +154,19 @@
             on_deposed=self.deposed,
             on_confirmed=self._fleet.confirm,
         )
-        self._recorder.note_progress_rows(row.key for row in records)
-        self._take_over_jobs(jobs, records, ended)
-        for row in workers:
+        self._calls = HomeCalls(
+            context=self.context,
+            log=self.log,
+            scheduler=scheduler,
+            recorder=self._recorder,
+            home=self,
+        )
+        self._recorder.note_progress_rows(row.key for row in state.progress)
+        self._intake = JobIntake(
+            context=self.context, log=self.log, scheduler=scheduler, janitor=self._janitor
+        )
+        self.act(self._intake.take_over(state))
+        for row in state.workers:
             self._fleet.take_entry(row)
         for apart in claimed.former.apart if claimed.former is not None else ():
             self._fleet.take_apart(apart)
@@ -191,12 +177,12 @@
             "home begins",
             term=claimed.term,
             token=claimed.token,
-            jobs=len(jobs),
-            workers=len(workers),
+            jobs=len(state.jobs),
+            workers=len(state.workers),
         )
         self._tell()
         self._recorder.run().addErrback(self.fail_with)
-        self._follow_all(jobs_version, workers_version)
+        self._follow_all(state.jobs_version, state.workers_version)
 
     def _make_scheduler(self, claimed, missing):
         former = claimed.former
@@ -219,19 +205,6 @@
     def _sweep(self):
         return self._janitor.sweep() if self._janitor is not None else None
 
-    def _take_over_jobs(self, jobs, records, ended):
-        progress = {row.key: decode(row.value, JobRecord) for row in records}
-        for row in ended:
-            value = decode(row.value, EndedJob)
-            self._scheduler.forget_job(row.key, JobState(value.state), self.now)
-            self._janitor.add(row.key, value.ended_at)
-        marks = [row for row in jobs if row.key.endswith(CANCEL_MARK)]
-        for row in jobs:
-            if not row.key.endswith(CANCEL_MARK):
-                self._add_row(row, progress.get(row.key), inherited=True)
-        for row in marks:
-            self._job_row(row)
-
     def deposed(self):
         """Another home has begun."""
         self.post(Deposed())
@@ -250,10 +223,10 @@
             self._fleet.close()
         if self._recorder is not None:
             self._recorder.close()
-        self._recorder = self._scheduler = self._janitor = self._fleet = None
-        waiters, self._waiters = self._waiters, {}
-        for done in [done for each in waiters.values() for done in each]:
-            done.callback(JobReply(outcome="not home", count=0))
+        self._recorder = self._scheduler = self._janitor = self._fleet = self._intake = None
+        if self._calls is not None:
+            self._calls.close()
+        self._calls = None
 
     def _config_changed(self, _, __):
         if self._scheduler is not None:
@@ -269,12 +242,13 @@
         return HomeBeat(
             term=self._claimed.term if self._claimed else 0,
             config_version=config.version if config is not None else 0,
-            yielding=self.context.leaving or self._store_away,
+            yielding=self.context.leaving or self.is_store_away,
             successors=sorted(links.peers) if links is not None else [],
         )
 
     @property
-    def _store_away(self):
+    def is_store_away(self):
+        """Whether the store has not answered the home's own calls for a while."""
         return self._recorder is not None and self._recorder.reach.bad_for_s > STORE_BAD_S
 
     def _tell(self):
@@ -311,7 +285,8 @@
 
     def _take_jobs(self, rows, _, __):
         for row in rows:
-            self._job_row(row)
+            self.act(self._intake.take(row))
+        self._recorder.hurry()
         self.changed()
 
     def _take_workers(self, rows, is_whole, version):
@@ -324,41 +299,14 @@
                 self._fleet.entry_gone(worker_id)
         self.changed()
 
-    def _job_row(self, row):
-        if row.value is None:
-            return
-        if not row.key.endswith(CANCEL_MARK):
-            self._add_row(row, None, inherited=False)
-            return
-        job_id = row.key.removesuffix(CANCEL_MARK)
-        if job_id in self._scheduler.jobs:
-            self.log.info("job cancelled by an entry", job=job_id)
-            self.act(self._scheduler.cancel_job(job_id, self.now))
-            self._recorder.hurry()
-
-    def _add_row(self, row, record, *, inherited):
-        value = decode(row.value, JobRow, error=PlatformError)
-        self._add_job(value, row.version, record, inherited=inherited)
-
-    def _add_job(self, value, version, record, *, inherited):
-        added = self._scheduler.add_job(
-            value.spec,
-            value.queue,
-            version=version,
-            now=self.now,
-            wall_now=self.context.wall_clock(),
-            record=record,
-            inherited=inherited,
-        )
-        if added:
-            self.log.info(
-                "job taken on",
-                job=value.spec.job_id,
-                queue=value.queue.name,
-                version=version,
-                inherited=inherited,
-                tasks=sum(step.n_tasks for step in value.spec.steps),
-            )
+    def add_job(self, value, version):
+        """Take on a job that an entry has accepted."""
+        self._intake.add(value, version)
+        self.changed()
+
+    def serve(self, call):
+        """Answer an entry's :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
+        return self._calls.serve(call)
 
     # Decisions
 
@@ -433,63 +381,4 @@
         for job_id in ended:
             self._janitor.add(job_id, self.context.wall_clock())
             self.log.info("job ended", job=job_id, state=str(self._scheduler.ended.get(job_id)))
-            self._fire(job_id, "ok")
-
-    def _fire(self, job_id, outcome):
-        for done in self._waiters.pop(job_id, ()):
-            done.callback(JobReply(outcome=outcome, count=0))
-
-    # Calls of entries
-
-    def serve(self, call):
-        """Answer an entry's :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
-        match call.verb:
-            case "accepted":
-                value = decode(call.body, JobRow)
-                self._add_job(value, call.version, None, inherited=False)
-                self.changed()
-                return succeed(JobReply(outcome="ok", count=0))
-            case "state":
-                state = self._scheduler.state_of(call.job_id)
-                outcome = str(state) if state is not None else "unknown"
-                return succeed(JobReply(outcome=outcome, count=0))
-            case "pending":
-                count = self._scheduler.n_pending(call.queue)
-                return succeed(JobReply(outcome="ok", count=count))
-            case "cancel":
-                return self._cancel(call.job_id)
-            case "submit":
-                return self._submit(call)
-            case _:
-                return succeed(JobReply(outcome="failed", count=0))
-
-    def _cancel(self, job_id):
-        scheduler = self._scheduler
-        if job_id in scheduler.ended:
-            return succeed(JobReply(outcome="ok", count=0))
-        if job_id not in scheduler.jobs:
-            return succeed(JobReply(outcome="unknown", count=0))
-        self.log.info("job cancelled", job=job_id)
-        done = Deferred()
-        self._waiters.setdefault(job_id, []).append(done)
-        self.act(scheduler.cancel_job(job_id, self.now))
-        self._recorder.hurry()
-        self.changed()
-        return done
-
-    @inlineCallbacks
-    def _submit(self, call):
-        """Store a job for an entry that does not reach the store."""
-        if self._store_away:
-            return JobReply(outcome="refused", count=0)
-        value = decode(call.body, JobRow)
-        try:
-            version = yield store_job(self.context.store, value)
-        except PlatformRefusedError:
-            return JobReply(outcome="refused", count=0)
-        except PlatformError:
-            return JobReply(outcome="unsure", count=0)
-        if version and self._scheduler is not None:
-            self._add_job(value, version, None, inherited=False)
-            self.changed()
-        return JobReply(outcome="ok", count=0)
+            self._calls.job_ended(job_id)
--- /dev/null
+++ b/anvilflow/cell/_home_calls.py
@@ -0,0 +1,95 @@
+"""What the home answers to entries."""
+
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+
+from ..exceptions import PlatformError, PlatformRefusedError
+from ..peers.gen.ttypes import JobReply
+from ..utils import decode
+from ._job_store import store_job
+from ._tables import JobRow
+
+
+class HomeCalls:
+    """Answers the calls of entries during one term of the home.
+
+    Parameters
+    ----------
+    context : CellContext
+    log : Logger
+    scheduler : Scheduler
+    recorder : Recorder
+    home : object
+        Offers ``add_job(value, version)``, ``act(actions)``, ``changed()`` and ``is_store_away``.
+    """
+
+    def __init__(self, *, context, log, scheduler, recorder, home):
+        self.context = context
+        self.log = log
+        self.scheduler = scheduler
+        self.recorder = recorder
+        self.home = home
+        self.closed = False
+        self._cancelling = {}
+
+    def close(self):
+        """Answer all that wait: this is not the home any more."""
+        self.closed = True
+        cancelling, self._cancelling = self._cancelling, {}
+        for done in [done for each in cancelling.values() for done in each]:
+            done.callback(_reply("not home"))
+
+    def serve(self, call):
+        """Answer a :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
+        match call.verb:
+            case "accepted":
+                self.home.add_job(decode(call.body, JobRow), call.version)
+                return succeed(_reply("ok"))
+            case "state":
+                state = self.scheduler.state_of(call.job_id)
+                return succeed(_reply(str(state) if state is not None else "unknown"))
+            case "pending":
+                return succeed(_reply("ok", count=self.scheduler.n_pending(call.queue)))
+            case "cancel":
+                return self._cancel(call.job_id)
+            case "submit":
+                return self._submit(call)
+            case _:
+                return succeed(_reply("failed"))
+
+    def job_ended(self, job_id):
+        """A job's end is durable: answer those who wait for it."""
+        for done in self._cancelling.pop(job_id, ()):
+            done.callback(_reply("ok"))
+
+    def _cancel(self, job_id):
+        if job_id in self.scheduler.ended:
+            return succeed(_reply("ok"))
+        if job_id not in self.scheduler.jobs:
+            return succeed(_reply("unknown"))
+        self.log.info("job cancelled", job=job_id)
+        done = Deferred()
+        self._cancelling.setdefault(job_id, []).append(done)
+        self.home.act(self.scheduler.cancel_job(job_id, self.context.clock.seconds()))
+        self.recorder.hurry()
+        self.home.changed()
+        return done
+
+    @inlineCallbacks
+    def _submit(self, call):
+        """Store a job for an entry that does not reach the store."""
+        if self.home.is_store_away:
+            return _reply("refused")
+        value = decode(call.body, JobRow)
+        try:
+            version = yield store_job(self.context.store, value)
+        except PlatformRefusedError:
+            return _reply("refused")
+        except PlatformError:
+            return _reply("unsure")
+        if version and not self.closed:
+            self.home.add_job(value, version)
+        return _reply("ok")
+
+
+def _reply(outcome, *, count=0):
+    return JobReply(outcome=outcome, count=count)
--- /dev/null
+++ b/anvilflow/cell/_job_intake.py
@@ -0,0 +1,83 @@
+"""Rows of jobs, as the home takes them on."""
+
+from ..exceptions import PlatformError
+from ..jobs import EndedJob, JobRecord, JobState
+from ..utils import decode
+from ._tables import CANCEL_MARK, JobRow
+
+
+class JobIntake:
+    """Hands accepted jobs and marks of cancelled ones to the scheduler.
+
+    Parameters
+    ----------
+    context : CellContext
+    log : Logger
+    scheduler : Scheduler
+    janitor : Janitor
+    """
+
+    def __init__(self, *, context, log, scheduler, janitor):
+        self.context = context
+        self.log = log
+        self.scheduler = scheduler
+        self.janitor = janitor
+
+    def _now(self):
+        return self.context.clock.seconds()
+
+    def take_over(self, state):
+        """Take on what the store has when a home begins; return the stops that follow.
+
+        Parameters
+        ----------
+        state : StoredState
+        """
+        progress = {row.key: decode(row.value, JobRecord) for row in state.progress}
+        for row in state.ended:
+            value = decode(row.value, EndedJob)
+            self.scheduler.forget_job(row.key, JobState(value.state), self._now())
+            self.janitor.add(row.key, value.ended_at)
+        marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
+        for row in state.jobs:
+            if not row.key.endswith(CANCEL_MARK):
+                self._add_row(row, progress.get(row.key), inherited=True)
+        return [action for row in marks for action in self.take(row)]
+
+    def take(self, row):
+        """Take a row that came since; return the stops that follow from a mark."""
+        if row.value is None:
+            return []
+        if not row.key.endswith(CANCEL_MARK):
+            self._add_row(row, None, inherited=False)
+            return []
+        job_id = row.key.removesuffix(CANCEL_MARK)
+        if job_id not in self.scheduler.jobs:
+            return []
+        self.log.info("job cancelled by an entry", job=job_id)
+        return self.scheduler.cancel_job(job_id, self._now())
+
+    def _add_row(self, row, record, *, inherited):
+        value = decode(row.value, JobRow, error=PlatformError)
+        self.add(value, row.version, record, inherited=inherited)
+
+    def add(self, value, version, record=None, *, inherited=False):
+        """Take on a job, once."""
+        added = self.scheduler.add_job(
+            value.spec,
+            value.queue,
+            version=version,
+            now=self._now(),
+            wall_now=self.context.wall_clock(),
+            record=record,
+            inherited=inherited,
+        )
+        if added:
+            self.log.info(
+                "job taken on",
+                job=value.spec.job_id,
+                queue=value.queue.name,
+                version=version,
+                inherited=inherited,
+                tasks=sum(step.n_tasks for step in value.spec.steps),
+            )
--- a/anvilflow/cell/tests/test_apart.py
+++ b/anvilflow/cell/tests/test_apart.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import succeed
 
-from anvilflow.cell import _fleet, _home, _recorder
+from anvilflow.cell import _fleet, _home_state, _recorder
 from anvilflow.jobs import Scheduler, Worker
 
 from ._helpers import JOB, STEP, make_cell
@@ -123,7 +123,7 @@
     second time.
     """
     if not safeguard:
-        monkeypatch.setattr(_home, "find_missing", lambda *args: succeed(frozenset()))
+        monkeypatch.setattr(_home_state, "find_missing", lambda *args: succeed(frozenset()))
     cell = make_cell(n_instances=3, n_workers=4)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="20.0 done 9000")
     cell.advance(1.0)
--- a/anvilflow/cell/tests/test_faults.py
+++ b/anvilflow/cell/tests/test_faults.py
@@ -6,7 +6,16 @@
 from twisted.internet.defer import fail
 from twisted.python.failure import Failure
 
-from anvilflow.cell import _entry, _fleet, _home, _job_store, _leadership, _recorder, _session
+from anvilflow.cell import (
+    _entry,
+    _fleet,
+    _home,
+    _home_calls,
+    _job_store,
+    _leadership,
+    _recorder,
+    _session,
+)
 from anvilflow.jobs import Scheduler, StartRun
 
 from ._helpers import JOB, STEP, make_cell
@@ -400,7 +409,9 @@
     name = cell.other()
     cell.store_faults.status = 503
     cell.store_faults.only = {name}
-    monkeypatch.setattr(_home, "store_job", lambda store, value: fail(RuntimeError("a fault")))
+    monkeypatch.setattr(
+        _home_calls, "store_job", lambda store, value: fail(RuntimeError("a fault"))
+    )
     answers = cell.submit(name, JOB, STEP)
     cell.advance(1.0)
     assert answers[0][0] == 504
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -1,11 +1,11 @@
-"""Workers, their runs and what they report; what a job makes of it is the scheduler's."""
+"""How runs begin and end, by what workers report; what a job makes of it is the scheduler's."""
 
 from ._actions import StopRun
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
-from ._settling import Settling
 from ._sickness import note_duration
-from ._worker import Run, Stray, Worker, lease_end
+from ._worker import Stray
+from ._worker_book import WorkerBook
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
 #: know how many its predecessor started, and a worker refuses a number that is not higher.
@@ -26,150 +26,19 @@
 #: while homes changed, and is heard of by the next reading of the feed. Unit: seconds.
 UNKNOWN_JOB_S = 1.5
 
-_NEVER = float("inf")
 
-
-class RunBook:
-    """What runs where, by worker.
+class RunBook(WorkerBook):
+    """What runs where: reports, ends, and answers to orders.
 
     Base of :class:`Scheduler`, which adds the jobs: a run is started for a job's task, and its end
     moves the job on.
-
-    Parameters
-    ----------
-    term : int
-    lease_s, stop_s, now : float
-        Length of the leases, longest time that a stop takes, and when this home took over. Unit:
-        seconds.
-    settling : Settling, default=None
-        What is left of earlier homes; None: what only the term tells.
     """
 
-    def __init__(self, *, term, lease_s, stop_s, now, settling=None):
-        self.term = term
-        self.lease_s = lease_s
-        self.stop_s = stop_s
-        self.jobs = {}
-        self.workers = {}
-        self.asking = {}
-        self.pace_changed_at = {}
-        self._first_starts = []
-        self.began_at = now
-        self.settling = settling or Settling(term=term, lease_s=lease_s, now=now)
-        self.registry_version = 0
-
-    def _stop(self, run, now, why):
-        if run.state == "stopping":
-            return []
-        run.state = "stopping"
-        run.sent_at = now
-        return [
-            StopRun(worker_id=run.worker.info.worker_id, task=run.task, run_id=run.run_id, why=why)
-        ]
-
     def take_first_starts(self):
         """Return how long jobs waited that have begun since the last call. Unit: seconds."""
         taken, self._first_starts = self._first_starts, []
         return taken
 
-    # Workers
-
-    def worker_listed(self, info, now):
-        """A worker is on the list, perhaps with news of itself; return True when it is new."""
-        worker = self.workers.get(info.worker_id)
-        is_new = worker is None
-        if is_new:
-            worker = Worker(info=info, lease_over_at=self._unheard_lease_over_at())
-            self.workers[info.worker_id] = worker
-            self.settling.worker_found(info.worker_id)
-        worker.info = info
-        worker.listed = True
-        worker.note_leaving(now)
-        return is_new
-
-    def _unheard_lease_over_at(self):
-        over_at = self.settling.leases_over_at
-        return _NEVER if over_at is None else over_at
-
-    def _settled(self):
-        """All leases of earlier homes have an end now: those of unheard workers, too."""
-        for worker in self.workers.values():
-            if not worker.confirmed:
-                worker.lease_over_at = self.settling.leases_over_at
-
-    def _hear(self, worker, now):
-        """Note that a worker has answered this home: it refuses every earlier one from now on."""
-        if worker.confirmed:
-            return
-        worker.confirmed = True
-        worker.accounted = False
-        worker.lease_over_at = lease_end(now, self.lease_s)
-        n_heard = sum(each.confirmed for each in self.workers.values())
-        if self.settling.heard(n_heard, len(self.workers), now):
-            self._settled()
-
-    def worker_unlisted(self, worker_id):
-        """A worker is no longer on the list: it gets no new work, what runs there runs on."""
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.listed = False
-
-    def worker_ended(self, worker_id, now):
-        """The worker's life is certainly over: nothing runs there any more."""
-        worker = self.workers.pop(worker_id, None)
-        if worker is None:
-            return
-        for run in list(worker.runs.values()):
-            self._drop_run(run, now)
-
-    def worker_silent(self, worker_id, now):
-        """Calls to a worker fail: it gets no new work until it answers."""
-        worker = self.workers.get(worker_id)
-        if worker is not None and not worker.silent:
-            worker.silent = True
-            worker.silent_at = now
-
-    def take_on_unheard(self, worker_id, runs, now):
-        """Take on what an earlier home named as running on a worker that it could not reach.
-
-        The tasks stay there until the worker answers or its lease has surely ended; all others need
-        not wait for it.
-        """
-        worker = self.workers[worker_id]
-        worker.accounted = worker.announced = True
-        for name, run_id in runs:
-            step, task = self.find_task(name)
-            if task is None or step.job.is_ended or task.state is TaskState.DONE:
-                continue
-            run = self._make_run(worker, step, task, run_id, now)
-            run.state = "running"
-
-    def announced(self, worker_ids):
-        """Note which workers the home's row names, now that it is durable."""
-        for worker_id, worker in self.workers.items():
-            worker.announced = worker_id in worker_ids
-
-    def _drop_run(self, run, now):
-        """Forget a run that has certainly ended without a listed end."""
-        run.worker.remove_run(run)
-        step, task = self.find_task(run.task)
-        if task is None:
-            return
-        if task.runs.get(run.worker.info.worker_id) is run:
-            del task.runs[run.worker.info.worker_id]
-        self._wait_again(step, task, now)
-
-    def _wait_again(self, step, task, now):
-        if task.state is not TaskState.DONE and not task.runs:
-            if task.state is TaskState.RUNNING:
-                task.waiting_since = now
-            task.state = TaskState.WAITING
-
-    def find_task(self, name):
-        """Return the step and the task called `name`, or (None, None)."""
-        job = self.jobs.get(name.split(".", 1)[0])
-        return job.task_named(name) if job is not None else (None, None)
-
     # Reports
 
     def report(self, worker_id, report, *, asked_at, now):
@@ -260,16 +129,6 @@
                 if stray.stopped:
                     run.state = "barred"
 
-    def _make_run(self, worker, step, task, run_id, now):
-        run = Run(
-            task=task.name, run_id=run_id, worker=worker, job=step.job, step=step.spec, now=now
-        )
-        worker.add_run(run)
-        task.runs[worker.info.worker_id] = run
-        task.run_id = max(task.run_id, run_id)
-        task.state = TaskState.RUNNING
-        return run
-
     def new_run(self, worker, step, task, now):
         """Count a start that is about to be sent; return its run."""
         floor = (self.term - 1) * RUNS_PER_TERM if step.job.inherited else 0
@@ -409,19 +268,6 @@
             run.state = "barred"
             run.sent_at = now
 
-    def lost_leases(self, now):
-        """Forget the runs of silent workers whose leases have surely ended."""
-        if self.settling.waited(now):
-            self._settled()
-        for worker in list(self.workers.values()):
-            lapsed = now >= worker.lease_over_at and (worker.silent or not worker.listed)
-            if not (lapsed or worker.has_left(now)):
-                continue
-            for run in list(worker.runs.values()):
-                self._drop_run(run, now)
-            if not worker.listed:
-                del self.workers[worker.info.worker_id]
-
     def advised(self, step_key, asked, tickets, valid_until, now):
         """Take the answer to an ask; `tickets` by worker is None when there was no answer."""
         self.asking.pop(step_key, None)
