Only a run that this home has seen from its start tells how long a task takes

A new home takes running tasks on, and counted what was left of them, often 0.1 s, as their whole length; everything else of the step then looked slow. Resumed runs did the same on a small scale. Change: lengths are noted of runs only that this home started from nothing. Tests: test_what_is_left_of_a_run_is_not_taken_for_a_whole_one (failed before, both kinds), test_run_that_is_taken_on_or_resumes_is_no_whole_one.

--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -134,6 +134,7 @@
         floor = (self.term - 1) * RUNS_PER_TERM if step.job.inherited else 0
         run = self._make_run(worker, step, task, max(task.run_id, floor) + 1, now)
         run.resumes = bool(task.checkpoint)
+        run.is_whole = not run.resumes
         return run
 
     def _began(self, run, now):
@@ -178,7 +179,7 @@
         match end.how:
             case "done":
                 self._worker_did_well(worker)
-                if run is not None and not step.spec.gang:
+                if run is not None and run.is_whole and not step.spec.gang:
                     note_duration(worker, step, now - run.began_at)
                 return self._task_done(step, task, now)
             case "failed":
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -83,13 +83,15 @@
 
     `percent_clock` and `reported_clock` are the worker's time of the last progress and of the last
     report, None before the first one; `reported_at` is our time of the last report, and
-    `first_percent` the progress that the run began with.
+    `first_percent` the progress that the run began with. `is_whole` says that this home
+    started it, from nothing: only then its length is that of the task.
     """
 
     __slots__ = (
         "began_at",
         "checkpoint",
         "first_percent",
+        "is_whole",
         "job",
         "load",
         "pace",
@@ -121,6 +123,7 @@
         self.reported_at = now
         self.reported_clock = None
         self.resumes = False
+        self.is_whole = False
         self.checkpoint = ""
         self.load = 0.0
         self.pace = 100
--- a/anvilflow/jobs/tests/test_sickness.py
+++ b/anvilflow/jobs/tests/test_sickness.py
@@ -2,9 +2,18 @@
 
 import pytest
 
-from anvilflow.jobs import Scheduler, StartRun, StepSpec, StopRun, _sickness
+from anvilflow.jobs import (
+    JobSpec,
+    RunEnd,
+    RunReport,
+    Scheduler,
+    StartRun,
+    StepSpec,
+    StopRun,
+    _sickness,
+)
 
-from .test_scheduler import add_job, answer_started, item, make_report, make_scheduler
+from .test_scheduler import QUEUE, add_job, answer_started, item, make_report, make_scheduler
 
 
 def report_all(scheduler, percents, now, *, clock_s=None):
@@ -132,3 +141,42 @@
     for number in range(100):
         scheduler.plan(1.0 + number * 0.01, 1.0)
     assert len(looks) <= 11
+
+
+@pytest.mark.parametrize("kind", ["taken on", "resumed"])
+def test_what_is_left_of_a_run_is_not_taken_for_a_whole_one(kind):
+    """A home takes runs on that are nearly done, and one of them ends a moment later.
+
+    Its length here, 0.1 s, is no measure for its siblings. Taken for one, it made all of them look
+    slow after each change of homes, and they were stopped again and again.
+    """
+    scheduler = make_scheduler(n_workers=5)
+    step = StepSpec(n_tasks=5, cpu_milli=1000, estimate_s=4.0, max_per_worker=1)
+    starts = add_job(scheduler, step)
+    answer_started(scheduler, starts, 0.0)
+    *ended, first, second = starts
+    for start in ended:
+        run = scheduler.find_task(start.task)[1].runs[start.worker_id]
+        run.is_whole = False
+        run.resumes = kind == "resumed"
+        end = RunEnd(number=1, task=start.task, run_id=1, how="done", checkpoint="")
+        scheduler.report(start.worker_id, make_report(ended=[end]), asked_at=0.1, now=0.1)
+    assert report_all(scheduler, [(first, 5), (second, 5)], 0.3) == []
+    assert report_all(scheduler, [(first, 12), (second, 12)], 0.7) == []
+
+
+def test_run_that_is_taken_on_or_resumes_is_no_whole_one():
+    """Only a run that this home started from nothing has its whole length measured."""
+    scheduler = make_scheduler()
+    spec = JobSpec(
+        job_id="00000000000000a1", queue="q", payload="", steps=(StepSpec(n_tasks=2, cpu_milli=1),)
+    )
+    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0)
+    listed = RunReport(task="00000000000000a1.0.0.0", run_id=1, checkpoint="", percent=90, load=0.0)
+    scheduler.report("w0", make_report([listed]), asked_at=0.1, now=0.1)
+    _, task = scheduler.find_task("00000000000000a1.0.0.1")
+    task.checkpoint = "c"
+    scheduler.plan(0.2, 0.2)
+    runs = [run for worker in scheduler.workers.values() for run in worker.runs.values()]
+    assert [run.is_whole for run in runs] == [False, False]
+    assert len(runs) == 2
