The word of dark workers stays within a row's size

The home's row names up to 60 dark workers with all their runs; with thirty small tasks on each it would be over the 64 KB that a row may have. The store refuses such a write, and with it everything that the home records, for as long as the workers are dark. Change: at most 600 runs are named; a worker left out only makes the next home wait for its lease. Test: test_word_of_many_dark_workers_fits_into_the_row (100 workers with 30 runs each: 20 are named). Measured: under 60 KB in the test.

--- a/anvilflow/cell/tests/test_apart.py
+++ b/anvilflow/cell/tests/test_apart.py
@@ -4,7 +4,8 @@
 from twisted.internet.defer import succeed
 
 from anvilflow.cell import _fleet, _home_state, _recorder
-from anvilflow.jobs import Scheduler, Worker
+from anvilflow.jobs import Scheduler, Worker, WorkerInfo
+from anvilflow.utils import encode
 
 from ._helpers import JOB, STEP, make_cell
 
@@ -194,3 +195,33 @@
     assert all(cell.workers[name].until <= max(before[name], 0.0) for name in before) or (
         cell.home() != home
     )
+
+
+def test_word_of_many_dark_workers_fits_into_the_row():
+    """Half of a large cell is dark, with thousands of small tasks: the row stays within 64 KB.
+
+    The store refuses a larger one. All that the home records is written with it, so that nothing
+    would be recorded any more.
+    """
+    scheduler = Scheduler(term=1, lease_s=3.0, now=0.0)
+    for number in range(100):
+        info = WorkerInfo(
+            worker_id=f"i-{number:010x}",
+            address="10.200.100.100:65000",
+            service="a-service-with-a-name",
+            failure_domain="a-failure-domain",
+            kind="a",
+            rack="r100-100",
+            labels=("a", "r100-100"),
+            cpu_milli=32000,
+            memory_mb=131072,
+            accelerators=0,
+        )
+        scheduler.worker_listed(info, 0.0)
+        worker = scheduler.workers[info.worker_id]
+        worker.confirmed = worker.silent = True
+        worker.silent_at = 0.0
+        worker.strays = {(f"{number:016x}.1000.10.{each}", 1001): None for each in range(30)}
+    apart = _recorder.held_apart(scheduler, 10.0)
+    assert len(apart) == 20
+    assert len(encode(apart)) < 60_000
--- a/anvilflow/jobs/_apart.py
+++ b/anvilflow/jobs/_apart.py
@@ -9,9 +9,11 @@
 #: two writes of the row beside a dark worker costs 3.2 s of waiting. Unit: seconds.
 DARK_S = 0.1
 
-#: Workers in the row at the most: with eight runs each some 40 KB of the 64 KB that a row holds.
-#: Those left out only make the next home wait for their leases.
+#: Workers and runs in the row at the most: some 45 KB of the 64 KB that a row holds. A larger row
+#: would be refused, and with it all that the home records. Those left out only make the next home
+#: wait for their leases.
 MAX_APART = 60
+MAX_RUNS = 600
 
 
 class ApartWorker(Struct, kw_only=True):
@@ -41,7 +43,18 @@
             apart.append(ApartWorker(info=worker.info, runs=runs + list(worker.strays)))
         elif worker.confirmed and not worker.listed:
             apart.append(ApartWorker(info=worker.info))
-    return apart[:MAX_APART]
+    return _bounded(apart)
+
+
+def _bounded(apart):
+    kept = []
+    n_runs = 0
+    for worker in apart[:MAX_APART]:
+        n_runs += len(worker.runs or ())
+        if n_runs > MAX_RUNS:
+            break
+        kept.append(worker)
+    return kept
 
 
 def _is_dark(worker, now):
