--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,5 +1,7 @@
-"""A short seeded soak, and the proxy that it leans on."""
+"""A short seeded soak; longer ones are played by hand."""
 
+import subprocess
+import sys
 from random import Random
 
 import pytest
@@ -21,9 +23,6 @@
 
     Played in a process of its own: a soak needs the reactor for itself.
     """
-    import subprocess
-    import sys
-
     script = (
         "import sys; from soak import run_seed; "
         f"verdict = run_seed({seed}, {str(tmp_path)!r}, seconds=6.0, n_faults=5, n_instances=3, "
