Names of the field for what a new home waits for and what is kept free

Cause: read as a newcomer: `apart`, `announced`, `accounted`, `settling` and `kept room` say little. Change: handover (what the home's row tells the next home), in_handover, runs_known, grace period (in which a new holder waits for what was granted by a former one), reservations and preemption. Names and one reason in the log (`preempted`) only; the row's field is called `handover`.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -129,19 +129,19 @@
         elif info.draining:
             self.log.info("worker drains", worker=info.worker_id, left_s=info.leaves_in_s)
 
-    def take_apart(self, apart):
+    def take_handover(self, handover):
         """Take on a worker of which the former home had to tell, perhaps unregistered by now."""
-        info = apart.info
+        info = handover.info
         if info.worker_id not in self.scheduler.workers:
             self.scheduler.worker_listed(info, self._now())
             self._open_session(info)
             self.entry_gone(info.worker_id)
-        if apart.runs is not None:
-            self.scheduler.take_on_unheard(info.worker_id, apart.runs, self._now())
+        if handover.runs is not None:
+            self.scheduler.take_on_unheard(info.worker_id, handover.runs, self._now())
         self.log.info(
             "worker taken on",
             worker=info.worker_id,
-            runs=len(apart.runs) if apart.runs is not None else None,
+            runs=len(handover.runs) if handover.runs is not None else None,
         )
 
     def entry_gone(self, worker_id):
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -5,10 +5,10 @@
 from ..exceptions import PlatformError
 from ..jobs import (
     AskAdvice,
+    GracePeriod,
     NoteWait,
     Scheduler,
     SetPace,
-    Settling,
     StartRun,
     StopRun,
 )
@@ -169,8 +169,8 @@
         self.act(self._intake.take_over(state))
         for row in state.workers:
             self._fleet.take_entry(row)
-        for apart in claimed.former.apart if claimed.former is not None else ():
-            self._fleet.take_apart(apart)
+        for handover in claimed.former.handover if claimed.former is not None else ():
+            self._fleet.take_handover(handover)
         self._loaded = True
         self.context.home = self
         self.context.meters.timed("load", self.now - claimed_at)
@@ -187,7 +187,7 @@
 
     def _make_scheduler(self, claimed, missing):
         former = claimed.former
-        settling = Settling(
+        grace_period = GracePeriod(
             term=claimed.term,
             lease_s=LEASE_S,
             now=self.now,
@@ -200,7 +200,7 @@
             lease_s=LEASE_S,
             stop_s=self.context.settings.bounds.stop_s,
             now=self.now,
-            settling=settling,
+            grace_period=grace_period,
         )
 
     def _sweep(self):
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -250,7 +250,7 @@
         if former is not None:
             # What it said of its workers stays true until this home has heard them.
             row.term = former.term + 1
-            row.apart = former.apart
+            row.handover = former.handover
             row.registry_version = former.registry_version
             row.n_workers = former.n_workers
         conditions = [condition(HOME, HOME_KEY, self.row_version)]
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -4,7 +4,7 @@
 from twisted.internet.task import deferLater
 
 from ..exceptions import PlatformError, PlatformRefusedError, PreconditionError
-from ..jobs import held_apart
+from ..jobs import make_handover
 from ..utils import decode, jitter
 from ._context import StoreHealth
 from ._outcome import Outcome
@@ -86,7 +86,7 @@
         self.n_commits = 0
         self._row_version = claimed.row_version
         self._term = claimed.term
-        self._apart = frozenset()
+        self._handover = frozenset()
         self._written = set()
         self.reach = StoreHealth(clock=context.clock)
         self._doubt_s = answer_timeout(context.store_health.answer_s)
@@ -141,16 +141,16 @@
         yield self._repeat(conditions, writes, snapshot)
 
     def _make_row(self):
-        apart = held_apart(self.scheduler, self.context.clock.seconds())
-        self._apart = frozenset(worker.info.worker_id for worker in apart)
-        for worker in apart:
-            self.scheduler.workers[worker.info.worker_id].announced = True
+        handover = make_handover(self.scheduler, self.context.clock.seconds())
+        self._handover = frozenset(worker.info.worker_id for worker in handover)
+        for worker in handover:
+            self.scheduler.workers[worker.info.worker_id].in_handover = True
         return HomeRow(
             holder=self.context.name,
             incarnation=self.context.incarnation,
             address=self.context.settings.listen.peers_address,
             term=self._term,
-            apart=apart,
+            handover=handover,
             registry_version=self.scheduler.registry_version,
             n_workers=len(self.scheduler.workers),
         )
@@ -249,7 +249,7 @@
     def _done(self, snapshot, version):
         self.n_commits += 1
         self._row_version = version
-        self.scheduler.announced(self._apart)
+        self.scheduler.note_handover(self._handover)
         now = self.context.clock.seconds()
         ended = []
         for job, change, _ in snapshot:
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from ..jobs import ApartWorker, EndedJob, JobSpec, Queue
+from ..jobs import EndedJob, HandoverWorker, JobSpec, Queue
 from ..platform import RowCondition, RowWrite
 from ..utils import encode
 
@@ -27,7 +27,7 @@
 class HomeRow(Struct, kw_only=True):
     """Who is the home; written anew with each of its transactions, which fences them all.
 
-    `apart` names what runs on workers that the next home cannot ask, or would not know of.
+    `handover` names what runs on workers that the next home cannot ask, or would not know of.
     `registry_version` says up to where the home has followed the registry; `n_workers` how many it
     holds.
     """
@@ -36,7 +36,7 @@
     incarnation: str
     address: str
     term: int
-    apart: list[ApartWorker] = []
+    handover: list[HandoverWorker] = []
     registry_version: int = 0
     n_workers: int = 0
 
--- a/anvilflow/cell/tests/test_apart.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -20,7 +20,7 @@
     home's word it starts the tasks elsewhere while they still run.
     """
     if not safeguard:
-        monkeypatch.setattr(_recorder, "held_apart", lambda scheduler, now: [])
+        monkeypatch.setattr(_recorder, "make_handover", lambda scheduler, now: [])
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
     cell.advance(1.0)
@@ -39,7 +39,7 @@
     task of every job waits until the longest lease has ended: 3.2 s.
     """
     if not safeguard:
-        monkeypatch.setattr(_recorder, "held_apart", lambda scheduler, now: [])
+        monkeypatch.setattr(_recorder, "make_handover", lambda scheduler, now: [])
     cell = make_cell(n_instances=3, n_workers=4)
     cell.worker_faults["i-3"].silent = True
     cell.advance(1.0)
@@ -75,7 +75,7 @@
 
 
 def _forget_runs(self, worker_id, runs, now):
-    self.workers[worker_id].accounted = True
+    self.workers[worker_id].runs_known = True
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
@@ -222,6 +222,6 @@
         worker.confirmed = worker.silent = True
         worker.silent_at = 0.0
         worker.strays = {(f"{number:016x}.1000.10.{each}", 1001): None for each in range(30)}
-    apart = _recorder.held_apart(scheduler, 10.0)
-    assert len(apart) == 20
-    assert len(encode(apart)) < 60_000
+    handover = _recorder.make_handover(scheduler, 10.0)
+    assert len(handover) == 20
+    assert len(encode(handover)) < 60_000
--- a/anvilflow/cell/tests/test_whole_path.py
+++ b/anvilflow/cell/tests/test_whole_path.py
@@ -149,8 +149,8 @@
         for job in ("00000000000000c1", "00000000000000c2")
     }
     assert racks == {"00000000000000c1": ["r1"] * 2, "00000000000000c2": ["r0"] * 2}
-    apart = [span.worker for span in cell.spans if span.task.startswith("00000000000000c3")]
-    assert len(apart) == len(set(apart)) == 4
+    handover = [span.worker for span in cell.spans if span.task.startswith("00000000000000c3")]
+    assert len(handover) == len(set(handover)) == 4
     assert cell.state("a0", "00000000000000c4") == "queued"
 
 
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -1,11 +1,11 @@
 """Jobs of a cell: what clients submit and what is decided next, without input or output."""
 
 from ._actions import AskAdvice, NoteWait, SetPace, StartRun, StopRun
-from ._apart import ApartWorker, held_apart
+from ._grace_period import ORDER_S, GracePeriod
+from ._handover import HandoverWorker, make_handover
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
-from ._settling import ORDER_S, Settling
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 
@@ -13,10 +13,11 @@
     "ENDED_STATES",
     "ORDER_S",
     "AdviceRules",
-    "ApartWorker",
     "AskAdvice",
     "CellConfig",
     "EndedJob",
+    "GracePeriod",
+    "HandoverWorker",
     "JobRecord",
     "JobRun",
     "JobSpec",
@@ -28,7 +29,6 @@
     "RunReport",
     "Scheduler",
     "SetPace",
-    "Settling",
     "StartRun",
     "StepSpec",
     "StopRun",
@@ -36,6 +36,6 @@
     "Worker",
     "WorkerInfo",
     "WorkerReport",
-    "held_apart",
     "longest_chain_s",
+    "make_handover",
 ]
--- a/anvilflow/jobs/_settling.py
+++ b/anvilflow/jobs/_grace_period.py
@@ -12,7 +12,7 @@
 LONGEST_S = 15.0
 
 
-class Settling:
+class GracePeriod:
     """What a new home must wait for before it may start what an earlier one may have started.
 
     Parameters
@@ -46,7 +46,7 @@
         self.orders_over_at = None
         self.leases_over_at = None
         if term == 1:
-            self._settle(now - ORDER_S - lease_end(0.0, lease_s))
+            self._set_ends(now - ORDER_S - lease_end(0.0, lease_s))
 
     def worker_found(self, worker_id):
         """A worker has registered."""
@@ -56,18 +56,18 @@
         """Take how many of the workers have answered; return True when that settles it."""
         n_all = max(self.n_workers, n_workers + len(self.missing))
         if self.leases_over_at is None and 2 * n_heard > n_all:
-            self._settle(now)
+            self._set_ends(now)
             return True
         return False
 
     def waited(self, now):
         """Give up waiting for more workers after a long time; return True when it does."""
         if self.leases_over_at is None and now >= self.began_at + LONGEST_S:
-            self._settle(now)
+            self._set_ends(now)
             return True
         return False
 
-    def _settle(self, now):
+    def _set_ends(self, now):
         self.orders_over_at = now + ORDER_S
         self.leases_over_at = lease_end(self.orders_over_at, self.lease_s)
 
--- a/anvilflow/jobs/_apart.py
+++ b/anvilflow/jobs/_handover.py
@@ -12,11 +12,11 @@
 #: Workers and runs in the row at the most: some 45 KB of the 64 KB that a row holds. A larger row
 #: would be refused, and with it all that the home records. Those left out only make the next home
 #: wait for their leases.
-MAX_APART = 60
+MAX_WORKERS = 60
 MAX_RUNS = 600
 
 
-class ApartWorker(Struct, kw_only=True):
+class HandoverWorker(Struct, kw_only=True):
     """A worker that the next home cannot ask, or would not find in the registry.
 
     Parameters
@@ -30,26 +30,26 @@
     runs: list[tuple[str, int]] | None = None
 
 
-def held_apart(scheduler, now):
-    """Return the :class:`ApartWorker` of each worker that is dark or not registered any more.
+def make_handover(scheduler, now):
+    """Return the :class:`HandoverWorker` of each worker that is dark or not registered any more.
 
     The list is exact: it is written under the home's row, and a worker in it gets no task before
     a row without it is durable.
     """
-    apart = []
+    handover = []
     for worker in scheduler.workers.values():
         if _is_dark(worker, now):
             runs = [(run.task, run.run_id) for run in worker.runs.values()]
-            apart.append(ApartWorker(info=worker.info, runs=runs + list(worker.strays)))
+            handover.append(HandoverWorker(info=worker.info, runs=runs + list(worker.strays)))
         elif worker.confirmed and not worker.listed:
-            apart.append(ApartWorker(info=worker.info))
-    return _bounded(apart)
+            handover.append(HandoverWorker(info=worker.info))
+    return _bounded(handover)
 
 
-def _bounded(apart):
+def _bounded(handover):
     kept = []
     n_runs = 0
-    for worker in apart[:MAX_APART]:
+    for worker in handover[:MAX_WORKERS]:
         n_runs += len(worker.runs or ())
         if n_runs > MAX_RUNS:
             break
@@ -59,5 +59,5 @@
 
 def _is_dark(worker, now):
     if not worker.confirmed:
-        return worker.accounted
+        return worker.runs_known
     return worker.silent and now - worker.silent_at >= DARK_S
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -2,7 +2,7 @@
 
 from ._actions import AskAdvice, NoteWait, StartRun
 from ._job import TaskState
-from ._room import KeptRoom
+from ._reservations import Reservations
 from ._sickness import is_slow
 
 #: Time that a ticket must still be valid when a start is sent. A start reaches a worker within a
@@ -45,7 +45,7 @@
     """Return the starts and asks that are due, in the order of urgency."""
     actions = []
     _drop_old_asks(scheduler, now)
-    kept = KeptRoom()
+    reservations = Reservations()
     for job in sorted(_busy_jobs(scheduler), key=_urgency):
         for step in job.steps.values():
             if step.is_done:
@@ -61,9 +61,9 @@
                 actions += _ask(scheduler, step, now)
                 continue
             if step.spec.gang:
-                actions += _start_gang(scheduler, step, waiting, kept, now)
+                actions += _start_gang(scheduler, step, waiting, reservations, now)
             else:
-                actions += _start_tasks(scheduler, step, waiting, kept, now)
+                actions += _start_tasks(scheduler, step, waiting, reservations, now)
         job.rest_if_idle()
     return actions
 
@@ -87,7 +87,7 @@
 # Candidates
 
 
-def _candidates(scheduler, step, kept, now):
+def _candidates(scheduler, step, reservations, now):
     """Return the workers on which the step may run and that take work now."""
     spec = step.spec
     service = step.job.queue.service
@@ -97,7 +97,7 @@
         info = worker.info
         if info.service != service or not worker.accepts(now):
             continue
-        if kept.is_kept_from(worker, step.job.queue):
+        if reservations.is_reserved_from(worker, step.job.queue):
             continue
         if spec.label and spec.label not in info.labels:
             continue
@@ -112,9 +112,9 @@
     return ticket is not None and ticket[1] - now > TICKET_MARGIN_S
 
 
-def _start_tasks(scheduler, step, waiting, kept, now):
+def _start_tasks(scheduler, step, waiting, reservations, now):
     actions = []
-    workers = _candidates(scheduler, step, kept, now)
+    workers = _candidates(scheduler, step, reservations, now)
     reserve = _reserve(scheduler, step)
     placed = 0
     for task in waiting:
@@ -127,7 +127,9 @@
         actions += _ask(scheduler, step, now)
         actions += _note_wait(step, len(waiting) - placed, workers, now)
         if not step.spec.fills:
-            actions += kept.keep(scheduler, step, workers, reserve, len(waiting) - placed, now)
+            actions += reservations.reserve(
+                scheduler, step, workers, reserve, len(waiting) - placed, now
+            )
     return actions
 
 
@@ -198,11 +200,11 @@
     return 0
 
 
-def _start_gang(scheduler, step, waiting, kept, now):
+def _start_gang(scheduler, step, waiting, reservations, now):
     """Start all tasks of a gang, or none: a part of it would only wait, and end as alone."""
     if len(waiting) < len(step.tasks):
         return []
-    workers = _candidates(scheduler, step, kept, now)
+    workers = _candidates(scheduler, step, reservations, now)
     racks = _racks(workers) if step.spec.rack_sensitive else []
     for group in [*racks, workers]:
         chosen = _fit_gang(step, waiting, group)
--- a/anvilflow/jobs/_room.py
+++ b/anvilflow/jobs/_reservations.py
@@ -9,12 +9,12 @@
 LEAST_LEFT_S = 0.1
 
 #: Workers that one step keeps free at once at the most. More would empty a small cell for one job.
-MAX_KEPT = 6
+MAX_RESERVED = 6
 
 _NEVER = float("inf")
 
 
-class KeptRoom:
+class Reservations:
     """Workers that are kept free, in one plan, for the queues that come first.
 
     Without them a task of several cores waits for as long as smaller ones of less urgent queues
@@ -25,12 +25,12 @@
     def __init__(self):
         self._priorities = {}
 
-    def is_kept_from(self, worker, queue):
+    def is_reserved_from(self, worker, queue):
         """Whether a worker is kept for a more urgent queue."""
         kept_for = self._priorities.get(worker.info.worker_id)
         return kept_for is not None and kept_for < queue.priority
 
-    def keep(self, scheduler, step, workers, reserve, n_missing, now):
+    def reserve(self, scheduler, step, workers, reserve, n_missing, now):
         """Keep the workers that have room soonest; return the stops that make it sooner.
 
         Parameters
@@ -55,11 +55,11 @@
                 waits.append((wait_s, len(victims), worker, victims))
         waits.sort(key=lambda item: item[:2])
         actions = []
-        for wait_s, _, worker, victims in waits[: min(MAX_KEPT, n_missing)]:
+        for wait_s, _, worker, victims in waits[: min(MAX_RESERVED, n_missing)]:
             self._priorities[worker.info.worker_id] = queue.priority
             if wait_s > PREEMPT_S:
                 for run in victims:
-                    actions += scheduler.stop_for_room(run, now)
+                    actions += scheduler.preempt(run, now)
         return actions
 
 
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -28,7 +28,7 @@
         When this home took over. Unit: seconds.
     n_advisers : int, default=1
         Advice calls that may be under way at once.
-    settling : Settling, default=None
+    grace_period : GracePeriod, default=None
         What is left of earlier homes; None: what only the term tells.
 
     Notes
@@ -36,11 +36,13 @@
     Starts are not recorded. A new home learns from each worker what runs there before it starts
     anything on it, and the worker refuses the former home from then on. What no worker lists may
     still run on one that has not answered yet: a task that an earlier home may have started waits
-    until all have answered, or until every lease of that home has surely ended, see `_settling`.
+    until all have answered, or until the grace period is over, see `_grace_period`.
     """
 
-    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1, settling=None):
-        super().__init__(term=term, lease_s=lease_s, stop_s=stop_s, now=now, settling=settling)
+    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1, grace_period=None):
+        super().__init__(
+            term=term, lease_s=lease_s, stop_s=stop_s, now=now, grace_period=grace_period
+        )
         self.n_advisers = n_advisers
         self.ended = {}
         self.config = None
@@ -206,14 +208,14 @@
                 actions += self._stop(run, now, why)
         return actions
 
-    def stop_for_room(self, run, now):
+    def preempt(self, run, now):
         """Stop a run for a more urgent task; it resumes from its checkpoint."""
-        return self._stop(run, now, "makes room")
+        return self._stop(run, now, "preempted")
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
-        if self.settling.is_over(job.inherited, now):
+        if self.grace_period.is_over(job.inherited, now):
             return True
-        return self.settling.knows_all and all(
-            worker.confirmed or worker.accounted for worker in self.workers.values()
+        return self.grace_period.knows_all and all(
+            worker.confirmed or worker.runs_known for worker in self.workers.values()
         )
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -137,17 +137,16 @@
     Room is counted from the decision to start until the end is listed: what is on its way or being
     stopped still takes its place, since the worker itself may not guard its capacity.
 
-    `accounted` says that an earlier home named all that may run on a worker that has not answered
-    this one. `announced` says that the home's row names what runs here, see `_apart`.
+    `runs_known` says that an earlier home named all that may run on a worker that has not answered
+    this one. `in_handover` says that the home's row names what runs here, see `_handover`.
     """
 
     __slots__ = (
-        "accounted",
         "ack_queue",
-        "announced",
         "confirmed",
         "cpu_free",
         "gpu_free",
+        "in_handover",
         "info",
         "last_ended",
         "lease_over_at",
@@ -157,6 +156,7 @@
         "n_bad",
         "retry_at",
         "runs",
+        "runs_known",
         "silent",
         "silent_at",
         "slowness",
@@ -170,8 +170,8 @@
         self.confirmed = False
         self.silent = False
         self.silent_at = None
-        self.accounted = False
-        self.announced = False
+        self.runs_known = False
+        self.in_handover = False
         self.listed = True
         self.lease_over_at = lease_over_at
         self.leaves_at = None
@@ -233,7 +233,7 @@
         """Whether new tasks may be started here at all."""
         return (
             self.confirmed
-            and not self.announced
+            and not self.in_handover
             and self.listed
             and not self.silent
             and not self.strays
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -1,8 +1,8 @@
 """Workers of the cell: which there are, which answer, until when their leases last."""
 
 from ._actions import StopRun
+from ._grace_period import GracePeriod
 from ._job import TaskState
-from ._settling import Settling
 from ._worker import Run, Worker, lease_end
 
 _NEVER = float("inf")
@@ -19,11 +19,11 @@
     lease_s, stop_s, now : float
         Length of the leases, longest time that a stop takes, and when this home took over. Unit:
         seconds.
-    settling : Settling, default=None
+    grace_period : GracePeriod, default=None
         What is left of earlier homes; None: what only the term tells.
     """
 
-    def __init__(self, *, term, lease_s, stop_s, now, settling=None):
+    def __init__(self, *, term, lease_s, stop_s, now, grace_period=None):
         self.term = term
         self.lease_s = lease_s
         self.stop_s = stop_s
@@ -33,7 +33,7 @@
         self.pace_changed_at = {}
         self._first_starts = []
         self.began_at = now
-        self.settling = settling or Settling(term=term, lease_s=lease_s, now=now)
+        self.grace_period = grace_period or GracePeriod(term=term, lease_s=lease_s, now=now)
         self.registry_version = 0
 
     def worker_listed(self, info, now):
@@ -43,32 +43,32 @@
         if is_new:
             worker = Worker(info=info, lease_over_at=self._unheard_lease_over_at())
             self.workers[info.worker_id] = worker
-            self.settling.worker_found(info.worker_id)
+            self.grace_period.worker_found(info.worker_id)
         worker.info = info
         worker.listed = True
         worker.note_leaving(now)
         return is_new
 
     def _unheard_lease_over_at(self):
-        over_at = self.settling.leases_over_at
+        over_at = self.grace_period.leases_over_at
         return _NEVER if over_at is None else over_at
 
-    def _settled(self):
+    def _bound_unheard_leases(self):
         """All leases of earlier homes have an end now: those of unheard workers, too."""
         for worker in self.workers.values():
             if not worker.confirmed:
-                worker.lease_over_at = self.settling.leases_over_at
+                worker.lease_over_at = self.grace_period.leases_over_at
 
     def _hear(self, worker, now):
         """Note that a worker has answered this home: it refuses every earlier one from now on."""
         if worker.confirmed:
             return
         worker.confirmed = True
-        worker.accounted = False
+        worker.runs_known = False
         worker.lease_over_at = lease_end(now, self.lease_s)
         n_heard = sum(each.confirmed for each in self.workers.values())
-        if self.settling.heard(n_heard, len(self.workers), now):
-            self._settled()
+        if self.grace_period.heard(n_heard, len(self.workers), now):
+            self._bound_unheard_leases()
 
     def worker_unlisted(self, worker_id):
         """A worker is no longer on the list: it gets no new work, what runs there runs on."""
@@ -98,7 +98,7 @@
         not wait for it.
         """
         worker = self.workers[worker_id]
-        worker.accounted = worker.announced = True
+        worker.runs_known = worker.in_handover = True
         for name, run_id in runs:
             step, task = self.find_task(name)
             if task is None or step.job.is_ended or task.state is TaskState.DONE:
@@ -106,15 +106,15 @@
             run = self._make_run(worker, step, task, run_id, now)
             run.state = "running"
 
-    def announced(self, worker_ids):
+    def note_handover(self, worker_ids):
         """Note which workers the home's row names, now that it is durable."""
         for worker_id, worker in self.workers.items():
-            worker.announced = worker_id in worker_ids
+            worker.in_handover = worker_id in worker_ids
 
     def lost_leases(self, now):
         """Forget the runs of silent workers whose leases have surely ended."""
-        if self.settling.waited(now):
-            self._settled()
+        if self.grace_period.waited(now):
+            self._bound_unheard_leases()
         for worker in list(self.workers.values()):
             lapsed = now >= worker.lease_over_at and (worker.silent or not worker.listed)
             if not (lapsed or worker.has_left(now)):
--- a/anvilflow/jobs/tests/test_room.py
+++ b/anvilflow/jobs/tests/test_reservations.py
@@ -12,7 +12,7 @@
     StepSpec,
     StopRun,
     _placement,
-    _room,
+    _reservations,
 )
 
 from .test_scheduler import answer_started, item, make_report, make_worker_info
@@ -54,11 +54,11 @@
     return started
 
 
-class _NoRoomKept:
-    def is_kept_from(self, worker, queue):
+class _NoReservations:
+    def is_reserved_from(self, worker, queue):
         return False
 
-    def keep(self, *args):
+    def reserve(self, *args):
         return []
 
 
@@ -70,7 +70,7 @@
     together: the urgent task starts when six have ended, or not at all while small ones come.
     """
     if not safeguard:
-        monkeypatch.setattr(_placement, "KeptRoom", _NoRoomKept)
+        monkeypatch.setattr(_placement, "Reservations", _NoReservations)
     scheduler = make_cell()
     small = StepSpec(n_tasks=40, cpu_milli=1000, estimate_s=1.0)
     running = starts_of(submit(scheduler, "00000000000000b1", LAST, small, 0.0))
@@ -93,7 +93,7 @@
     One of them is stopped and goes on later. Without that the lookup waits for half a minute.
     """
     if not safeguard:
-        monkeypatch.setattr(_room, "PREEMPT_S", 3600.0)
+        monkeypatch.setattr(_reservations, "PREEMPT_S", 3600.0)
     scheduler = make_cell()
     order = StepSpec(n_tasks=3, cpu_milli=3000, estimate_s=30.0, checkpointing=True)
     running = starts_of(submit(scheduler, "00000000000000b1", LAST, order, 0.0))
@@ -101,7 +101,7 @@
     lookup = StepSpec(n_tasks=1, cpu_milli=2000, estimate_s=1.0)
     actions = submit(scheduler, "00000000000000a1", FIRST, lookup, 1.0)
     stops = [action for action in actions if isinstance(action, StopRun)]
-    assert [stop.why for stop in stops] == (["makes room"] if safeguard else [])
+    assert [stop.why for stop in stops] == (["preempted"] if safeguard else [])
     # The stop takes its time: no second run is stopped for the same task meanwhile.
     assert [a for a in scheduler.plan(1.1, 1.1) if isinstance(a, StopRun)] == []
 
