Ends of tasks of a cancelled job wait for the record of its cancelling

Ends of a job that has ended were acknowledged at once, also while the job's own end was not durable. The next home knew neither and started the task again. Change: such an end waits for the record like every other. Tests: test_end_of_a_task_waits_for_the_record_of_its_jobs_cancelling and test_task_of_a_job_whose_cancelling_was_lost_is_not_run_again; both failed before.

--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -225,3 +225,23 @@
     handover = _recorder.make_handover(scheduler, 10.0)
     assert len(handover) == 20
     assert len(encode(handover)) < 60_000
+
+
+def test_task_of_a_job_whose_cancelling_was_lost_is_not_run_again():
+    """The store leaves the home alone; a client cancels, a task is done, and the home is replaced.
+
+    The cancelling was not durable, so that the job goes on at the next home; the task that is done
+    must not be started there again.
+    """
+    cell = make_cell(n_instances=3, n_workers=2)
+    former = cell.home()
+    cell.submit(former, JOB, {"count": 2, "cpu": 1000}, spec="0.9 done 1000")
+    cell.advance(0.8)
+    cell.store_faults.silent = True
+    cell.store_faults.only = {former}
+    cell.call(former, "DELETE", f"/urgent/{JOB}")
+    cell.advance(0.6)
+    cell.kill(former)
+    cell.advance(6.0)
+    assert cell.home() != former
+    assert cell.check() == []
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -161,16 +161,18 @@
         else:
             run = None
         step, task = self.find_task(end.task)
-        if task is None or step.job.is_ended:
-            if task is not None and run is not None:
-                task.runs.pop(worker.info.worker_id, None)
+        if task is None:
             return []
         if run is not None:
             task.runs.pop(worker.info.worker_id, None)
-        if end.checkpoint and step.spec.checkpointing:
-            task.checkpoint = end.checkpoint
-        actions = self._judge_end(worker, step, task, end, run, now)
-        self._wait_again(step, task, now)
+        actions = []
+        if not step.job.is_ended:
+            if end.checkpoint and step.spec.checkpointing:
+                task.checkpoint = end.checkpoint
+            actions = self._judge_end(worker, step, task, end, run, now)
+            self._wait_again(step, task, now)
+        # Also of a job that has ended, until that is durable: a home that takes over before knows
+        # neither of the job's end nor of this one, and would run the task again.
         if step.job.change > step.job.recorded_change:
             worker.ack_queue.append((end.number, step.job.job_id, step.job.change))
         return actions
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -358,3 +358,23 @@
     scheduler.report(start.worker_id, make_report(ended=[end]), asked_at=0.5, now=0.5)
     [again] = scheduler.plan(0.5, 0.5)
     assert again.run_id == 2
+
+
+def test_end_of_a_task_waits_for_the_record_of_its_jobs_cancelling():
+    """A job is cancelled while the store is away; one of its tasks is done before it is stopped.
+
+    Then the home goes. Nobody else knows of the cancelling, and the worker had been told to forget
+    the end: the next home ran the task a second time. The end stays with the worker until the
+    job's own end is durable.
+    """
+    scheduler = make_scheduler(n_workers=1)
+    [start, other] = add_job(scheduler, StepSpec(n_tasks=2, cpu_milli=1000))
+    answer_started(scheduler, [start, other], 0.0)
+    job_id = start.task.split(".")[0]
+    scheduler.cancel_job(job_id, 0.5)
+    end = RunEnd(number=1, task=start.task, run_id=1, how="done", checkpoint="")
+    scheduler.report("w0", make_report([item(other, 10)], [end]), asked_at=0.6, now=0.6)
+    worker = scheduler.workers["w0"]
+    assert scheduler.acknowledged(worker) == 0
+    scheduler.recorded(job_id, scheduler.jobs[job_id].change, 0.7)
+    assert scheduler.acknowledged(worker) == 1
