A missing worker stays missing for the home after the next

Change: the row names the workers that are missing, until they are back or the grace period is over; a home that could not read the registry's history says so to the next one. Test: test_worker_that_is_missing_stays_so_for_the_home_after_the_next, with the safeguard taken out.

--- a/anvilflow/cell/_home_state.py
+++ b/anvilflow/cell/_home_state.py
@@ -61,6 +61,8 @@
     workers, version = yield store.read(REGISTRY_TABLE, "")
     # After the reading: a worker that leaves between the two is in one of them.
     missing = yield find_missing(store, former)
+    if missing is not None:
+        missing -= {row.key for row in workers}
     return workers, version, missing
 
 
@@ -79,7 +81,7 @@
         rows, _ = yield store.follow(REGISTRY_TABLE, former.registry_version, wait_s=0.0)
     except RevisionGoneError:
         return None
-    missing = set()
+    missing = set(former.missing)
     for row in rows:
         if row.value is None:
             missing.add(row.key)
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -253,6 +253,7 @@
             row.handover = former.handover
             row.registry_version = former.registry_version
             row.n_workers = former.n_workers
+            row.missing = former.missing
         conditions = [condition(HOME, HOME_KEY, self.row_version)]
         try:
             version = yield self.context.store.commit(
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -145,14 +145,20 @@
         self._handover = frozenset(worker.info.worker_id for worker in handover)
         for worker in handover:
             self.scheduler.workers[worker.info.worker_id].in_handover = True
+        grace_period = self.scheduler.grace_period
+        is_over = grace_period.is_over(True, self.context.clock.seconds())
+        # What this home does not know of the workers yet, the next one must not take for known.
+        is_known = is_over or grace_period.is_known
+        missing = [] if is_over else sorted(grace_period.missing)
         return HomeRow(
             holder=self.context.name,
             incarnation=self.context.incarnation,
             address=self.context.settings.listen.peers_address,
             term=self._term,
             handover=handover,
-            registry_version=self.scheduler.registry_version,
-            n_workers=len(self.scheduler.workers),
+            registry_version=self.scheduler.registry_version if is_known else 0,
+            n_workers=len(self.scheduler.workers) + len(missing),
+            missing=missing,
         )
 
     @inlineCallbacks
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -29,7 +29,7 @@
 
     `handover` names what runs on workers that the next home cannot ask, or would not know of.
     `registry_version` says up to where the home has followed the registry; `n_workers` how many it
-    holds.
+    holds; `missing` are workers that had left it when this home began and have not been seen since.
     """
 
     holder: str
@@ -39,6 +39,7 @@
     handover: list[HandoverWorker] = []
     registry_version: int = 0
     n_workers: int = 0
+    missing: list[str] = []
 
 
 class JobRow(Struct, kw_only=True):
--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import succeed
 
-from anvilflow.cell import _fleet, _home_state, _recorder
+from anvilflow.cell import _fleet, _home_state, _leadership, _recorder
 from anvilflow.jobs import Scheduler, Worker, WorkerInfo
 from anvilflow.utils import encode
 
@@ -245,3 +245,41 @@
     cell.advance(6.0)
     assert cell.home() != former
     assert cell.check() == []
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_worker_that_is_missing_stays_so_for_the_home_after_the_next(monkeypatch, safeguard):
+    """Entries lapse in an outage, the home dies, and so does the next one before they are back.
+
+    The second of them knows from the row that workers are missing. Without that it would see a
+    registry that the first had followed to its end, and start their tasks a second time.
+    """
+    if not safeguard:
+        original = _leadership.Claimed
+        monkeypatch.setattr(
+            _leadership, "Claimed", lambda **values: _without_missing(original, values)
+        )
+    cell = make_cell(n_instances=4, n_workers=4)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="20.0 done 9000")
+    cell.advance(1.0)
+    hidden = {span.worker for span in cell.spans}
+    cell.store_faults.silent = True
+    cell.advance(1.0)
+    for worker_id in hidden:
+        cell.store.remove("servers", worker_id)
+    cell.kill(cell.home())
+    cell.advance(1.0)
+    cell.store_faults.clear()
+    cell.advance(1.0)
+    cell.kill(cell.home())
+    cell.advance(1.0)
+    for worker_id in hidden:
+        cell.store.put("servers", worker_id, cell.workers[worker_id].entry())
+    cell.advance(4.0)
+    assert (cell.check() == []) is safeguard
+
+
+def _without_missing(original, values):
+    if values["former"] is not None:
+        values["former"].missing = []
+    return original(**values)
