--- /dev/null
+++ b/anvilflow/cell/tests/test_config.py
@@ -0,0 +1,72 @@
+"""When a configuration is in force on instances whose links are slow.
+
+An operator's 1,400 new routes came to all instances at once. Those on fast links had them in 0.1 s;
+nearly all on links of 5 Mbit/s kept the old routes for good, served what had been dropped, refused
+what had been added, and answered everything else late.
+
+Evidence. Each slow instance logged `configuration not read: TimeoutError(3.8)` once, 1.9 s after the
+change, and nothing more; from then on its link was full. The answer needs 1.8 s on such a link. It
+had been given what was left of 3.8 s from the call, in which it had waited for the change, and every
+later reading 0.8 s, so that none could end. A second reading, for the home's hint, halved the
+bandwidth of the first.
+"""
+
+import pytest
+
+from anvilflow.standins import make_platform_config
+
+from ._helpers import make_cell
+
+#: A link of 5 Mbit/s. Unit: bytes a second.
+SLOW = 625_000
+
+#: Time within which a change must be in force on the larger deployments. Unit: seconds.
+APPLY_S = 3.0
+
+
+def _big_config(version, n_routes=2800):
+    """Return a configuration of 0.9 MB on the wire, which takes 1.4 s over a slow link."""
+    queues = [
+        {"name": f"{version}-queue-{number:032d}", "prefix": f"/{version}-{number:064d}/"}
+        for number in range(n_routes)
+    ]
+    return make_platform_config(version, queues=queues)
+
+
+def _slow_cell(n_instances=4):
+    cell = make_cell(n_instances=n_instances)
+    for name in cell.daemons:
+        if name != cell.home():
+            cell.wire.slow_link(name, SLOW)
+    return cell
+
+
+def _versions(cell):
+    return {daemon.context.config.version for daemon in cell.daemons.values()}
+
+
+@pytest.mark.parametrize("waited_s", [0.1, 0.2, 0.4, 0.9])
+def test_large_configuration_is_in_force_in_time_over_slow_links(waited_s):
+    """The change comes at any moment of the feed's wait of two seconds."""
+    cell = _slow_cell()
+    cell.advance(waited_s)
+    cell.store.put("op", "config", _big_config(5))
+    cell.advance(APPLY_S)
+    assert _versions(cell) == {5}
+    cell.store.put("op", "config", _big_config(6))
+    cell.advance(APPLY_S)
+    assert _versions(cell) == {6}
+
+
+def test_instance_on_a_slow_link_starts_with_a_large_configuration():
+    """It is restarted: its first reading takes longer than the store's usual answer."""
+    cell = _slow_cell()
+    cell.store.put("op", "config", _big_config(5))
+    cell.advance(6.0)
+    name = cell.other()
+    cell.kill(name)
+    cell.advance(1.0)
+    daemon = cell.start_instance(name)
+    cell.advance(APPLY_S)
+    assert daemon.context.config is not None
+    assert daemon.context.config.version == 5
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -3,10 +3,12 @@
 from collections import Counter
 from urllib.parse import parse_qsl, urlsplit
 
-from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError, maybeDeferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
+from ._slow_link import SlowLink
+
 #: Header in which a server finds the name of the calling process.
 CALLER = b"x-caller"
 
@@ -62,15 +64,21 @@
 
     Notes
     -----
-    `calls` counts calls by caller and address.
+    `calls` counts calls by caller and address; `links` are the slow ones, by process.
     """
 
     def __init__(self, *, clock):
         self.clock = clock
         self.servers = {}
         self.faults = {}
+        self.links = {}
         self.calls = Counter()
 
+    def slow_link(self, name, bytes_per_s):
+        """Give the process `name` a link of limited bandwidth; return it."""
+        self.links[name] = SlowLink(clock=self.clock, bytes_per_s=bytes_per_s)
+        return self.links[name]
+
     def serve(self, address, server):
         """Answer calls to `address` with ``server.handle(verb, path, query, body, headers)``."""
         self.servers[address] = server
@@ -141,11 +149,10 @@
 
     def call(self, method, url, body, *, timeout, headers=None):
         """Make a call; it fails with a TimeoutError when there is no answer in time."""
-        answer = Deferred()
+        exchange = _Exchange(clock=self.clock, link=lambda: self.network.links.get(self.name))
         done = self.network.carry(self.name, self.clock, method, url, body, headers)
-        late = self.clock.callLater(timeout, _fail_late, answer)
-        done.addBoth(_pass_on, answer, late)
-        return answer
+        done.addCallbacks(exchange.begin, exchange.end)
+        return exchange.limit(timeout)
 
     def post(self, url, body, *, timeout, headers=None):
         """Post bytes."""
@@ -156,13 +163,53 @@
         return self.call(b"GET", url, b"", timeout=timeout)
 
 
-def _fail_late(answer):
-    if not answer.called:
-        answer.errback(Failure(TimeoutError("no answer in time")))
+class _Exchange:
+    """One call of a process and its answer, whose body may take its time.
 
+    Parameters
+    ----------
+    clock : IReactorTime
+        The calling process's.
+    link : callable
+        Returns the SlowLink that the answer comes over; None: it comes at once.
+    """
 
-def _pass_on(result, answer, late):
-    if late.active():
-        late.cancel()
-    if not answer.called:
-        answer.callback(result)
+    def __init__(self, *, clock, link):
+        self.clock = clock
+        self._find_link = link
+        self._link = None
+        self._answer = Deferred(self._cancelled)
+        self._late = None
+        self._transfer = None
+
+    def limit(self, timeout):
+        """Return the Deferred of the answer; it fails after `timeout`."""
+        self._late = self.clock.callLater(timeout, self.end, Failure(TimeoutError("no answer")))
+        return self._answer
+
+    def begin(self, result):
+        """The head of the answer is there."""
+        if self._answer.called:
+            return
+        self._link = self._find_link()
+        if self._link is None:
+            self.end(result)
+            return
+        self._transfer = self._link.receive(
+            len(result[1]), on_data=self._progress, on_end=lambda: self.end(result)
+        )
+
+    def _progress(self):
+        pass
+
+    def end(self, result):
+        """The answer is whole, or has failed."""
+        if self._late.active():
+            self._late.cancel()
+        if self._transfer is not None:
+            self._link.drop(self._transfer)
+        if not self._answer.called:
+            self._answer.callback(result)
+
+    def _cancelled(self, _):
+        self.end(Failure(CancelledError()))
