Test that fails: an answer that is given up goes on arriving

Cause: after the change of configuration the slow links stayed full, and the log showed AlreadyCalledError of bodies that ended when nobody waited for them: the library's reader cannot close its connection.

--- /dev/null
+++ b/anvilflow/clients/tests/test_http.py
@@ -0,0 +1,53 @@
+"""Time limits of HTTP calls, on a reactor in memory."""
+
+import pytest
+from twisted.internet.defer import TimeoutError
+from twisted.internet.testing import MemoryReactorClock, StringTransportWithDisconnection
+
+from anvilflow.clients import HttpClient
+
+URL = "http://10.0.0.1:8/rows"
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
+
+
+class _Transport(StringTransportWithDisconnection):
+    def setTcpNoDelay(self, enabled):
+        """Nothing is delayed here."""
+
+    def abortConnection(self):
+        self.loseConnection()
+
+
+class _Exchange:
+    """A call to a server whose part the test plays."""
+
+    def __init__(self, **limits):
+        self.clock = MemoryReactorClock()
+        self.results = []
+        done = HttpClient(clock=self.clock).call(b"GET", URL, b"", **limits)
+        done.addBoth(self.results.append)
+        self.protocol = self.clock.tcpClients[0][2].buildProtocol(None)
+        self.transport = _Transport()
+        self.transport.protocol = self.protocol
+        self.protocol.makeConnection(self.transport)
+
+    def answer(self, data, after=0.0):
+        """Let time pass, then send a piece of the answer."""
+        self.clock.advance(after)
+        if self.transport.connected:
+            self.protocol.dataReceived(data)
+
+
+def test_answer_that_is_given_up_in_its_middle_closes_its_connection():
+    """A large answer over a slow link passes its time limit; the caller tries again.
+
+    The first answer goes on arriving unless its connection is closed, and takes the bandwidth from
+    the next: seen as a slow link that stayed full for a minute while no reading ever ended, with
+    `AlreadyCalledError` in the log each time that an answer ended which nobody waited for.
+    """
+    exchange = _Exchange(timeout=0.8)
+    exchange.answer(HEAD + b"x" * 100)
+    exchange.answer(b"x" * 100, after=0.5)
+    exchange.clock.advance(0.4)
+    assert exchange.results[0].check(TimeoutError)
+    assert not exchange.transport.connected
