An answer that is given up closes its connection; limits may be on its pauses

Cause: the library's reader of bodies has no way to close the connection (the proxy that it is given knows none), so an answer that passed its time limit went on arriving beside the next try: links of 5 Mbit/s stayed full for 85 s. Change: a reader of our own, which closes; a limit may be on the pauses of an answer in place of its whole length (not used yet). Tests: seven on a reactor in memory; the first was known red.

--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -7,17 +7,16 @@
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
-    PartialDownloadError,
     RequestNotSent,
     RequestTransmissionFailed,
     ResponseNeverReceived,
-    readBody,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from ..utils import encode
+from ._http_body import BodyReader, TimeLimit
 
 
 @implementer(IBodyProducer)
@@ -77,6 +76,10 @@
 NOT_SENT = (ConnectError, DNSLookupError, RequestNotSent)
 
 
+def _nothing():
+    """Take no notice."""
+
+
 class HttpClient:
     """Sends requests to one kind of service.
 
@@ -113,7 +116,9 @@
         return self.call(b"GET", url, b"", timeout=timeout)
 
     @inlineCallbacks
-    def call(self, method, url, body, *, timeout, headers=None):
+    def call(
+        self, method, url, body, *, timeout, idle_timeout=None, on_begin=_nothing, headers=None
+    ):
         """Make a call; the Deferred fires with the status and the body, whole.
 
         Parameters
@@ -123,6 +128,11 @@
         body : bytes
         timeout : float
             For the whole exchange, the answer's body included. Unit: seconds.
+        idle_timeout : float, default=None
+            Longest pause between two pieces of the answer; `timeout` then ends with the answer's
+            beginning. For answers whose size others decide. Unit: seconds.
+        on_begin : callable
+            Called when the head of the answer is there.
         headers : dict, default=None
         """
         # The agent below treq's client: parsing the URL, cookies and content encodings, which no
@@ -134,8 +144,8 @@
             Headers(headers or {}),
             _Body(body=body) if body else None,
         )
-        call = response.addCallback(_read)
-        call.addTimeout(timeout, self.clock)
+        limit = TimeLimit(clock=self.clock, timeout=timeout, idle_timeout=idle_timeout)
+        call = limit.watch(response.addCallback(_read, limit, on_begin))
         self.n_calls += 1
         result = yield call
         self.n_bytes += len(body) + len(result[1]) + HEAD_BYTES
@@ -150,14 +160,12 @@
         return self._pool.closeCachedConnections()
 
 
-@inlineCallbacks
-def _read(response):
-    try:
-        body = yield readBody(response)
-    except PartialDownloadError as exc:
-        # The end of the connection ends a body whose length was not said.
-        body = exc.response
-    return response.code, body
+def _read(response, limit, on_begin):
+    on_begin()
+    limit.progress()
+    reader = BodyReader(on_data=limit.progress)
+    response.deliverBody(reader)
+    return reader.done.addCallback(lambda body: (response.code, body))
 
 
 #: Failures after which a request may or may not have had its effect.
--- a/anvilflow/clients/tests/test_http.py
+++ b/anvilflow/clients/tests/test_http.py
@@ -51,3 +51,51 @@
     exchange.clock.advance(0.4)
     assert exchange.results[0].check(TimeoutError)
     assert not exchange.transport.connected
+
+
+def test_answer_that_was_given_up_is_not_told_again():
+    """What the other end still sends is dropped, and says nothing in the log."""
+    exchange = _Exchange(timeout=0.8)
+    exchange.answer(HEAD)
+    exchange.clock.advance(0.9)
+    exchange.answer(b"x" * 1000)
+    assert len(exchange.results) == 1
+
+
+@pytest.mark.parametrize("idle_timeout", [None, 0.8])
+def test_limit_on_pauses_lets_a_slow_answer_end(idle_timeout):
+    """An answer takes 4 s, with a piece each 0.4 s. A limit on the whole would end each try."""
+    exchange = _Exchange(timeout=0.8, idle_timeout=idle_timeout)
+    exchange.answer(HEAD)
+    for _ in range(10):
+        exchange.answer(b"x" * 100, after=0.4)
+    (result,) = exchange.results
+    assert (result == (200, b"x" * 1000)) is (idle_timeout is not None)
+
+
+def test_limit_on_pauses_ends_an_answer_that_stands_still():
+    """The connection goes silent in the middle of the body, without a reset."""
+    exchange = _Exchange(timeout=5.0, idle_timeout=0.8)
+    exchange.answer(HEAD, after=4.0)
+    exchange.answer(b"x" * 100, after=0.7)
+    exchange.clock.advance(0.7)
+    assert exchange.results == []
+    exchange.clock.advance(0.2)
+    assert exchange.results[0].check(TimeoutError)
+    assert not exchange.transport.connected
+
+
+def test_body_without_a_length_ends_with_its_connection():
+    """The server says neither length nor chunks, and closes when all is sent."""
+    exchange = _Exchange(timeout=1.0)
+    exchange.answer(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + b"x" * 10)
+    exchange.transport.loseConnection()
+    assert exchange.results == [(200, b"x" * 10)]
+
+
+def test_body_that_breaks_off_is_a_failure():
+    """The connection ends before the length that was said."""
+    exchange = _Exchange(timeout=1.0)
+    exchange.answer(HEAD + b"x" * 10)
+    exchange.transport.loseConnection()
+    assert exchange.results[0].check(Exception)
