Answers of the store may take as long as they need, if they go on arriving

Cause: the time limit of a reading covered its whole answer, whose size the operator decides: 0.72 MB take 1.2 s and more over 5 Mbit/s, and were given 0.8 s (readings) or what was left of 3.8 s (the feed). 30 of 31 instances on such links never had the change, and tried for ever. Change: limits of readings and feeds end with the answer's beginning, and then hold for each pause. Tests: test_large_configuration_is_in_force_in_time_over_slow_links (also with the safeguard taken out), test_instance_on_a_slow_link_starts_with_a_large_configuration; both were known red.

--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -74,6 +74,10 @@
     truncated: bool = False
 
 
+def _nothing():
+    """Take no notice."""
+
+
 class StoreClient:
     """Calls to the store.
 
@@ -82,10 +86,14 @@
     http : HttpClient
     address : str
     timeout : float
-        Wait for an answer. Unit: seconds.
+        Wait for an answer to begin, and longest pause in it. Unit: seconds.
 
     Notes
     -----
+    The operator decides how large a configuration is, and callers how many jobs there are: over a
+    link of 5 Mbit/s a whole answer takes seconds. A limit on all of it would be passed by each try
+    anew; one on its pauses still finds a connection that has gone silent.
+
     :class:`PlatformRefusedError` says that nothing was done. :class:`PlatformUnavailableError` says
     that a write may have been done, or may be done seconds later.
     """
@@ -128,11 +136,12 @@
         return decode(answer, _Answer, error=PlatformUnavailableError).ver
 
     @inlineCallbacks
-    def read(self, table, part, *, first="", end="", timeout=None):
+    def read(self, table, part, *, first="", end="", timeout=None, on_begin=_nothing):
         """Return the rows of a part from key `first` up to `end`, and the newest version.
 
         Read page by page; the version is that of the first page, so that a feed that goes on from
-        there misses nothing that changed between the pages.
+        there misses nothing that changed between the pages. `on_begin` is called when the first
+        page begins to arrive.
         """
         rows = []
         version = None
@@ -145,7 +154,7 @@
                 query["target"] = end
             path = f"rows-get?{urlencode(query)}"
             wait = self.timeout if timeout is None else timeout
-            status, body = yield self._call(b"GET", path, b"", wait)
+            status, body = yield self._call(b"GET", path, b"", wait, on_begin)
             _check_done(status)
             answer = decode(body, _Answer, error=PlatformUnavailableError)
             version = answer.ver if version is None else version
@@ -161,9 +170,18 @@
         return rows[0] if rows else None
 
     @inlineCallbacks
-    def follow(self, table, version, *, wait_s):
+    def follow(self, table, version, *, wait_s, on_begin=_nothing):
         """Return the changes of a table after `version`, and the version to go on from.
 
+        Parameters
+        ----------
+        table : str
+        version : int
+        wait_s : float
+            Longest wait for a change. Unit: seconds.
+        on_begin : callable
+            Called when the answer begins to arrive.
+
         Raises
         ------
         RevisionGoneError
@@ -172,7 +190,7 @@
         self.n_reads += 1
         query = urlencode({"table": table, "after": version, "wait-ms": int(wait_s * 1000)})
         status, body = yield self._call(
-            b"GET", f"rows-feed?{query}", b"", wait_s + self.timeout + FEED_GRACE_S
+            b"GET", f"rows-feed?{query}", b"", wait_s + self.timeout + FEED_GRACE_S, on_begin
         )
         if status == 410:
             raise RevisionGoneError(f"changes of {table} after {version} are no longer kept")
@@ -181,11 +199,19 @@
         return [row.to_row() for row in answer.rows], answer.ver
 
     @inlineCallbacks
-    def _call(self, method, path, body, timeout):
+    def _call(self, method, path, body, timeout, on_begin=_nothing):
         url = f"http://{self.address}/-/{path}"
         headers = {b"content-type": [b"application/json"]} if body else None
         try:
-            result = yield self.http.call(method, url, body, timeout=timeout, headers=headers)
+            result = yield self.http.call(
+                method,
+                url,
+                body,
+                timeout=timeout,
+                idle_timeout=self.timeout,
+                on_begin=on_begin,
+                headers=headers,
+            )
         except NOT_SENT as exc:
             raise PlatformRefusedError(f"the store was not reached: {exc!r}") from exc
         except Exception as exc:
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -147,9 +147,14 @@
         self.name = name
         self.clock = clock
 
-    def call(self, method, url, body, *, timeout, headers=None):
+    def call(self, method, url, body, *, timeout, idle_timeout=None, on_begin=None, headers=None):
         """Make a call; it fails with a TimeoutError when there is no answer in time."""
-        exchange = _Exchange(clock=self.clock, link=lambda: self.network.links.get(self.name))
+        exchange = _Exchange(
+            clock=self.clock,
+            link=lambda: self.network.links.get(self.name),
+            idle_timeout=idle_timeout,
+            on_begin=on_begin,
+        )
         done = self.network.carry(self.name, self.clock, method, url, body, headers)
         done.addCallbacks(exchange.begin, exchange.end)
         return exchange.limit(timeout)
@@ -172,10 +177,15 @@
         The calling process's.
     link : callable
         Returns the SlowLink that the answer comes over; None: it comes at once.
+    idle_timeout : float or None
+        Longest pause in the answer, if its whole length is not limited. Unit: seconds.
+    on_begin : callable or None
     """
 
-    def __init__(self, *, clock, link):
+    def __init__(self, *, clock, link, idle_timeout, on_begin):
         self.clock = clock
+        self._idle_timeout = idle_timeout
+        self._on_begin = on_begin
         self._find_link = link
         self._link = None
         self._answer = Deferred(self._cancelled)
@@ -191,6 +201,9 @@
         """The head of the answer is there."""
         if self._answer.called:
             return
+        if self._on_begin is not None:
+            self._on_begin()
+        self._progress()
         self._link = self._find_link()
         if self._link is None:
             self.end(result)
@@ -200,7 +213,8 @@
         )
 
     def _progress(self):
-        pass
+        if self._idle_timeout is not None:
+            self._late.reset(self._idle_timeout)
 
     def end(self, result):
         """The answer is whole, or has failed."""
