--- /dev/null
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -0,0 +1,55 @@
+"""Take-overs by instances whose links are slow.
+
+The home of a large cell dies late in the day. A successor on a link of 5 Mbit/s reads the rows of
+all jobs, which takes it seconds. It said nothing meanwhile, so that the next one took it for dead
+after half a second and claimed, and the next: eight homes followed one another within 6 s, none of
+which had started a task.
+
+Evidence. Found by asking where else a limit is shorter than a transfer whose size others decide:
+800 jobs make 0.5 MB, and the holder in the home's row changed at 0.4, 1.4, 1.9, 2.9, 3.5, 4.4, 5.0
+and 6.0 s after the death.
+"""
+
+import pytest
+
+from anvilflow.cell._home import HomePart
+
+from ._helpers import make_cell
+
+#: A link of 5 Mbit/s. Unit: bytes a second.
+SLOW = 625_000
+
+#: Jobs whose rows take 1.2 s over such a link.
+N_JOBS = 800
+
+
+def _cell_with_many_jobs(n_instances):
+    cell = make_cell(n_instances=n_instances, n_workers=6)
+    names = list(cell.daemons)
+    for number in range(N_JOBS):
+        entry = names[number % len(names)]
+        cell.submit(entry, f"{number:016x}", {"count": 4, "cpu": 1}, spec="0.2 done 1")
+        if number % 10 == 0:
+            cell.advance(0.05)
+    cell.advance(3.0)
+    return cell
+
+
+def _term(cell):
+    return cell.store.value("home", "home", part="cell")["term"]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_loads_over_a_slow_link_is_not_taken_for_dead(monkeypatch, safeguard):
+    """All instances that are left have slow links."""
+    if not safeguard:
+        monkeypatch.setattr(HomePart, "is_loading", False)
+    cell = _cell_with_many_jobs(8)
+    for name in cell.daemons:
+        cell.wire.slow_link(name, SLOW)
+    term = _term(cell)
+    cell.kill(cell.home())
+    cell.advance(5.0)
+    assert (_term(cell) == term + 1) is safeguard
+    if safeguard:
+        assert cell.homes() == [cell.home()]
