A home says that it lives while it loads

Cause: a home told nothing until it had read its tables: 1.4 s over a slow link, where 0.5 s of silence and a row that stands still make the next instance claim. So did that one, and the next. Change: the home's heartbeat begins with the claim; a home whose reading failed offers its place in it. Test: test_home_that_loads_over_a_slow_link_is_not_taken_for_dead, with the safeguard taken out; was known red.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -26,9 +26,7 @@
 from ._job_intake import JobIntake
 from ._job_store import read_jobs
 from ._recorder import Recorder
-from ._tables import (
-    JOBS,
-)
+from ._tables import JOBS
 
 #: Period of telling the instances that the home lives. Unit: seconds.
 BEAT_S = 0.2
@@ -68,6 +66,7 @@
         self._calls = None
         self._planned = None
         self._loaded = False
+        self._load_has_failed = False
         self._janitor = None
         self._intake = None
 
@@ -110,8 +109,11 @@
     # Beginning and end
 
     def _begin(self, _, claimed):
+        self._load_has_failed = self._load_has_failed and claimed is self._claimed
         self._end()
         self._claimed = claimed
+        # The instances that follow see at once that it lives; over a slow link it loads for seconds.
+        self._tell()
         done = self._load(claimed)
         done.addErrback(self._load_failed, claimed)
         done.addErrback(self.fail_with)
@@ -119,6 +121,7 @@
     def _load_failed(self, failure, claimed):
         failure.trap(PlatformError)
         self.log.warning("jobs not loaded", error=str(failure.value))
+        self._load_has_failed = True
         if self._claimed is claimed:
             self.later(jitter(self.context.random_state, _AGAIN_S), self._begin_again, claimed)
 
@@ -172,6 +175,7 @@
         for handover in claimed.former.handover if claimed.former is not None else ():
             self._fleet.take_handover(handover)
         self._loaded = True
+        self._load_has_failed = False
         self.context.home = self
         self.context.meters.timed("load", self.now - claimed_at)
         self.log.info(
@@ -243,7 +247,7 @@
         return HomeBeat(
             term=self._claimed.term if self._claimed else 0,
             config_version=config.version if config is not None else 0,
-            yielding=self.context.leaving or self.is_store_away,
+            yielding=self.context.leaving or self.is_store_away or self._load_has_failed,
             successors=sorted(links.peers) if links is not None else [],
         )
 
@@ -252,8 +256,18 @@
         """Whether the store has not answered the home's own calls for a while."""
         return self._recorder is not None and self._recorder.reach.bad_for_s > STORE_BAD_S
 
+    @property
+    def is_loading(self):
+        """Whether this instance has claimed and still reads what lasts.
+
+        It says so: a home on a slow link that was silent meanwhile was taken for dead, and its
+        successor after it. One that cannot read its tables offers its place.
+        """
+        return self._claimed is not None and not self._loaded
+
     def _tell(self):
-        if self.context.home is not self or self.context.links is None:
+        is_home = self.context.home is self or self.is_loading
+        if not is_home or self.context.links is None:
             return
         beat = self.beat()
         for link in self.context.links.peers.values():
