A feed that failed goes on from where it was

Cause: after each failure of the feed the configuration was read whole, by all instances at the return of the store: 1.27 MB, two seconds of a link of 5 Mbit/s, just when refused callers came back. Change: the version stays; the store sends what has changed since, or says that its history is gone. Test: test_outage_of_the_store_costs_a_slow_link_no_second_reading, which failed before.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -72,7 +72,7 @@
                 self.log.warning("configuration not read", error=str(exc))
             self._away = True
             self.context.store_health.bad()
-            self._version = None
+            # The version stays: what has changed since is all that has to come over the link.
             yield self._pause()
             return
         self._away = False
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -126,3 +126,25 @@
 
 def _without_feed(take):
     return lambda rows, source: None if source == "feed" else take(rows, source)
+
+
+@pytest.mark.parametrize("kind", ["silent", "status"])
+def test_outage_of_the_store_costs_a_slow_link_no_second_reading(kind):
+    """The store is away for six seconds, and the configuration did not change.
+
+    Read whole after each failure, a large one kept slow links full for two seconds, just when
+    callers who had been refused came back.
+    """
+    cell = _slow_cell()
+    cell.store.put("op", "config", _big_config(5))
+    cell.advance(4.0)
+    before = {name: link.n_bytes for name, link in cell.wire.links.items()}
+    setattr(cell.store_faults, kind, {"silent": True, "status": 503}[kind])
+    cell.advance(6.0)
+    cell.store_faults.clear()
+    cell.advance(3.0)
+    for name, link in cell.wire.links.items():
+        assert link.n_bytes - before[name] < 50_000
+    cell.store.put("op", "config", make_platform_config(6))
+    cell.advance(0.5)
+    assert _versions(cell) == {6}
