Test: tasks that ended in an outage are not started by a home that finds an empty registry

Cause of the incident, reproduced in virtual time: an outage of nine seconds in which two tasks end, all entries of workers lapse and the home dies; a spare worker registers first. With the history of the registry taken out both break here.

--- /dev/null
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -0,0 +1,46 @@
+"""Tasks that are done while nobody can record it, and homes that change meanwhile."""
+
+import pytest
+from twisted.internet.defer import succeed
+
+from anvilflow.cell import _home_state
+
+from ._helpers import JOB, make_cell
+
+
+@pytest.mark.parametrize("n_more_homes", [0, 2])
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_tasks_that_ended_in_an_outage_are_not_started_by_a_home_that_knows_no_worker(
+    monkeypatch, safeguard, n_more_homes
+):
+    """The store is away for nine seconds: two tasks end, which their home hears and cannot record.
+
+    It goes on renewing the workers' leases while all their entries lapse, until it dies. The store
+    returns; for the next home the registry is empty, so that no worker seems to be unheard. When a
+    first worker registers again, idle, the tasks are started on it; those with the ends register a
+    second later. Evidence: the users' record, in which the entries lapse, and the second run is
+    stopped as soon as the first worker is heard.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_home_state, "find_missing", lambda *args: succeed(frozenset()))
+    cell = make_cell(n_instances=4, n_workers=3)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="1.1 done 9000")
+    cell.advance(0.3)
+    busy = {span.worker for span in cell.spans}
+    cell.store_faults.silent = True
+    cell.advance(3.0)
+    for worker_id in cell.workers:
+        cell.store.remove("servers", worker_id)
+    cell.advance(6.0)
+    cell.kill(cell.home())
+    cell.store_faults.clear()
+    cell.advance(0.7)
+    for _ in range(n_more_homes):
+        cell.kill(cell.home())
+        cell.advance(0.7)
+    for worker_id in sorted(cell.workers, key=busy.__contains__):
+        cell.store.put("servers", worker_id, cell.workers[worker_id].entry())
+        cell.advance(0.8 if worker_id not in busy else 0.0)
+    cell.advance(4.0)
+    assert (cell.check() == []) is safeguard
+    assert cell.store.value("home", "home", part="cell")["term"] == 2 + n_more_homes
