Failing tests: an end of a job that the home does not know yet is acknowledged at once

Cause: RunBook._ended counts the end as seen and keeps nothing of it, so that the worker forgets it with the next hold. A job that is accepted while homes change, begun by the former home and done before the next one hears of it, is started again.

--- a/anvilflow/cell/tests/test_unrecorded_ends.py
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -4,6 +4,7 @@
 from twisted.internet.defer import succeed
 
 from anvilflow.cell import _home_state
+from anvilflow.jobs import StartRun
 
 from ._helpers import JOB, make_cell
 
@@ -44,3 +45,29 @@
     cell.advance(4.0)
     assert (cell.check() == []) is safeguard
     assert cell.store.value("home", "home", part="cell")["term"] == 2 + n_more_homes
+
+
+def test_task_that_is_done_before_the_next_home_hears_of_its_job_is_not_started_again():
+    """A job is accepted while homes change: the former home starts it, the next one has read the
+    table before.
+
+    The task is done at once. The next home hears of the end, then of the job. Were the worker told
+    to forget the end of an unknown job, the task would be started a second time.
+    """
+    cell = make_cell(n_instances=3, n_workers=3)
+    _start_as_a_former_home_did(cell, "i-0", f"{JOB}.0.0.0", "0.1 done 1000")
+    cell.advance(0.4)
+    assert cell.spans[0].how == "done"
+    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="0.1 done 1000")
+    cell.advance(4.0)
+    assert cell.state("a0", JOB) == "completed"
+    assert cell.check() == []
+
+
+def _start_as_a_former_home_did(cell, worker_id, task, payload):
+    worker = cell.workers[worker_id]
+    calls = cell.daemons[cell.home()].supervisor.part("home")._fleet._sessions[worker_id].calls
+    start = StartRun(
+        worker_id=worker_id, task=task, run_id=1, payload=payload, checkpoint="", ticket=""
+    )
+    calls.start(start, until_s=worker.clock_s() + 3.0)
