An end of a job that the home does not know stays with its worker until the jobs have been read again

Cause: such ends were acknowledged at once and forgotten. A job that is accepted while homes change, begun by the former home and done before the next one hears of it, was started a second time. Change: the end waits among those that are not acknowledged yet. It counts when the job is heard of, and is given up when a reading of the jobs that was begun after the end was told does not show the job: its row was written before the run began. That is 1 s at the most while the store answers, and as long as an outage lasts, where no bound in time would be safe. A run that is only known by its end raises the task's run number. The one of the cell now keeps the true order, the job's row before the start; in the first form a reading between the end and the row could not happen in use. It fails without the mend and with _take_up taken out.

--- a/anvilflow/cell/_follower.py
+++ b/anvilflow/cell/_follower.py
@@ -26,8 +26,8 @@
     read : callable
         Reads the table whole; returns a Deferred of its rows and version.
     take : callable
-        Called with rows, whether they are the whole table (what is not among them is gone), and
-        the version up to which the table is known now.
+        Called with rows, whether they are the whole table (what is not among them is gone), the
+        version up to which the table is known now, and when it was asked for. Unit: seconds.
     wait_s, pause_s : float, default=0.0
         Longest wait of one reading, and pause between two. Unit: seconds.
     """
@@ -56,6 +56,7 @@
             is_quick = self.context.clock.seconds() < quick_until
             pause = min(QUICK_PAUSE_S, self.pause_s) if is_quick else self.pause_s
             is_whole = version is None
+            asked_at = self.context.clock.seconds()
             try:
                 if is_whole:
                     rows, version = yield self.read()
@@ -70,7 +71,7 @@
                 pause = AGAIN_S
                 continue
             if not self.closed:
-                self.take(rows, is_whole, version)
+                self.take(rows, is_whole, version, asked_at)
 
     def _changes(self, version):
         return self.context.store.follow(self.table, version, wait_s=self.wait_s)
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -284,13 +284,15 @@
         for follower, version in zip(self._followers, (jobs_version, workers_version), strict=True):
             follower.run(version).addErrback(self.fail_with)
 
-    def _take_jobs(self, rows, _, __):
+    def _take_jobs(self, rows, _, __, asked_at):
         for row in rows:
             self.act(self._intake.take(row))
+        self._scheduler.jobs_read(asked_at)
+        self._fleet.acknowledge()
         self._recorder.hurry()
         self.changed()
 
-    def _take_workers(self, rows, is_whole, version):
+    def _take_workers(self, rows, is_whole, version, _):
         self._scheduler.registry_version = version
         for row in rows:
             self._fleet.take_entry(row)
--- a/anvilflow/cell/tests/test_unrecorded_ends.py
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import succeed
 
 from anvilflow.cell import _home_state
-from anvilflow.jobs import StartRun
+from anvilflow.jobs import Scheduler, StartRun
 
 from ._helpers import JOB, make_cell
 
@@ -47,21 +47,41 @@
     assert cell.store.value("home", "home", part="cell")["term"] == 2 + n_more_homes
 
 
-def test_task_that_is_done_before_the_next_home_hears_of_its_job_is_not_started_again():
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_task_that_is_done_before_the_next_home_hears_of_its_job_is_not_started_again(
+    monkeypatch, safeguard
+):
     """A job is accepted while homes change: the former home starts it, the next one has read the
     table before.
 
     The task is done at once. The next home hears of the end, then of the job. Were the worker told
     to forget the end of an unknown job, the task would be started a second time.
     """
+    if not safeguard:
+        monkeypatch.setattr(Scheduler, "_take_up", lambda self, job, now: [])
     cell = make_cell(n_instances=3, n_workers=3)
+    cell.advance(0.5)
+    home, entry = cell.home(), cell.other()
+    _wait_for_a_reading_of_jobs(cell)
+    cell.network.silence(entry, home)
+    cell.submit(entry, JOB, {"count": 1, "cpu": 1000}, spec="0.1 done 1000")
+    cell.advance(0.05)
     _start_as_a_former_home_did(cell, "i-0", f"{JOB}.0.0.0", "0.1 done 1000")
-    cell.advance(0.4)
-    assert cell.spans[0].how == "done"
-    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="0.1 done 1000")
+    cell.advance(0.2)
+    scheduler = cell.daemons[home].supervisor.part("home")._scheduler
+    assert cell.spans[0].how == "done" and not scheduler.jobs
     cell.advance(4.0)
-    assert cell.state("a0", JOB) == "completed"
-    assert cell.check() == []
+    assert cell.home() == home
+    assert cell.state(home, JOB) == "completed"
+    assert (cell.check() == []) is safeguard
+    assert cell.workers["i-0"].finished == []
+
+
+def _wait_for_a_reading_of_jobs(cell):
+    scheduler = cell.daemons[cell.home()].supervisor.part("home")._scheduler
+    before = scheduler._jobs_known_at
+    while scheduler._jobs_known_at == before:
+        cell.advance(0.005)
 
 
 def _start_as_a_former_home_did(cell, worker_id, task, payload):
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -4,7 +4,7 @@
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
 from ._sickness import note_duration
-from ._worker import Stray
+from ._worker import PendingEnd, Stray
 from ._worker_book import WorkerBook
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
@@ -111,6 +111,20 @@
             )
         ]
 
+    def _take_up(self, job, now):
+        """Count what workers told of a job before it was heard of: its ends, then its runs.
+
+        Without it the job's tasks would be started a second time. Ends come first: of a task that
+        is done no run is taken on, and while nothing of the job runs they stop nothing.
+        """
+        for worker in self.workers.values():
+            for pending in worker.ack_queue:
+                step, task = self.find_task(pending.end.task)
+                if pending.change is None and task is not None and step.job is job:
+                    self._settle_end(worker, step, task, pending.end, None, now)
+                    pending.change = job.change
+        self._adopt_strays(job, now)
+
     def _adopt_strays(self, job, now):
         """Take on what a former home started of a job that is only heard of now.
 
@@ -162,19 +176,26 @@
             run = None
         step, task = self.find_task(end.task)
         if task is None:
+            worker.ack_queue.append(PendingEnd(end=end, change=None, now=now))
             return []
         if run is not None:
             task.runs.pop(worker.info.worker_id, None)
+        actions = self._settle_end(worker, step, task, end, run, now)
+        # Also of a job that has ended, until that is durable: a home that takes over before knows
+        # neither of the job's end nor of this one, and would run the task again.
+        if step.job.change > step.job.recorded_change:
+            worker.ack_queue.append(PendingEnd(end=end, change=step.job.change, now=now))
+        return actions
+
+    def _settle_end(self, worker, step, task, end, run, now):
+        """Count the end of a task's run; `run` is None when this home has not known the run."""
+        task.run_id = max(task.run_id, end.run_id)
         actions = []
         if not step.job.is_ended:
             if end.checkpoint and step.spec.checkpointing:
                 task.checkpoint = end.checkpoint
             actions = self._judge_end(worker, step, task, end, run, now)
             self._wait_again(step, task, now)
-        # Also of a job that has ended, until that is durable: a home that takes over before knows
-        # neither of the job's end nor of this one, and would run the task again.
-        if step.job.change > step.job.recorded_change:
-            worker.ack_queue.append((end.number, step.job.job_id, step.job.change))
         return actions
 
     def _judge_end(self, worker, step, task, end, run, now):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -47,6 +47,7 @@
         self.ended = {}
         self.config = None
         self._looked_at = now - LOOK_S
+        self._jobs_known_at = float("-inf")
 
     # Configuration and jobs
 
@@ -73,9 +74,13 @@
             record=record,
             inherited=inherited,
         )
-        self._adopt_strays(self.jobs[spec.job_id], now)
+        self._take_up(self.jobs[spec.job_id], now)
         return True
 
+    def jobs_read(self, asked_at):
+        """Note that all jobs are known which were accepted before `asked_at`. Unit: seconds."""
+        self._jobs_known_at = asked_at
+
     def cancel_job(self, job_id, now):
         """Cancel a job; return the stops of its runs."""
         job = self.jobs.get(job_id)
@@ -151,13 +156,22 @@
     def acknowledged(self, worker):
         """Return the number up to which the worker may forget ends, all of them durable."""
         queue = worker.ack_queue
-        while queue and self._is_durable(*queue[0]):
+        while queue and self._may_be_forgotten(queue[0]):
             queue.pop(0)
-        return queue[0][0] - 1 if queue else worker.last_ended
+        return queue[0].end.number - 1 if queue else worker.last_ended
 
-    def _is_durable(self, _, job_id, change):
-        job = self.jobs.get(job_id)
-        return job is None or job.recorded_change >= change
+    def _may_be_forgotten(self, pending):
+        """Whether an end is durable, or of a job that certainly does not exist any more.
+
+        A job may have been accepted while homes changed, and its task be done before this home
+        hears of it. Its row was written before the task began, so that a reading of the jobs that
+        was begun after the end was told shows it.
+        """
+        job = self.jobs.get(pending.job_id)
+        if job is not None:
+            return pending.change is None or job.recorded_change >= pending.change
+        is_known = pending.change is not None or pending.job_id in self.ended
+        return is_known or self._jobs_known_at >= pending.told_at
 
     # Plans
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -78,6 +78,31 @@
         self.stopped = False
 
 
+class PendingEnd:
+    """An end that a worker has told of and must not be told to forget yet.
+
+    Parameters
+    ----------
+    end : RunEnd
+    change : int or None
+        Change of its job that has to be durable first; None while the job is not known.
+    now : float
+        When it was told. Unit: seconds.
+    """
+
+    __slots__ = ("change", "end", "told_at")
+
+    def __init__(self, *, end, change, now):
+        self.end = end
+        self.change = change
+        self.told_at = now
+
+    @property
+    def job_id(self):
+        """The job of the run that has ended."""
+        return self.end.task.split(".", 1)[0]
+
+
 class Run:
     """One start of a task on a worker, from the decision to its listed end.
 
--- a/anvilflow/jobs/tests/test_unknown_tasks.py
+++ b/anvilflow/jobs/tests/test_unknown_tasks.py
@@ -5,6 +5,7 @@
 from .test_scheduler import add_job, make_report, make_scheduler
 
 TASK = "00000000000000a1.0.0.0"
+OTHER_JOB = "00000000000000b2"
 
 
 def end_of(task, *, number=1, how="done"):
@@ -32,3 +33,64 @@
     [job] = scheduler.dirty_jobs()
     scheduler.recorded(job.job_id, job.change, 0.3)
     assert scheduler.acknowledged(worker) == 1
+
+
+def test_end_of_an_unknown_job_is_forgotten_once_the_jobs_have_been_read_again():
+    """The job ended long ago and its rows are gone; a worker that was away tells of its run.
+
+    Whatever the former home started stood in the store before: a reading that was begun after the
+    end was told shows the job, or there is none. One that was begun before shows nothing.
+    """
+    scheduler = make_scheduler()
+    assert tell(scheduler, end_of(TASK), now=5.0) == 0
+    scheduler.jobs_read(4.9)
+    assert scheduler.acknowledged(scheduler.workers["w0"]) == 0
+    scheduler.jobs_read(5.1)
+    assert scheduler.acknowledged(scheduler.workers["w0"]) == 1
+
+
+def test_ends_behind_one_that_is_kept_wait_with_it():
+    """A worker forgets all ends up to a number: a later one that is durable has to wait."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), job_id=OTHER_JOB)
+    ends = [end_of(TASK, number=1), end_of(start.task, number=2)]
+    assert tell(scheduler, *ends, worker_id=start.worker_id) == 0
+    worker = scheduler.workers[start.worker_id]
+    scheduler.recorded(OTHER_JOB, scheduler.jobs[OTHER_JOB].change, 0.2)
+    assert scheduler.acknowledged(worker) == 0
+    scheduler.jobs_read(0.3)
+    assert scheduler.acknowledged(worker) == 2
+
+
+def test_end_of_a_job_that_has_ended_durably_is_not_kept():
+    """The job's own end is in the store: nothing of it is ever started again."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    scheduler.cancel_job("00000000000000a1", 0.1)
+    scheduler.recorded("00000000000000a1", scheduler.jobs["00000000000000a1"].change, 0.2)
+    assert tell(scheduler, end_of(start.task), worker_id=start.worker_id) == 1
+
+
+def test_full_report_of_unknown_ends_is_kept_whole_and_counts():
+    """Five hundred ends of a wide job are told before the job is heard of, and none is lost."""
+    scheduler = make_scheduler(n_workers=1)
+    ends = [end_of(f"00000000000000a1.0.0.{each}", number=each + 1) for each in range(500)]
+    assert tell(scheduler, *ends) == 0
+    starts = add_job(scheduler, StepSpec(n_tasks=502, cpu_milli=1000), now=0.2)
+    assert [start.task for start in starts] == [
+        f"00000000000000a1.0.0.{each}" for each in (500, 501)
+    ]
+
+
+def test_failures_of_a_job_that_is_heard_of_later_count_once():
+    """The run failed three times before the job is heard of, one of the ends is told twice."""
+    scheduler = make_scheduler()
+    ends = [
+        RunEnd(number=number, task=TASK, run_id=number, how="failed", checkpoint="")
+        for number in (1, 2, 3)
+    ]
+    assert tell(scheduler, *ends[:1]) == 0
+    assert tell(scheduler, *ends, now=0.15) == 0
+    assert add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=0.2) == []
+    [job] = scheduler.dirty_jobs()
+    assert job.is_ended and len(job.steps[0, 0].tasks[0].failed_runs) == 3
