Failing test: an end of an occurrence that is not due by this home's clock is acknowledged at once

Cause: the former home's clock was ahead and it has begun the occurrence; the next home knows the job, has not opened the occurrence yet, and lets the worker forget the end of its task. When the occurrence is due, the task is started again.

--- a/anvilflow/jobs/tests/test_unknown_tasks.py
+++ b/anvilflow/jobs/tests/test_unknown_tasks.py
@@ -1,8 +1,10 @@
 """Ends and runs of tasks that a new home does not know yet, without any network."""
 
-from anvilflow.jobs import RunEnd, StepSpec
+import pytest
 
-from .test_scheduler import add_job, make_report, make_scheduler
+from anvilflow.jobs import JobSpec, RunEnd, StartRun, StepSpec
+
+from .test_scheduler import QUEUE, add_job, make_report, make_scheduler
 
 TASK = "00000000000000a1.0.0.0"
 OTHER_JOB = "00000000000000b2"
@@ -94,3 +96,42 @@
     assert add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=0.2) == []
     [job] = scheduler.dirty_jobs()
     assert job.is_ended and len(job.steps[0, 0].tasks[0].failed_runs) == 3
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_end_of_an_occurrence_that_is_not_due_yet_by_this_homes_clock_is_kept(is_cancelled):
+    """The former home's clock is ahead of the next one's: it has begun an occurrence of a job.
+
+    To the next home the occurrence is not due for a second. Were the end forgotten, the task would
+    be started a second time then. A cancelling that is not durable changes nothing of that.
+    """
+    scheduler = make_scheduler()
+    spec = JobSpec(
+        job_id="00000000000000a1",
+        queue="q",
+        payload="",
+        steps=(StepSpec(n_tasks=1, cpu_milli=1000),),
+        first_at=100.0,
+        interval_s=10.0,
+        n_occurrences=3,
+    )
+    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=99.0)
+    scheduler.plan(0.0, 99.0)
+    assert tell(scheduler, end_of(TASK)) == 0
+    worker = scheduler.workers["w0"]
+    scheduler.jobs_read(0.2)
+    assert scheduler.acknowledged(worker) == 0
+    if is_cancelled:
+        scheduler.cancel_job(spec.job_id, 0.3)
+        assert scheduler.acknowledged(worker) == 0
+    else:
+        assert not _starts(scheduler.plan(1.0, 100.0))
+        assert [start.task for start in _starts(scheduler.plan(11.0, 110.0))] == [
+            "00000000000000a1.1.0.0"
+        ]
+    scheduler.recorded(spec.job_id, scheduler.jobs[spec.job_id].change, 12.0)
+    assert scheduler.acknowledged(worker) == 1
+
+
+def _starts(actions):
+    return [action for action in actions if isinstance(action, StartRun)]
