Ends and runs of an occurrence wait until it is due by this home's clock

Cause: a former home whose clock was ahead has begun an occurrence that the next one has not opened yet. The end of its task was acknowledged at once and the task started again when the occurrence was due; its run was stopped. Change: the end waits with its worker, as those of unknown jobs do, and counts when the occurrence opens; a run is left alone for as long as those of unknown jobs are, and taken on.

--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -209,6 +209,17 @@
             self.mark_ready(now)
         return opened
 
+    def is_to_open(self, name):
+        """Whether a task is of an occurrence that is not due yet by the clock of this home.
+
+        The clocks of instances differ, and a former home may have begun the occurrence.
+        """
+        try:
+            _, occurrence, _, _ = name.split(".")
+            return self.next_occurrence <= int(occurrence) < self.spec.n_occurrences
+        except ValueError:
+            return False
+
     def mark_ready(self, now):
         """Note the moment at which each step's predecessors were done."""
         self.is_idle = False
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -101,8 +101,8 @@
             self._began(run, now)
             return []
         stray = worker.strays.setdefault((item.task, item.run_id), Stray(item=item, now=now))
-        job_known = item.task.split(".", 1)[0] in self.jobs
-        if stray.stopped or not (job_known or now - stray.seen_at >= UNKNOWN_JOB_S):
+        waits = self._may_become_known(item.task) and now - stray.seen_at < UNKNOWN_JOB_S
+        if stray.stopped or waits:
             return []
         stray.stopped = True
         return [
@@ -111,19 +111,26 @@
             )
         ]
 
+    def _may_become_known(self, name):
+        job = self.jobs.get(name.split(".", 1)[0])
+        return job is None or (not job.is_ended and job.is_to_open(name))
+
     def _take_up(self, job, now):
-        """Count what workers told of a job before it was heard of: its ends, then its runs.
+        """Count what workers told of tasks before they were known: ends, then runs.
 
-        Without it the job's tasks would be started a second time. Ends come first: of a task that
-        is done no run is taken on, and while nothing of the job runs they stop nothing.
+        Called when a job is heard of and when an occurrence of it becomes due. Without it the tasks
+        would be started a second time. Ends come first: of a task that is done no run is taken on.
+        Returns the stops that follow.
         """
+        actions = []
         for worker in self.workers.values():
             for pending in worker.ack_queue:
                 step, task = self.find_task(pending.end.task)
                 if pending.change is None and task is not None and step.job is job:
-                    self._settle_end(worker, step, task, pending.end, None, now)
+                    actions += self._settle_end(worker, step, task, pending.end, None, now)
                     pending.change = job.change
         self._adopt_strays(job, now)
+        return actions
 
     def _adopt_strays(self, job, now):
         """Take on what a former home started of a job that is only heard of now.
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -74,6 +74,7 @@
             record=record,
             inherited=inherited,
         )
+        # Nothing of the job runs here yet, so that its ends cannot have anything stopped.
         self._take_up(self.jobs[spec.job_id], now)
         return True
 
@@ -168,10 +169,14 @@
         was begun after the end was told shows it.
         """
         job = self.jobs.get(pending.job_id)
-        if job is not None:
-            return pending.change is None or job.recorded_change >= pending.change
-        is_known = pending.change is not None or pending.job_id in self.ended
-        return is_known or self._jobs_known_at >= pending.told_at
+        if job is None:
+            is_known = pending.change is not None or pending.job_id in self.ended
+            return is_known or self._jobs_known_at >= pending.told_at
+        if pending.change is not None:
+            return job.recorded_change >= pending.change
+        if job.is_ended:
+            return job.recorded_change >= job.change
+        return not job.is_to_open(pending.end.task)
 
     # Plans
 
@@ -185,11 +190,13 @@
 
     def _look_round(self, now, wall_now):
         """See what falls due by time alone, on any worker and for any job."""
+        actions = []
         for job in self.jobs.values():
-            if job.spec.n_occurrences and not job.is_ended:
-                job.open_occurrences(now, wall_now)
+            is_timed = job.spec.n_occurrences and not job.is_ended
+            if is_timed and job.open_occurrences(now, wall_now):
+                actions += self._take_up(job, now)
         self.lost_leases(now)
-        return self._move_leaving_runs(now) + self._give_up_sick_runs(now)
+        return actions + self._move_leaving_runs(now) + self._give_up_sick_runs(now)
 
     def _move_leaving_runs(self, now):
         actions = []
--- a/anvilflow/jobs/tests/test_unknown_tasks.py
+++ b/anvilflow/jobs/tests/test_unknown_tasks.py
@@ -2,13 +2,24 @@
 
 import pytest
 
-from anvilflow.jobs import JobSpec, RunEnd, StartRun, StepSpec
+from anvilflow.jobs import JobSpec, RunEnd, RunReport, StartRun, StepSpec
 
 from .test_scheduler import QUEUE, add_job, make_report, make_scheduler
 
 TASK = "00000000000000a1.0.0.0"
 OTHER_JOB = "00000000000000b2"
 
+#: A job of three occurrences, ten seconds apart, the first at 100 s.
+TIMED = JobSpec(
+    job_id="00000000000000a1",
+    queue="q",
+    payload="",
+    steps=(StepSpec(n_tasks=1, cpu_milli=1000),),
+    first_at=100.0,
+    interval_s=10.0,
+    n_occurrences=3,
+)
+
 
 def end_of(task, *, number=1, how="done"):
     """Return the end of a first run."""
@@ -106,32 +117,43 @@
     be started a second time then. A cancelling that is not durable changes nothing of that.
     """
     scheduler = make_scheduler()
-    spec = JobSpec(
-        job_id="00000000000000a1",
-        queue="q",
-        payload="",
-        steps=(StepSpec(n_tasks=1, cpu_milli=1000),),
-        first_at=100.0,
-        interval_s=10.0,
-        n_occurrences=3,
-    )
-    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=99.0)
-    scheduler.plan(0.0, 99.0)
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.0)
     assert tell(scheduler, end_of(TASK)) == 0
     worker = scheduler.workers["w0"]
     scheduler.jobs_read(0.2)
     assert scheduler.acknowledged(worker) == 0
     if is_cancelled:
-        scheduler.cancel_job(spec.job_id, 0.3)
+        scheduler.cancel_job(TIMED.job_id, 0.3)
         assert scheduler.acknowledged(worker) == 0
     else:
         assert not _starts(scheduler.plan(1.0, 100.0))
         assert [start.task for start in _starts(scheduler.plan(11.0, 110.0))] == [
             "00000000000000a1.1.0.0"
         ]
-    scheduler.recorded(spec.job_id, scheduler.jobs[spec.job_id].change, 12.0)
+    scheduler.recorded(TIMED.job_id, scheduler.jobs[TIMED.job_id].change, 12.0)
     assert scheduler.acknowledged(worker) == 1
 
 
 def _starts(actions):
     return [action for action in actions if isinstance(action, StartRun)]
+
+
+def test_run_of_an_occurrence_that_is_not_due_yet_by_this_homes_clock_is_taken_on():
+    """The former home's clock is 0.5 s ahead, and a task that it began early still runs.
+
+    To stop it would throw its work away; a moment later the occurrence is due here, too.
+    """
+    scheduler = make_scheduler()
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.5)
+    run = RunReport(task=TASK, run_id=1, checkpoint="", percent=5, load=0.0)
+    assert scheduler.report("w0", make_report([run]), asked_at=0.1, now=0.1) == []
+    assert not _starts(scheduler.plan(0.6, 100.1))
+    assert list(scheduler.workers["w0"].runs) == [TASK]
+
+
+def test_end_of_a_task_that_cannot_exist_is_not_kept():
+    """A worker names a task beyond its job's last occurrence, or none of ours."""
+    scheduler = make_scheduler()
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.0)
+    ends = [end_of(f"{TIMED.job_id}.3.0.0", number=1), end_of(TIMED.job_id, number=2)]
+    assert tell(scheduler, *ends) == 2
