A job counts as perhaps begun by an earlier home until that one's orders are over

Cause: a job that came after the change of homes waited only until no former home orders any more. What one had started by then ran on under its lease on a worker that the new home had not heard, and was started again beside it. Change: whether an earlier home may have begun a job is told by the version of the job's row, against that of the home's first write after the orders of former homes are over. Such a job waits as those do that were there; its run numbers begin above theirs, too. Later ones wait for nobody. The parameter inherited of add_job goes: a test passed it, to the same effect in term 1.

--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -41,7 +41,7 @@
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
             if not row.key.endswith(CANCEL_MARK):
-                self._add_row(row, progress.get(row.key), inherited=True)
+                self._add_row(row, progress.get(row.key))
         return [action for row in marks for action in self.take(row)]
 
     def take(self, row):
@@ -49,7 +49,7 @@
         if row.value is None:
             return []
         if not row.key.endswith(CANCEL_MARK):
-            self._add_row(row, None, inherited=False)
+            self._add_row(row, None)
             return []
         job_id = row.key.removesuffix(CANCEL_MARK)
         if job_id not in self.scheduler.jobs:
@@ -57,11 +57,11 @@
         self.log.info("job cancelled by an entry", job=job_id)
         return self.scheduler.cancel_job(job_id, self._now())
 
-    def _add_row(self, row, record, *, inherited):
+    def _add_row(self, row, record):
         value = decode(row.value, JobRow, error=PlatformError)
-        self.add(value, row.version, record, inherited=inherited)
+        self.add(value, row.version, record)
 
-    def add(self, value, version, record=None, *, inherited=False):
+    def add(self, value, version, record=None):
         """Take on a job, once."""
         added = self.scheduler.add_job(
             value.spec,
@@ -70,7 +70,6 @@
             now=self._now(),
             wall_now=self.context.wall_clock(),
             record=record,
-            inherited=inherited,
         )
         if added:
             self.log.info(
@@ -78,6 +77,6 @@
                 job=value.spec.job_id,
                 queue=value.queue.name,
                 version=version,
-                inherited=inherited,
+                inherited=self.scheduler.jobs[value.spec.job_id].inherited,
                 tasks=sum(step.n_tasks for step in value.spec.steps),
             )
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -146,7 +146,7 @@
         for worker in handover:
             self.scheduler.workers[worker.info.worker_id].in_handover = True
         grace_period = self.scheduler.grace_period
-        is_over = grace_period.is_over(True, self.context.clock.seconds())
+        is_over = grace_period.is_over(self.context.clock.seconds())
         # What this home does not know of the workers yet, the next one must not take for known.
         is_known = is_over or grace_period.is_known
         missing = [] if is_over else sorted(grace_period.missing)
@@ -201,6 +201,7 @@
             self.context.store_health.answer_s = answer_s
             self._doubt_s = answer_timeout(answer_s)
             self.on_confirmed(began)
+            self.scheduler.grace_period.row_written(version, began)
             self._done(snapshot, version)
             return
 
--- a/anvilflow/cell/tests/test_unrecorded_ends.py
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import succeed
 
 from anvilflow.cell import _home_state
-from anvilflow.jobs import Scheduler, StartRun
+from anvilflow.jobs import GracePeriod, Scheduler, StartRun
 
 from ._helpers import JOB, make_cell
 
@@ -93,7 +93,10 @@
     calls.start(start, until_s=worker.clock_s() + 3.0)
 
 
-def test_job_accepted_while_homes_change_is_not_started_beside_its_run_on_an_unheard_worker():
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_accepted_while_homes_change_is_not_started_beside_its_run_on_an_unheard_worker(
+    monkeypatch, safeguard
+):
     """The store leaves the home alone, another instance claims, and then a job is accepted.
 
     The entry tells the former home, which may order for some tenths of a second yet: it starts the
@@ -101,6 +104,8 @@
     ordered nothing more, and started the tasks elsewhere while they ran. Evidence: spans of the
     first run of this test, 1 at 3.155 s and again as 1 at 3.88 s.
     """
+    if not safeguard:
+        monkeypatch.setattr(GracePeriod, "may_have_begun", _only_what_was_there)
     cell = make_cell(n_instances=4, n_workers=4)
     cell.advance(0.5)
     former = cell.home()
@@ -117,5 +122,36 @@
     cell.worker_faults["i-0"].clear()
     cell.advance(4.0)
     assert "i-0" in {span.worker for span in cell.spans}
-    assert cell.check() == []
+    assert (cell.check() == []) is safeguard
     assert cell.state(entry, JOB) == "completed"
+
+
+def _only_what_was_there(self, version):
+    return False
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_accepted_after_the_former_homes_orders_waits_for_no_unheard_worker(
+    monkeypatch, safeguard
+):
+    """The home and a worker die together; 0.9 s after the take-over a job is accepted.
+
+    No former home can have started it, so that it waits for nobody: it starts within 0.05 s. Told
+    apart by the time at which the next home hears of jobs, or not at all, it would wait until the
+    worker's leases have ended.
+    """
+    if not safeguard:
+        monkeypatch.setattr(GracePeriod, "row_written", lambda self, version, sent_at: None)
+    cell = make_cell(n_instances=3, n_workers=4)
+    cell.advance(0.5)
+    former = cell.home()
+    cell.worker_faults["i-3"].silent = True
+    cell.kill(former)
+    while cell.home() == former:
+        cell.advance(0.005)
+    cell.advance(0.9)
+    accepted_at = cell.clock.seconds()
+    cell.submit("a0" if former != "a0" else "a1", JOB, {"count": 3, "cpu": 1000})
+    cell.advance(5.0)
+    assert len(cell.spans) == 3
+    assert (max(span.began_at for span in cell.spans) < accepted_at + 0.05) is safeguard
--- a/anvilflow/jobs/_grace_period.py
+++ b/anvilflow/jobs/_grace_period.py
@@ -45,8 +45,10 @@
         self.is_known = is_known
         self.orders_over_at = None
         self.leases_over_at = None
+        self.orders_over_version = None
         if term == 1:
             self._set_ends(now - ORDER_S - lease_end(0.0, lease_s))
+            self.orders_over_version = 0
 
     def worker_found(self, worker_id):
         """A worker has registered."""
@@ -67,23 +69,27 @@
             return True
         return False
 
+    def row_written(self, version, sent_at):
+        """Take the version of the home's row by a write that was sent at `sent_at`."""
+        orders_over = self.orders_over_at is not None and sent_at >= self.orders_over_at
+        if orders_over and self.orders_over_version is None:
+            self.orders_over_version = version
+
+    def may_have_begun(self, version):
+        """Whether an earlier home may have begun a job, by the version of the job's row.
+
+        Also one that was accepted after this home began: until its orders are over, a former home
+        may be told of it and start it on a worker that this one does not reach.
+        """
+        return self.orders_over_version is None or version <= self.orders_over_version
+
     def _set_ends(self, now):
         self.orders_over_at = now + ORDER_S
         self.leases_over_at = lease_end(self.orders_over_at, self.lease_s)
 
-    def is_over(self, inherited, now):
-        """Whether no order of an earlier home can matter for a job.
-
-        Parameters
-        ----------
-        inherited : bool
-            Whether the job was there when this home began; what came later can only have been
-            started since, by a home that does not know yet that it was replaced.
-        now : float
-            Unit: seconds.
-        """
-        over_at = self.leases_over_at if inherited else self.orders_over_at
-        return over_at is not None and now >= over_at
+    def is_over(self, now):
+        """Whether nothing runs any more that an earlier home has started and nobody has listed."""
+        return self.leases_over_at is not None and now >= self.leases_over_at
 
     @property
     def knows_all(self):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -60,7 +60,7 @@
             job.queue = config.queue_named(job.queue.name) or job.queue
             job.is_idle = False
 
-    def add_job(self, spec, queue, *, version, now, wall_now, record=None, inherited=False):
+    def add_job(self, spec, queue, *, version, now, wall_now, record=None):
         """Take on an accepted job; return False when it is known already."""
         if spec.job_id in self.jobs or spec.job_id in self.ended:
             return False
@@ -72,7 +72,7 @@
             now=now,
             wall_now=wall_now,
             record=record,
-            inherited=inherited,
+            inherited=self.grace_period.may_have_begun(version),
         )
         # Nothing of the job runs here yet, so that its ends cannot have anything stopped.
         self._take_up(self.jobs[spec.job_id], now)
@@ -235,7 +235,7 @@
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
-        if self.grace_period.is_over(job.inherited, now):
+        if not job.inherited or self.grace_period.is_over(now):
             return True
         return self.grace_period.knows_all and all(
             worker.confirmed or worker.runs_known for worker in self.workers.values()
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -211,7 +211,7 @@
         job_id="00000000000000a1", queue="q", payload="", steps=(StepSpec(n_tasks=1, cpu_milli=1),)
     )
     record = JobRecord(begun=True, failures={"0.0.0": [1, 2]})
-    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0, record=record, inherited=True)
+    scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0, record=record)
     task = "00000000000000a1.0.0.0"
     again = RunEnd(number=7, task=task, run_id=2, how="failed", checkpoint="")
     scheduler.report("w0", make_report(ended=[again]), asked_at=0.1, now=0.1)
