Failing test: a worker that stays longer than it said counts as gone after one lost answer

Cause: a draining worker gives the least time for which it stays, and may stay seconds longer. When that time was over, its entry was not registered and one call had no answer, its tasks were started elsewhere at once, while they ran on under their leases. In an outage of the store all three happen to a worker that lives.

--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -161,3 +161,27 @@
 
 def _same_token(**values):
     return Claimed(**{**values, "token": 1})
+
+
+def test_task_on_a_worker_that_stays_longer_than_it_said_is_not_started_elsewhere():
+    """A worker drains and stays seconds longer than the least time that it gave.
+
+    It does not reach the store, so that its entry lapses; its tasks run on under their leases. Then
+    its answers are lost for a second. The home took it for gone and started the tasks elsewhere. Evidence:
+    the platform's page calls the time a minimum, and entries lapse while the store is down.
+    """
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="6.0 done 9000")
+    cell.advance(1.0)
+    worker = cell.workers[cell.spans[0].worker]
+    entry = {**worker.entry(state="draining"), "remaining-ms": 1000}
+    cell.store.put("servers", worker.worker_id, entry)
+    cell.advance(1.5)
+    cell.store.remove("servers", worker.worker_id)
+    cell.advance(0.2)
+    cell.worker_faults[worker.worker_id].loses_answers = True
+    cell.advance(1.5)
+    cell.worker_faults[worker.worker_id].clear()
+    cell.advance(5.0)
+    assert cell.check() == []
+    assert cell.state("a0", JOB) == "completed"
