A worker counts as gone at its own time only when nobody listens at its address

Change: beside the end of its time and the missing entry a refused connection is asked for in place of any call without an answer. A worker that lives accepts connections, also when it is frozen or cut off. Others wait for the lease. The program's HTTP client reports a refused connection of 127.0.0.1 as such.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -213,7 +213,8 @@
         worker = self.scheduler.workers.get(worker_id)
         if worker is not None and not worker.silent:
             self.log.info("worker silent", worker=worker_id, error=str(exc))
-        self.scheduler.worker_silent(worker_id, self._now())
+        nobody_listens = (exc.details or {}).get("nobody_listens", False)
+        self.scheduler.worker_silent(worker_id, self._now(), nobody_listens=nobody_listens)
         unlisted_at = self._unlisted.get(worker_id)
         over = worker is None or self._now() >= worker.lease_over_at
         if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_S and over:
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -68,7 +68,7 @@
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, now)
         self._hear(worker, now)
-        worker.silent = False
+        worker.silent = worker.nobody_listens = False
         actions += pace_fillers(self, worker, now)
         return actions
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -164,6 +164,7 @@
 
     `runs_known` says that an earlier home named all that may run on a worker that has not answered
     this one. `in_handover` says that the home's row names what runs here, see `_handover`.
+    `nobody_listens` says that the last call's connection was refused.
     """
 
     __slots__ = (
@@ -179,6 +180,7 @@
         "listed",
         "memory_free",
         "n_bad",
+        "nobody_listens",
         "retry_at",
         "runs",
         "runs_known",
@@ -195,6 +197,7 @@
         self.confirmed = False
         self.silent = False
         self.silent_at = None
+        self.nobody_listens = False
         self.runs_known = False
         self.in_handover = False
         self.listed = True
@@ -216,10 +219,13 @@
             self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
 
     def has_left(self, now):
-        """Whether the worker's own time is over, and it is neither listed nor heard of."""
-        return (
-            self.leaves_at is not None and now > self.leaves_at and self.silent and not self.listed
-        )
+        """Whether the worker has left: its own time is over, and nobody listens at its address.
+
+        The time is the least for which it stays, and entries lapse while the store is away. A lost
+        answer beside them meant a second run of each of its tasks, while the first ones went on.
+        """
+        is_time_over = self.leaves_at is not None and now > self.leaves_at
+        return is_time_over and self.nobody_listens and not self.listed
 
     def add_run(self, run):
         """Count a run's room."""
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -84,10 +84,13 @@
         for run in list(worker.runs.values()):
             self._drop_run(run, now)
 
-    def worker_silent(self, worker_id, now):
+    def worker_silent(self, worker_id, now, *, nobody_listens=False):
         """Calls to a worker fail: it gets no new work until it answers."""
         worker = self.workers.get(worker_id)
-        if worker is not None and not worker.silent:
+        if worker is None:
+            return
+        worker.nobody_listens = nobody_listens
+        if not worker.silent:
             worker.silent = True
             worker.silent_at = now
 
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -1,6 +1,7 @@
 """Orders to one life of a worker."""
 
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import ConnectionRefusedError
 
 from ..clients import NOT_SENT
 from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
@@ -113,7 +114,11 @@
             )
         except NOT_SENT as exc:
             raise WorkerRefusedError(
-                f"the worker was not reached: {exc!r}", details={"reason": "unreached"}
+                f"the worker was not reached: {exc!r}",
+                details={
+                    "reason": "unreached",
+                    "nobody_listens": isinstance(exc, ConnectionRefusedError),
+                },
             ) from exc
         except Exception as exc:
             raise WorkerUnreachableError(f"no answer: {exc!r}") from exc
