Failing test: a worker that was forgotten and comes back is held by two sessions

Cause: the home forgets a silent worker whose entry is gone and whose leases have ended; its session ends only with a further call that fails. If the worker answers first, the next entry opens a second session, and the first is known to nobody any more.

--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -212,3 +212,27 @@
 
 def _has_left_or_lost_an_answer(self, now):
     return self.leaves_at is not None and now > self.leaves_at and self.silent and not self.listed
+
+
+def test_worker_that_was_forgotten_and_comes_back_is_held_once():
+    """A worker is cut off for 3.4 s and its entry lapses: its leases have ended, and it is
+    forgotten.
+
+    It answers again, and a moment later it is registered. The session of before went on beside the
+    new one: twice as many holds, and nobody would have ended it with its home. It would have made
+    the instance give up a later term, for the worker refuses the old token then.
+    """
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.advance(1.0)
+    faults = cell.worker_faults["i-0"]
+    faults.silent = True
+    cell.advance(1.8)
+    cell.store.remove("servers", "i-0")
+    cell.advance(1.6)
+    faults.clear()
+    cell.advance(0.7)
+    cell.store.put("servers", "i-0", cell.workers["i-0"].entry())
+    cell.advance(1.0)
+    before = cell.workers["i-0"].n_holds
+    cell.advance(5.0)
+    assert cell.workers["i-0"].n_holds - before <= 11
