--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -152,6 +152,10 @@
             self._unlisted[worker_id] = self._now()
 
     def _open_session(self, info):
+        # A worker may be forgotten while its session goes on, and be registered again.
+        before = self._sessions.pop(info.worker_id, None)
+        if before is not None:
+            before.close()
         calls = self.context.make_worker(info, self.token)
         session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, home=self)
         self._sessions[info.worker_id] = session
