Failing test: a cancelling is answered by a record that says nothing of it

Cause: Recorder._done asks whether a job has ended now, not whether the transaction that was done wrote its end. A job that was cancelled while a record of its progress was on its way counts as ended durably: the client hears 200, and a home that dies then has lost the cancelling. The row of progress stays behind, too, for the record takes it for removed.

--- a/anvilflow/cell/tests/test_unrecorded_ends.py
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -155,3 +155,24 @@
     cell.advance(5.0)
     assert len(cell.spans) == 3
     assert (max(span.began_at for span in cell.spans) < accepted_at + 0.05) is safeguard
+
+
+def test_cancelling_is_not_answered_by_the_record_of_a_task_that_was_on_its_way():
+    """The store takes 0.3 s; a task's end is being recorded when a client cancels the job.
+
+    The record that was on its way is done, and it says nothing of the cancelling. It was taken for
+    the record of the job's end: the client heard 200, and a home that died then had lost it.
+    """
+    cell = make_cell(n_instances=3, n_workers=3)
+    home = cell.home()
+    cell.submit(home, JOB, {"count": 1, "cpu": 1000}, {"count": 1, "after": [0]}, spec="0.5 done 1")
+    cell.advance(0.4)
+    cell.store_faults.slow_s = 0.3
+    while not any(span.how == "done" for span in cell.spans):
+        cell.advance(0.005)
+    cell.advance(0.35)
+    answers = cell.call(home, "DELETE", f"/urgent/{JOB}")
+    while not answers:
+        cell.advance(0.005)
+    assert answers[0][0] == 200
+    assert cell.store.value("ended", JOB, part="cell")["state"] == "cancelled"
