A job's end is durable by the transaction that wrote it

Change: what a done transaction made durable is told by the change that it wrote, for the end of a job as for acknowledgements.

--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -262,8 +262,8 @@
         for job, change, _ in snapshot:
             if job.changed_at is not None:
                 self.context.meters.timed("record", now - job.changed_at)
-            self.scheduler.recorded(job.job_id, change, now)
-            if job.is_ended:
+            # A job that ended while this was on its way is not durable by it.
+            if self.scheduler.recorded(job.job_id, change, now):
                 self._written.discard(job.job_id)
                 ended.append(job.job_id)
         if not self.stopped:
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -144,15 +144,17 @@
         return sorted(dirty, key=lambda job: job.changed_at)
 
     def recorded(self, job_id, change, now):
-        """Note that a job's progress is durable up to `change`."""
+        """Note that a job's progress is durable up to `change`; return whether its end is."""
         job = self.jobs.get(job_id)
         if job is None:
-            return
+            return False
         job.recorded_change = max(job.recorded_change, change)
         job.changed_at = None if job.recorded_change == job.change else now
-        if job.is_ended and job.recorded_change == job.change:
-            del self.jobs[job_id]
-            self._remember_end(job_id, job.state)
+        if not job.is_ended or job.recorded_change < job.change:
+            return False
+        del self.jobs[job_id]
+        self._remember_end(job_id, job.state)
+        return True
 
     def acknowledged(self, worker):
         """Return the number up to which the worker may forget ends, all of them durable."""
