--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -152,6 +152,10 @@
             self._unlisted[worker_id] = self._now()
 
     def _open_session(self, info):
+        # A worker may be forgotten while its session goes on, and be registered again.
+        before = self._sessions.pop(info.worker_id, None)
+        if before is not None:
+            before.close()
         calls = self.context.make_worker(info, self.token)
         session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, home=self)
         self._sessions[info.worker_id] = session
@@ -213,7 +217,8 @@
         worker = self.scheduler.workers.get(worker_id)
         if worker is not None and not worker.silent:
             self.log.info("worker silent", worker=worker_id, error=str(exc))
-        self.scheduler.worker_silent(worker_id, self._now())
+        nobody_listens = (exc.details or {}).get("nobody_listens", False)
+        self.scheduler.worker_silent(worker_id, self._now(), nobody_listens=nobody_listens)
         unlisted_at = self._unlisted.get(worker_id)
         over = worker is None or self._now() >= worker.lease_over_at
         if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_S and over:
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -4,7 +4,7 @@
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
 from ._sickness import note_duration
-from ._worker import Stray
+from ._worker import PendingEnd, Stray
 from ._worker_book import WorkerBook
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
@@ -68,7 +68,7 @@
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, now)
         self._hear(worker, now)
-        worker.silent = False
+        worker.silent = worker.nobody_listens = False
         actions += pace_fillers(self, worker, now)
         return actions
 
@@ -101,8 +101,8 @@
             self._began(run, now)
             return []
         stray = worker.strays.setdefault((item.task, item.run_id), Stray(item=item, now=now))
-        job_known = item.task.split(".", 1)[0] in self.jobs
-        if stray.stopped or not (job_known or now - stray.seen_at >= UNKNOWN_JOB_S):
+        waits = self._may_become_known(item.task) and now - stray.seen_at < UNKNOWN_JOB_S
+        if stray.stopped or waits:
             return []
         stray.stopped = True
         return [
@@ -111,6 +111,27 @@
             )
         ]
 
+    def _may_become_known(self, name):
+        job = self.jobs.get(name.split(".", 1)[0])
+        return job is None or (not job.is_ended and job.is_to_open(name))
+
+    def _take_up(self, job, now):
+        """Count what workers told of tasks before they were known: ends, then runs.
+
+        Called when a job is heard of and when an occurrence of it becomes due. Without it the tasks
+        would be started a second time. Ends come first: of a task that is done no run is taken on.
+        Returns the stops that follow.
+        """
+        actions = []
+        for worker in self.workers.values():
+            for pending in worker.ack_queue:
+                step, task = self.find_task(pending.end.task)
+                if pending.change is None and task is not None and step.job is job:
+                    actions += self._settle_end(worker, step, task, pending.end, None, now)
+                    pending.change = job.change
+        self._adopt_strays(job, now)
+        return actions
+
     def _adopt_strays(self, job, now):
         """Take on what a former home started of a job that is only heard of now.
 
@@ -162,19 +183,26 @@
             run = None
         step, task = self.find_task(end.task)
         if task is None:
+            worker.ack_queue.append(PendingEnd(end=end, change=None, now=now))
             return []
         if run is not None:
             task.runs.pop(worker.info.worker_id, None)
+        actions = self._settle_end(worker, step, task, end, run, now)
+        # Also of a job that has ended, until that is durable: a home that takes over before knows
+        # neither of the job's end nor of this one, and would run the task again.
+        if step.job.change > step.job.recorded_change:
+            worker.ack_queue.append(PendingEnd(end=end, change=step.job.change, now=now))
+        return actions
+
+    def _settle_end(self, worker, step, task, end, run, now):
+        """Count the end of a task's run; `run` is None when this home has not known the run."""
+        task.run_id = max(task.run_id, end.run_id)
         actions = []
         if not step.job.is_ended:
             if end.checkpoint and step.spec.checkpointing:
                 task.checkpoint = end.checkpoint
             actions = self._judge_end(worker, step, task, end, run, now)
             self._wait_again(step, task, now)
-        # Also of a job that has ended, until that is durable: a home that takes over before knows
-        # neither of the job's end nor of this one, and would run the task again.
-        if step.job.change > step.job.recorded_change:
-            worker.ack_queue.append((end.number, step.job.job_id, step.job.change))
         return actions
 
     def _judge_end(self, worker, step, task, end, run, now):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -47,6 +47,7 @@
         self.ended = {}
         self.config = None
         self._looked_at = now - LOOK_S
+        self._jobs_known_at = float("-inf")
 
     # Configuration and jobs
 
@@ -59,7 +60,7 @@
             job.queue = config.queue_named(job.queue.name) or job.queue
             job.is_idle = False
 
-    def add_job(self, spec, queue, *, version, now, wall_now, record=None, inherited=False):
+    def add_job(self, spec, queue, *, version, now, wall_now, record=None):
         """Take on an accepted job; return False when it is known already."""
         if spec.job_id in self.jobs or spec.job_id in self.ended:
             return False
@@ -71,11 +72,16 @@
             now=now,
             wall_now=wall_now,
             record=record,
-            inherited=inherited,
+            inherited=self.grace_period.may_have_begun(version),
         )
-        self._adopt_strays(self.jobs[spec.job_id], now)
+        # Nothing of the job runs here yet, so that its ends cannot have anything stopped.
+        self._take_up(self.jobs[spec.job_id], now)
         return True
 
+    def jobs_read(self, asked_at):
+        """Note that all jobs are known which were accepted before `asked_at`. Unit: seconds."""
+        self._jobs_known_at = asked_at
+
     def cancel_job(self, job_id, now):
         """Cancel a job; return the stops of its runs."""
         job = self.jobs.get(job_id)
@@ -138,26 +144,41 @@
         return sorted(dirty, key=lambda job: job.changed_at)
 
     def recorded(self, job_id, change, now):
-        """Note that a job's progress is durable up to `change`."""
+        """Note that a job's progress is durable up to `change`; return whether its end is."""
         job = self.jobs.get(job_id)
         if job is None:
-            return
+            return False
         job.recorded_change = max(job.recorded_change, change)
         job.changed_at = None if job.recorded_change == job.change else now
-        if job.is_ended and job.recorded_change == job.change:
-            del self.jobs[job_id]
-            self._remember_end(job_id, job.state)
+        if not job.is_ended or job.recorded_change < job.change:
+            return False
+        del self.jobs[job_id]
+        self._remember_end(job_id, job.state)
+        return True
 
     def acknowledged(self, worker):
         """Return the number up to which the worker may forget ends, all of them durable."""
         queue = worker.ack_queue
-        while queue and self._is_durable(*queue[0]):
+        while queue and self._may_be_forgotten(queue[0]):
             queue.pop(0)
-        return queue[0][0] - 1 if queue else worker.last_ended
+        return queue[0].end.number - 1 if queue else worker.last_ended
 
-    def _is_durable(self, _, job_id, change):
-        job = self.jobs.get(job_id)
-        return job is None or job.recorded_change >= change
+    def _may_be_forgotten(self, pending):
+        """Whether an end is durable, or of a job that certainly does not exist any more.
+
+        A job may have been accepted while homes changed, and its task be done before this home
+        hears of it. Its row was written before the task began, so that a reading of the jobs that
+        was begun after the end was told shows it.
+        """
+        job = self.jobs.get(pending.job_id)
+        if job is None:
+            is_known = pending.change is not None or pending.job_id in self.ended
+            return is_known or self._jobs_known_at >= pending.told_at
+        if pending.change is not None:
+            return job.recorded_change >= pending.change
+        if job.is_ended:
+            return job.recorded_change >= job.change
+        return not job.is_to_open(pending.end.task)
 
     # Plans
 
@@ -171,11 +192,13 @@
 
     def _look_round(self, now, wall_now):
         """See what falls due by time alone, on any worker and for any job."""
+        actions = []
         for job in self.jobs.values():
-            if job.spec.n_occurrences and not job.is_ended:
-                job.open_occurrences(now, wall_now)
+            is_timed = job.spec.n_occurrences and not job.is_ended
+            if is_timed and job.open_occurrences(now, wall_now):
+                actions += self._take_up(job, now)
         self.lost_leases(now)
-        return self._move_leaving_runs(now) + self._give_up_sick_runs(now)
+        return actions + self._move_leaving_runs(now) + self._give_up_sick_runs(now)
 
     def _move_leaving_runs(self, now):
         actions = []
@@ -214,7 +237,7 @@
 
     def may_start(self, job, now):
         """Whether no earlier home can have a run of the job that nobody has listed yet."""
-        if self.grace_period.is_over(job.inherited, now):
+        if not job.inherited or self.grace_period.is_over(now):
             return True
         return self.grace_period.knows_all and all(
             worker.confirmed or worker.runs_known for worker in self.workers.values()
--- /dev/null
+++ b/anvilflow/jobs/tests/test_unknown_tasks.py
@@ -0,0 +1,159 @@
+"""Ends and runs of tasks that a new home does not know yet, without any network."""
+
+import pytest
+
+from anvilflow.jobs import JobSpec, RunEnd, RunReport, StartRun, StepSpec
+
+from .test_scheduler import QUEUE, add_job, make_report, make_scheduler
+
+TASK = "00000000000000a1.0.0.0"
+OTHER_JOB = "00000000000000b2"
+
+#: A job of three occurrences, ten seconds apart, the first at 100 s.
+TIMED = JobSpec(
+    job_id="00000000000000a1",
+    queue="q",
+    payload="",
+    steps=(StepSpec(n_tasks=1, cpu_milli=1000),),
+    first_at=100.0,
+    interval_s=10.0,
+    n_occurrences=3,
+)
+
+
+def end_of(task, *, number=1, how="done"):
+    """Return the end of a first run."""
+    return RunEnd(number=number, task=task, run_id=1, how=how, checkpoint="")
+
+
+def tell(scheduler, *ends, now=0.1, worker_id="w0"):
+    """Let a worker tell of ends; return the number up to which it may forget them."""
+    scheduler.report(worker_id, make_report(ended=ends), asked_at=now, now=now)
+    return scheduler.acknowledged(scheduler.workers[worker_id])
+
+
+def test_end_of_a_job_that_is_heard_of_later_is_kept_and_counts():
+    """A job is accepted while homes change: the former home starts it, and it is done at once.
+
+    The next home has read the jobs before. It hears of the end first, then of the job. Were the end
+    forgotten, the task would be started a second time.
+    """
+    scheduler = make_scheduler()
+    assert tell(scheduler, end_of(TASK)) == 0
+    assert add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=0.2) == []
+    worker = scheduler.workers["w0"]
+    assert scheduler.acknowledged(worker) == 0
+    [job] = scheduler.dirty_jobs()
+    scheduler.recorded(job.job_id, job.change, 0.3)
+    assert scheduler.acknowledged(worker) == 1
+
+
+def test_end_of_an_unknown_job_is_forgotten_once_the_jobs_have_been_read_again():
+    """The job ended long ago and its rows are gone; a worker that was away tells of its run.
+
+    Whatever the former home started stood in the store before: a reading that was begun after the
+    end was told shows the job, or there is none. One that was begun before shows nothing.
+    """
+    scheduler = make_scheduler()
+    assert tell(scheduler, end_of(TASK), now=5.0) == 0
+    scheduler.jobs_read(4.9)
+    assert scheduler.acknowledged(scheduler.workers["w0"]) == 0
+    scheduler.jobs_read(5.1)
+    assert scheduler.acknowledged(scheduler.workers["w0"]) == 1
+
+
+def test_ends_behind_one_that_is_kept_wait_with_it():
+    """A worker forgets all ends up to a number: a later one that is durable has to wait."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), job_id=OTHER_JOB)
+    ends = [end_of(TASK, number=1), end_of(start.task, number=2)]
+    assert tell(scheduler, *ends, worker_id=start.worker_id) == 0
+    worker = scheduler.workers[start.worker_id]
+    scheduler.recorded(OTHER_JOB, scheduler.jobs[OTHER_JOB].change, 0.2)
+    assert scheduler.acknowledged(worker) == 0
+    scheduler.jobs_read(0.3)
+    assert scheduler.acknowledged(worker) == 2
+
+
+def test_end_of_a_job_that_has_ended_durably_is_not_kept():
+    """The job's own end is in the store: nothing of it is ever started again."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    scheduler.cancel_job("00000000000000a1", 0.1)
+    scheduler.recorded("00000000000000a1", scheduler.jobs["00000000000000a1"].change, 0.2)
+    assert tell(scheduler, end_of(start.task), worker_id=start.worker_id) == 1
+
+
+def test_full_report_of_unknown_ends_is_kept_whole_and_counts():
+    """Five hundred ends of a wide job are told before the job is heard of, and none is lost."""
+    scheduler = make_scheduler(n_workers=1)
+    ends = [end_of(f"00000000000000a1.0.0.{each}", number=each + 1) for each in range(500)]
+    assert tell(scheduler, *ends) == 0
+    starts = add_job(scheduler, StepSpec(n_tasks=502, cpu_milli=1000), now=0.2)
+    assert [start.task for start in starts] == [
+        f"00000000000000a1.0.0.{each}" for each in (500, 501)
+    ]
+
+
+def test_failures_of_a_job_that_is_heard_of_later_count_once():
+    """The run failed three times before the job is heard of, one of the ends is told twice."""
+    scheduler = make_scheduler()
+    ends = [
+        RunEnd(number=number, task=TASK, run_id=number, how="failed", checkpoint="")
+        for number in (1, 2, 3)
+    ]
+    assert tell(scheduler, *ends[:1]) == 0
+    assert tell(scheduler, *ends, now=0.15) == 0
+    assert add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=0.2) == []
+    [job] = scheduler.dirty_jobs()
+    assert job.is_ended and len(job.steps[0, 0].tasks[0].failed_runs) == 3
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_end_of_an_occurrence_that_is_not_due_yet_by_this_homes_clock_is_kept(is_cancelled):
+    """The former home's clock is ahead of the next one's: it has begun an occurrence of a job.
+
+    To the next home the occurrence is not due for a second. Were the end forgotten, the task would
+    be started a second time then. A cancelling that is not durable changes nothing of that.
+    """
+    scheduler = make_scheduler()
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.0)
+    assert tell(scheduler, end_of(TASK)) == 0
+    worker = scheduler.workers["w0"]
+    scheduler.jobs_read(0.2)
+    assert scheduler.acknowledged(worker) == 0
+    if is_cancelled:
+        scheduler.cancel_job(TIMED.job_id, 0.3)
+        assert scheduler.acknowledged(worker) == 0
+    else:
+        assert not _starts(scheduler.plan(1.0, 100.0))
+        assert [start.task for start in _starts(scheduler.plan(11.0, 110.0))] == [
+            "00000000000000a1.1.0.0"
+        ]
+    scheduler.recorded(TIMED.job_id, scheduler.jobs[TIMED.job_id].change, 12.0)
+    assert scheduler.acknowledged(worker) == 1
+
+
+def _starts(actions):
+    return [action for action in actions if isinstance(action, StartRun)]
+
+
+def test_run_of_an_occurrence_that_is_not_due_yet_by_this_homes_clock_is_taken_on():
+    """The former home's clock is 0.5 s ahead, and a task that it began early still runs.
+
+    To stop it would throw its work away; a moment later the occurrence is due here, too.
+    """
+    scheduler = make_scheduler()
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.5)
+    run = RunReport(task=TASK, run_id=1, checkpoint="", percent=5, load=0.0)
+    assert scheduler.report("w0", make_report([run]), asked_at=0.1, now=0.1) == []
+    assert not _starts(scheduler.plan(0.6, 100.1))
+    assert list(scheduler.workers["w0"].runs) == [TASK]
+
+
+def test_end_of_a_task_that_cannot_exist_is_not_kept():
+    """A worker names a task beyond its job's last occurrence, or none of ours."""
+    scheduler = make_scheduler()
+    scheduler.add_job(TIMED, QUEUE, version=1, now=0.0, wall_now=99.0)
+    ends = [end_of(f"{TIMED.job_id}.3.0.0", number=1), end_of(TIMED.job_id, number=2)]
+    assert tell(scheduler, *ends) == 2
