Tests of what runs on after a cancelling: late starts, removed homes, marks

Cause: the users ask that a cancelled job's task is stopped also where a worker began it late, or where the home that started it is gone for good; no test showed either. Change: the stand-in of a worker carries stops and drawn orders out late, and notes which runs began late; a check of the runs of a cancelled job against the strictest bounds of a deployment (3.0 s from the acknowledgement, or from a late start, and 0.4 s for the stop).

--- a/anvilflow/cell/tests/_helpers.py
+++ b/anvilflow/cell/tests/_helpers.py
@@ -6,9 +6,46 @@
 JOB = "00000000000000a1"
 STEP = {"count": 4, "cpu": 1000}
 
+#: Bounds of the strictest deployment: from the acknowledgement of a job's cancelling until its
+#: tasks have to be stopping, how long a stop may take, and from a late start until the same. Unit:
+#: seconds.
+CANCEL_S = 3.0
+STOP_S = 0.4
+LATE_START_S = 3.0
+
 
 def make_cell(**values):
     """Return a started cell."""
     cell = PlatformCell(**values)
     cell.start()
     return cell
+
+
+def cancel(cell, instance, job_id=JOB):
+    """Cancel a job at an instance; return when that was acknowledged, at the latest after 3 s."""
+    answers = cell.call(instance, "DELETE", f"/urgent/{job_id}")
+    until = cell.clock.seconds() + 3.0
+    while not answers and cell.clock.seconds() < until:
+        cell.advance(0.01)
+    assert answers and answers[0][0] == 200
+    return cell.clock.seconds()
+
+
+def find_runs_after_cancelling(cell, acked_at, job_id=JOB):
+    """Return the runs that began or went on too long after a job's cancelling was acknowledged.
+
+    A run that a worker began late, on an order that it had left unanswered, is counted from its
+    start.
+    """
+    due = acked_at + CANCEL_S
+    broken = []
+    for span in cell.spans:
+        if not span.task.startswith(f"{job_id}."):
+            continue
+        if span.began_at > due and not span.is_late:
+            broken.append(f"{span.task} starts {span.began_at - acked_at:.2f} s after it")
+        stopping_by = max(due, span.began_at + LATE_START_S) if span.is_late else due
+        ended_at = cell.clock.seconds() if span.ended_at is None else span.ended_at
+        if ended_at > stopping_by + STOP_S:
+            broken.append(f"{span.task} ends {ended_at - acked_at:.2f} s after it")
+    return broken
--- /dev/null
+++ b/anvilflow/cell/tests/test_cancelling.py
@@ -0,0 +1,240 @@
+"""What goes on running after a job was cancelled; each safeguard taken out once."""
+
+import pytest
+from twisted.internet.defer import inlineCallbacks
+
+from anvilflow.cell import _fleet, _job_intake
+from anvilflow.cell._session import START_TIMEOUTS_S, WorkerSession
+from anvilflow.exceptions import WorkerRefusedError, WorkerUnreachableError
+from anvilflow.jobs import Scheduler, StartRun, _run_book
+
+from ._helpers import CANCEL_S, JOB, STEP, cancel, find_runs_after_cancelling, make_cell
+
+#: A task that goes on until it is stopped.
+LASTING = "60.0 done 1000"
+ONE_TASK = {"count": 1, "cpu": 1000}
+
+#: Longest time after which a worker carries out an order that it left unanswered. Unit: seconds.
+LATEST_S = 12.0
+
+
+def _late_stops(cell, number):
+    """Let the next stops be carried out long after, on each worker."""
+    for worker in cell.workers.values():
+        worker.late_s = LATEST_S
+        worker.n_late_stops = number
+
+
+def _late_starts(cell, late_s):
+    """Let the next start, with all its tries, be carried out late on whichever worker gets it."""
+    for worker in cell.workers.values():
+        worker.late_s = late_s
+        worker.n_late_starts = len(START_TIMEOUTS_S)
+
+
+_stop = Scheduler._stop
+
+
+def _without_strays(self, worker, item, known, now):
+    return []
+
+
+@inlineCallbacks
+def _stop_once(self, action):
+    try:
+        yield self.calls.stop(action)
+    except (WorkerRefusedError, WorkerUnreachableError):
+        return
+    self.home.stop_answered(action)
+
+
+# The starter lives
+
+
+@pytest.mark.parametrize("trusts_lease", [False, True])
+@pytest.mark.parametrize("n_late_stops", [0, 2])
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_late_start_of_a_cancelled_job_is_barred(
+    monkeypatch, safeguard, n_late_stops, trusts_lease
+):
+    """A worker leaves a start unanswered; the job is cancelled; 2.4 s later the start takes effect.
+
+    The run is stopped although nobody knows that it begins, and the stop is sent again until the
+    worker has taken it: then the worker refuses the start, or ends what began before the stop came.
+    Were only runs stopped that have begun, the task would run on: its home takes it for its own.
+    """
+    if not safeguard:
+        monkeypatch.setattr(Scheduler, "_stop", _stop_begun)
+    cell = make_cell(n_instances=3, n_workers=2)
+    for worker in cell.workers.values():
+        worker.trusts_lease = trusts_lease
+        worker.n_late_stops = n_late_stops
+    _late_starts(cell, 2.4)
+    cell.submit(cell.other(), JOB, ONE_TASK, spec=LASTING)
+    cell.advance(0.3)
+    acked_at = cancel(cell, cell.other())
+    cell.advance(9.0)
+    assert (find_runs_after_cancelling(cell, acked_at) == []) is safeguard
+
+
+def _stop_begun(self, run, now, why):
+    return [] if run.state == "starting" else _stop(self, run, now, why)
+
+
+@pytest.mark.parametrize("cancelled_at", [0.05, 1.0, 2.0, 2.45, 3.0])
+@pytest.mark.parametrize("deaf", [False, True])
+def test_late_start_is_stopped_whenever_its_job_is_cancelled(cancelled_at, deaf):
+    """A start takes effect 2.4 s late, its job is cancelled before or after, and stops go astray.
+
+    Where the worker does not answer holds either, its lease is not renewed, and all on it lapses.
+    """
+    cell = make_cell(n_instances=3, n_workers=2)
+    now = cell.clock.seconds()
+    for worker in cell.workers.values():
+        worker.n_late_stops = 2
+        worker.deaf_between = (now, now + 5.0) if deaf else (0.0, 0.0)
+    _late_starts(cell, 2.4)
+    cell.submit(cell.other(), JOB, ONE_TASK, spec=LASTING)
+    cell.advance(cancelled_at)
+    acked_at = cancel(cell, cell.other())
+    cell.advance(12.0)
+    assert find_runs_after_cancelling(cell, acked_at) == []
+    assert cell.check() == []
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_stop_that_a_worker_leaves_unanswered_is_sent_again(monkeypatch, safeguard):
+    """A job is cancelled while it runs; the worker carries the first stops out 12 s later.
+
+    Each stop is sent again until the worker takes it. Sent once, it comes far too late.
+    """
+    if not safeguard:
+        monkeypatch.setattr(WorkerSession, "stop", _stop_once)
+    cell = make_cell(n_instances=3, n_workers=2)
+    cell.submit(cell.other(), JOB, STEP, spec=LASTING)
+    cell.advance(1.0)
+    _late_stops(cell, 6)
+    acked_at = cancel(cell, cell.other())
+    cell.advance(9.0)
+    assert len(cell.spans) == 4
+    assert (find_runs_after_cancelling(cell, acked_at) == []) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_tasks_on_a_worker_that_left_the_registry_are_stopped(monkeypatch, safeguard):
+    """A worker's entry is gone while its task runs on; then the job is cancelled.
+
+    The home goes on holding the worker, and its stop reaches it. Given up with its entry, the task
+    would run until its lease lapses.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "entry_gone", _fleet.Fleet.worker_gone)
+    cell = make_cell(n_instances=3, n_workers=2)
+    cell.submit(cell.other(), JOB, ONE_TASK, spec=LASTING)
+    cell.advance(1.0)
+    cell.store.remove("servers", cell.spans[0].worker)
+    cell.advance(0.1)
+    acked_at = cancel(cell, cell.other())
+    cell.advance(5.0)
+    assert find_runs_after_cancelling(cell, acked_at) == []
+    assert (cell.spans[0].how == "stopped") is safeguard
+
+
+# The starter is removed
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_late_start_of_a_removed_home_is_stopped_by_the_next(monkeypatch, safeguard):
+    """A worker leaves a start unanswered; the job is cancelled and its home is removed for good.
+
+    The worker, which the next home does not reach yet, carries the start out. No record tells of
+    it: the next home finds the run among what the worker lists, and stops it. Left alone it would
+    run on under the leases of the next home.
+    """
+    if not safeguard:
+        monkeypatch.setattr(Scheduler, "_adopt", _without_strays)
+    cell = make_cell(n_instances=3, n_workers=2)
+    _late_starts(cell, 1.5)
+    cell.submit(cell.other(), JOB, ONE_TASK, spec=LASTING)
+    cell.advance(0.05)
+    _late_stops(cell, 2)
+    acked_at = cancel(cell, cell.other())
+    _replace_home(cell)
+    for faults in cell.worker_faults.values():
+        faults.silent = True
+    cell.advance(1.6)
+    for faults in cell.worker_faults.values():
+        faults.clear()
+    cell.advance(9.0)
+    assert [span.is_late for span in cell.spans] == [True]
+    assert (find_runs_after_cancelling(cell, acked_at) == []) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_cancelling_that_an_entry_accepts_without_a_home_is_carried_out(monkeypatch, safeguard):
+    """The home is removed; a client cancels before there is another, and hears 200.
+
+    The mark in the store is read by the next home when it begins. Not read, the job would go on.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_job_intake.JobIntake, "take", lambda self, row: [])
+    cell = make_cell(n_instances=3, n_workers=2)
+    cell.submit(cell.other(), JOB, STEP, spec=LASTING)
+    cell.advance(1.0)
+    name = cell.other()
+    _replace_home(cell)
+    acked_at = cancel(cell, name)
+    cell.advance(6.0)
+    assert cell.home() in cell.homes()
+    assert (find_runs_after_cancelling(cell, acked_at) == []) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_task_of_a_job_that_nobody_remembers_is_stopped(monkeypatch, safeguard):
+    """A worker carries a start out whose job is long over: its rows are gone from the store.
+
+    The home waits whether it hears of the job, and stops the run. Waiting for ever, it would renew
+    its lease with all others on the worker.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_run_book, "UNKNOWN_JOB_S", float("inf"))
+    cell = make_cell(n_instances=3, n_workers=2)
+    fleet = cell.daemons[cell.home()].supervisor.part("home")._fleet
+    start = StartRun(
+        worker_id="i-0", task=f"{JOB}.0.0.0", run_id=1, payload=LASTING, checkpoint="", ticket=""
+    )
+    worker = cell.workers["i-0"]
+    worker.late_s = 2.0
+    worker.n_late_starts = 1
+    calls = fleet._sessions["i-0"].calls
+    calls.start(start, until_s=worker.clock_s() + 3.0).addErrback(lambda _: None)
+    worker.n_late_stops = 1
+    began_at = cell.clock.seconds()
+    cell.advance(9.0)
+    assert [span.is_late for span in cell.spans] == [True]
+    assert (find_runs_after_cancelling(cell, began_at - CANCEL_S) == []) is safeguard
+
+
+def test_home_that_is_replaced_while_it_stops_tasks_leaves_the_rest_to_the_next():
+    """A home is paused while its stops are under way, and wakes when another has stopped the tasks.
+
+    Its own stops carry a token that the workers refuse by then; the next home's do not.
+    """
+    cell = make_cell(n_instances=3, n_workers=2)
+    former = cell.home()
+    cell.submit(cell.other(), JOB, STEP, spec=LASTING)
+    cell.advance(1.0)
+    _late_stops(cell, 4)
+    acked_at = cancel(cell, cell.other())
+    cell.pause(former)
+    cell.advance(3.0)
+    cell.resume(former)
+    cell.advance(3.0)
+    assert cell.homes() == [cell.home()] != [former]
+    assert find_runs_after_cancelling(cell, acked_at) == []
+
+
+def _replace_home(cell):
+    """Remove the home for good, and start an instance that was not there before."""
+    cell.kill(cell.home())
+    cell.start_instance(f"b{len(cell.clocks)}")
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -15,13 +15,17 @@
 
 
 class RunSpan(Struct, kw_only=True):
-    """One run as it happened; `ended_at` is None while it lasts. Unit: seconds of true time."""
+    """One run as it happened; `ended_at` is None while it lasts. Unit: seconds of true time.
+
+    `is_late` says that the worker began it on an order that it had left unanswered.
+    """
 
     worker: str
     task: str
     run_id: int
     cpu: int
     began_at: float
+    is_late: bool = False
     ended_at: float | None = None
     how: str = ""
 
@@ -44,8 +48,11 @@
     -----
     It does not guard its capacity: that it is never exceeded is the system's promise. Faults of
     single calls are attributes: the next `n_lost_starts` starts are carried out and not answered,
-    the next `n_late_starts` are carried out `LATE_S` later and not answered, and holds that come
-    within `deaf_between` (seconds of true time) get no answer.
+    the next `n_late_starts` and `n_late_stops` are carried out `late_s` later and not answered, and
+    holds that come within `deaf_between` (seconds of true time) get no answer. `draw_delay` is
+    called with the path of every other order; it returns how much later that is carried out, or
+    None. With `trusts_lease` a start whose own time is over is refused only when the worker's lease
+    is over, too: the contract does not say which of the two a worker goes by.
     """
 
     def __init__(self, *, clock, worker_id, address, cpu, spans, sizes, rack="r1", offset_s=100.0):
@@ -72,6 +79,10 @@
         self.paces = []
         self.n_lost_starts = 0
         self.n_late_starts = 0
+        self.n_late_stops = 0
+        self.late_s = LATE_S
+        self.draw_delay = None
+        self.trusts_lease = False
         self.deaf_between = (0.0, 0.0)
         self.serving_tail_ms = 0
 
@@ -98,13 +109,12 @@
 
     def handle(self, method, path, query, body, headers):
         """Answer an order, or leave it unanswered as the faults say."""
-        is_start = path == "/-/run-start"
-        if is_start and self.n_late_starts:
-            self.n_late_starts -= 1
-            self.clock.callLater(LATE_S, self._act, path, body, headers)
+        delay = self._delay_of(path)
+        if delay is not None:
+            self.clock.callLater(delay, self._act, path, body, headers, is_late=True)
             return Deferred()
         answer = self._act(path, body, headers)
-        if is_start and self.n_lost_starts:
+        if path == "/-/run-start" and self.n_lost_starts:
             self.n_lost_starts -= 1
             return Deferred()
         first, last = self.deaf_between
@@ -112,7 +122,17 @@
             return Deferred()
         return answer
 
-    def _act(self, path, body, headers):
+    def _delay_of(self, path):
+        """Return how much later an order is carried out; None: at once."""
+        if path == "/-/run-start" and self.n_late_starts:
+            self.n_late_starts -= 1
+            return self.late_s
+        if path == "/-/run-stop" and self.n_late_stops:
+            self.n_late_stops -= 1
+            return self.late_s
+        return self.draw_delay(path) if self.draw_delay is not None else None
+
+    def _act(self, path, body, headers, *, is_late=False):
         expected = headers.get(b"x-expect-instance", [b""])[0].decode()
         if expected != self.worker_id or not self.alive:
             return 421, b""
@@ -122,7 +142,7 @@
         self.token = max(self.token, call.get("fencing-token", 0))
         match path:
             case "/-/run-start":
-                return self._start(call)
+                return self._start(call, is_late)
             case "/-/run-stop":
                 return self._stop(call)
             case "/-/hold":
@@ -136,16 +156,17 @@
     def _answer(self, status, **values):
         return status, encode({"clock-ms": int(self.clock_s() * 1000), **values})
 
-    def _start(self, call):
+    def _start(self, call, is_late):
         task, run_id = call["task"], call["run-id"]
         run = self.active.get(task)
         if run is not None and run.run_id == run_id:
             return self._answer(200)
         if run_id <= self.bars.get(task, 0) or run is not None:
             return self._answer(409, reason="old")
-        if call["until-ms"] / 1000 <= self.clock_s():
+        until = call["until-ms"] / 1000
+        if (max(until, self.until) if self.trusts_lease else until) <= self.clock_s():
             return self._answer(409, reason="late")
-        self._renew(call["until-ms"] / 1000)
+        self._renew(until)
         seconds, how, cpu = self.sizes(task, call["spec"])
         how = "failed" if self.fail_all else how
         span = RunSpan(
@@ -154,6 +175,7 @@
             run_id=run_id,
             cpu=cpu,
             began_at=self.clock.seconds(),
+            is_late=is_late,
         )
         self.spans.append(span)
         self.active[task] = span
