Runs of ended jobs are stopped at once by a new home

Cause: a run of a job that is known to have ended waited 1.5 s before its stop, as those do whose job may yet be heard of; with homes removed in a row each began to wait anew. Change: the wait is for jobs of which nothing is known; a job in the table of ended ones is known.

--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -101,8 +101,8 @@
             self._began(run, now)
             return []
         stray = worker.strays.setdefault((item.task, item.run_id), Stray(item=item, now=now))
-        job_known = item.task.split(".", 1)[0] in self.jobs
-        if stray.stopped or not (job_known or now - stray.seen_at >= UNKNOWN_JOB_S):
+        is_known = self.knows_job(item.task.split(".", 1)[0])
+        if stray.stopped or not (is_known or now - stray.seen_at >= UNKNOWN_JOB_S):
             return []
         stray.stopped = True
         return [
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -44,7 +44,6 @@
             term=term, lease_s=lease_s, stop_s=stop_s, now=now, grace_period=grace_period
         )
         self.n_advisers = n_advisers
-        self.ended = {}
         self.config = None
         self._looked_at = now - LOOK_S
 
@@ -61,7 +60,7 @@
 
     def add_job(self, spec, queue, *, version, now, wall_now, record=None, inherited=False):
         """Take on an accepted job; return False when it is known already."""
-        if spec.job_id in self.jobs or spec.job_id in self.ended:
+        if self.knows_job(spec.job_id):
             return False
         configured = self.config.queue_named(queue.name) if self.config else None
         self.jobs[spec.job_id] = JobRun(
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -28,6 +28,7 @@
         self.lease_s = lease_s
         self.stop_s = stop_s
         self.jobs = {}
+        self.ended = {}
         self.workers = {}
         self.asking = {}
         self.pace_changed_at = {}
@@ -126,6 +127,14 @@
 
     # Runs
 
+    def knows_job(self, job_id):
+        """Whether a job has been heard of, also when it has ended.
+
+        Runs of ended jobs must not wait as those of unknown ones do: a home that takes over after a
+        cancelling would let them run on, and so would each one after it.
+        """
+        return job_id in self.jobs or job_id in self.ended
+
     def find_task(self, name):
         """Return the step and the task called `name`, or (None, None)."""
         job = self.jobs.get(name.split(".", 1)[0])
