A failing test: an unregistered worker is forgotten by the second next home

Cause: the home's row names workers that have left the registry only once they have answered this home. One that was taken on from the former home's row and is dark drops out of it; the home after that knows of no such worker, waits for nobody, and starts its tasks a second time. Measured: the task runs on two workers at once.

--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import succeed
 
 from anvilflow.cell import _fleet, _home_state, _leadership, _recorder
-from anvilflow.jobs import Scheduler, Worker, WorkerInfo
+from anvilflow.jobs import Scheduler, Worker, WorkerInfo, _handover
 from anvilflow.utils import encode
 
 from ._helpers import JOB, STEP, make_cell
@@ -283,3 +283,32 @@
     if values["former"] is not None:
         values["former"].missing = []
     return original(**values)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_worker_that_no_next_home_has_heard_is_handed_on(monkeypatch, safeguard):
+    """A worker has left the registry and runs on; it goes dark, and two homes are lost in a row.
+
+    The first one named the worker in its row. The second has not heard it when it is lost, and has
+    to name it all the same: the third finds it nowhere else, and would start its task again while
+    it still runs.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_handover, "_is_hidden", _is_hidden_if_heard)
+    cell = make_cell(n_instances=4, n_workers=3)
+    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="30.0 done 1000")
+    cell.advance(1.0)
+    worker_id = cell.spans[0].worker
+    cell.store.remove("servers", worker_id)
+    cell.advance(0.5)
+    cell.worker_faults[worker_id].silent = True
+    for _ in range(2):
+        cell.kill(cell.home())
+        cell.advance(1.0)
+    cell.advance(4.0)
+    assert (cell.check() == []) is safeguard
+    assert len(cell.spans) == 2
+
+
+def _is_hidden_if_heard(worker):
+    return worker.confirmed and not worker.listed
