An unregistered worker is handed on also by a home that has not heard it

Cause: as in the test before: only workers that had answered this home were named in its row. Change: every worker that is not registered is named; what the former row said of it goes on.

--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -41,11 +41,20 @@
         if _is_dark(worker, now):
             runs = [(run.task, run.run_id) for run in worker.runs.values()]
             handover.append(HandoverWorker(info=worker.info, runs=runs + list(worker.strays)))
-        elif worker.confirmed and not worker.listed:
+        elif _is_hidden(worker):
             handover.append(HandoverWorker(info=worker.info))
     return _bounded(handover)
 
 
+def _is_hidden(worker):
+    """Whether the next home would not find the worker by itself.
+
+    Also one that has not answered this home: it is known from the former home's row alone, and the
+    next home would start its tasks again while they still run.
+    """
+    return not worker.listed
+
+
 def _bounded(handover):
     kept = []
     n_runs = 0
