A failing test: a session goes on whose worker the home has forgotten

Cause: the scheduler drops an unregistered worker when its lease is over, the fleet closes the session only at a later failed call. A worker that answers in between is held for ever with a lease, and nobody hears what it lists; once registered again it is held twice. Measured: the worker is unknown to the scheduler while it is held. Found by reading.

--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -161,3 +161,35 @@
 
 def _same_token(**values):
     return Claimed(**{**values, "token": 1})
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_worker_that_comes_back_after_its_lease_is_held_once(monkeypatch, safeguard):
+    """A worker is dark and its entry lapses; it answers again before it is given up, and registers.
+
+    The home had forgotten the worker with its lease, and the session went on: it renewed leases,
+    and what the worker listed was not heard by anybody. Registered again, the worker had two.
+    """
+    if not safeguard:
+        monkeypatch.setattr(Scheduler, "lost_leases", _forget_workers)
+    cell = make_cell(n_instances=2, n_workers=3)
+    cell.advance(1.0)
+    cell.worker_faults["i-0"].silent = True
+    cell.advance(2.0)
+    cell.store.remove("servers", "i-0")
+    cell.advance(1.6)
+    cell.worker_faults["i-0"].clear()
+    cell.advance(1.0)
+    home = cell.daemons[cell.home()].supervisor.part("home")
+    assert ("i-0" in home._scheduler.workers) is safeguard
+    cell.store.put("servers", "i-0", cell.workers["i-0"].entry())
+    cell.advance(1.0)
+    before = cell.workers["i-0"].n_holds
+    cell.advance(5.0)
+    assert (cell.workers["i-0"].n_holds - before < 1.5 * 5.0 / _session.HOLD_WAIT_S) is safeguard
+
+
+def _forget_workers(self, now):
+    for worker in list(self.workers.values()):
+        if now >= worker.lease_over_at and not worker.listed:
+            del self.workers[worker.info.worker_id]
