The home holds an unregistered worker for as long as it knows of it

Cause: two places ended a worker's life, the scheduler at the end of its lease and the fleet at a later failed call; between the two the session went on without anybody who hears what it brings. Change: the scheduler forgets the runs; the fleet alone ends the worker, with its session.

--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -113,7 +113,11 @@
             worker.in_handover = worker_id in worker_ids
 
     def lost_leases(self, now):
-        """Forget the runs of silent workers whose leases have surely ended."""
+        """Forget the runs of silent workers whose leases have surely ended.
+
+        The workers stay until their sessions end, see `worker_ended`: one that answers again must
+        be heard, or what it still begins would run on under leases that nobody watches.
+        """
         if self.grace_period.waited(now):
             self._bound_unheard_leases()
         for worker in list(self.workers.values()):
@@ -122,8 +126,6 @@
                 continue
             for run in list(worker.runs.values()):
                 self._drop_run(run, now)
-            if not worker.listed:
-                del self.workers[worker.info.worker_id]
 
     # Runs
 
