A failing test: a start is sent again after its job was cancelled

Cause: the tries of a start follow each other for 1.2 s, whatever becomes of the run meanwhile; a stop that goes astray leaves nothing at the worker that refuses them.

--- a/anvilflow/cell/tests/test_cancelling.py
+++ b/anvilflow/cell/tests/test_cancelling.py
@@ -102,6 +102,27 @@
     assert cell.check() == []
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_start_is_not_sent_again_once_its_job_is_cancelled(monkeypatch, safeguard):
+    """A worker leaves a start unanswered; the job is cancelled before the start is sent again.
+
+    The stop goes astray, too, so that the worker does not refuse a second try: sent all the same,
+    it begins a task of a job whose cancelling was acknowledged.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "is_wanted", lambda self, action: True)
+    cell = make_cell(n_instances=3, n_workers=2)
+    for worker in cell.workers.values():
+        worker.late_s = LATEST_S
+        worker.n_late_starts = worker.n_late_stops = 1
+    cell.submit(cell.other(), JOB, ONE_TASK, spec=LASTING)
+    cell.advance(0.05)
+    acked_at = cancel(cell, cell.other())
+    cell.advance(6.0)
+    assert (cell.spans == []) is safeguard
+    assert find_runs_after_cancelling(cell, acked_at) == []
+
+
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_stop_that_a_worker_leaves_unanswered_is_sent_again(monkeypatch, safeguard):
     """A job is cancelled while it runs; the worker carries the first stops out 12 s later.
