A start is not sent again once its run is being stopped

Cause: the tries of a start went on for 1.2 s after the run's stop, or after the run was forgotten. Change: each further try asks whether the run still has its place; the look-up of an answer's run, which stood three times, is one method.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -172,6 +172,10 @@
         worker = self.scheduler.workers.get(worker_id)
         return worker is not None and worker.silent
 
+    def is_wanted(self, action):
+        """Whether a run that is being started still has its place, and is not being stopped."""
+        return self.scheduler.is_wanted(action.worker_id, action.task, action.run_id)
+
     def lease_sent(self, worker_id, sent_at):
         """Note that a lease is on its way to a worker."""
         worker = self.scheduler.workers.get(worker_id)
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -38,8 +38,9 @@
         ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``; and of each lease before
         it is sent, ``lease_sent``. ``seen(worker_id)`` gives the number of the last durable end,
         ``has_unseen(worker_id)`` tells whether there are later ones, ``is_silent(worker_id)``
-        whether the last call to the worker had no answer, ``may_order()`` whether starts and
-        leases may be sent, ``hold_wait()`` how long a hold may wait.
+        whether the last call to the worker had no answer, ``is_wanted(action)`` whether a run that
+        is being started still has its place, ``may_order()`` whether starts and leases may be sent,
+        ``hold_wait()`` how long a hold may wait.
     """
 
     def __init__(self, *, clock, calls, lease_s, home):
@@ -162,6 +163,9 @@
                 outcome = outcome_after_silence(outcome)
             if outcome != "unknown" or self.stopped or self.home.is_silent(self.worker_id):
                 break
+            # A try after the run's stop, which may have gone astray, would begin the task anew.
+            if not self.home.is_wanted(action):
+                break
         if self.stopped:
             return
         if outcome == "fenced":
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -238,11 +238,15 @@
 
     # Answers to calls
 
-    def start_answered(self, worker_id, task, run_id, outcome, now):
-        """Take a worker's answer to a start: started, unknown, or the reason of a refusal."""
+    def _find_run(self, worker_id, task, run_id):
         worker = self.workers.get(worker_id)
         run = worker.runs.get(task) if worker is not None else None
-        if run is None or run.run_id != run_id:
+        return run if run is not None and run.run_id == run_id else None
+
+    def start_answered(self, worker_id, task, run_id, outcome, now):
+        """Take a worker's answer to a start: started, unknown, or the reason of a refusal."""
+        run = self._find_run(worker_id, task, run_id)
+        if run is None:
             return []
         if outcome == "started":
             if run.state == "starting":
@@ -258,16 +262,20 @@
             if step is not None:
                 step.tickets.pop(worker_id, None)
         elif outcome in ("room", "unhealthy"):
-            self._worker_did_badly(worker, now)
-            worker.retry_at = max(worker.retry_at, now + FIRST_REST_S)
+            self._worker_did_badly(run.worker, now)
+            run.worker.retry_at = max(run.worker.retry_at, now + FIRST_REST_S)
         self._drop_run(run, now)
         return []
 
+    def is_wanted(self, worker_id, task, run_id):
+        """Whether a run that was to be started still has its place, and is not being stopped."""
+        run = self._find_run(worker_id, task, run_id)
+        return run is not None and run.state in ("starting", "running")
+
     def stop_answered(self, worker_id, task, run_id, now):
         """The worker took the stop: the run ends within its time, or never begins."""
-        worker = self.workers.get(worker_id)
-        run = worker.runs.get(task) if worker is not None else None
-        if run is not None and run.run_id == run_id and run.state == "stopping":
+        run = self._find_run(worker_id, task, run_id)
+        if run is not None and run.state == "stopping":
             run.state = "barred"
             run.sent_at = now
 
