--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -28,6 +28,7 @@
         self.lease_s = lease_s
         self.stop_s = stop_s
         self.jobs = {}
+        self.ended = {}
         self.workers = {}
         self.asking = {}
         self.pace_changed_at = {}
@@ -115,7 +116,11 @@
             worker.in_handover = worker_id in worker_ids
 
     def lost_leases(self, now):
-        """Forget the runs of silent workers whose leases have surely ended."""
+        """Forget the runs of silent workers whose leases have surely ended.
+
+        The workers stay until their sessions end, see `worker_ended`: one that answers again must
+        be heard, or what it still begins would run on under leases that nobody watches.
+        """
         if self.grace_period.waited(now):
             self._bound_unheard_leases()
         for worker in list(self.workers.values()):
@@ -124,11 +129,17 @@
                 continue
             for run in list(worker.runs.values()):
                 self._drop_run(run, now)
-            if not worker.listed:
-                del self.workers[worker.info.worker_id]
 
     # Runs
 
+    def knows_job(self, job_id):
+        """Whether a job has been heard of, also when it has ended.
+
+        Runs of ended jobs must not wait as those of unknown ones do: a home that takes over after a
+        cancelling would let them run on, and so would each one after it.
+        """
+        return job_id in self.jobs or job_id in self.ended
+
     def find_task(self, name):
         """Return the step and the task called `name`, or (None, None)."""
         job = self.jobs.get(name.split(".", 1)[0])
