Power loss of all instances right after an acknowledgement, in virtual time

Cause: one test killed all instances, 20 ms after a job was accepted, with connections that closed. None had them vanish in the moment of an acknowledgement, nor others come back in their place. PlatformCell.power_on starts an instance on a machine that has power.

--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -190,6 +190,13 @@
         self.clocks[name].kill()
         self.isolate(name)
 
+    def power_on(self, name):
+        """Start an instance on a machine that had no power; it reaches those that run."""
+        for other in self.daemons:
+            self.network.unsilence(name, other)
+            self.network.unsilence(other, name)
+        return self.start_instance(name)
+
     def isolate(self, name):
         """Cut an instance off from all others, silently."""
         for other in self.clocks:
