An instance's clock is a steady one, not the time of day

Cause: the reactor takes its time from time.time. A machine whose time of day is set back holds back every timer for the size of the step; set ahead, leases of earlier homes seem to have ended, and time limits are over at once. Change: the reactor of an instance reads the boot-time clock, which no step moves and which counts suspensions, as the time of day did. The time of day is still what scheduled jobs are due by. Not changed: the programs of the project's own interface.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -10,7 +10,7 @@
 from ..clients import HttpClient
 from ..exceptions import SettingsError
 from ..platform import AdviceClient, StoreClient, WorkerCalls
-from ..runtime import Bus, ReactorNetwork, Supervisor
+from ..runtime import Bus, ReactorNetwork, Supervisor, use_steady_clock
 from ._config import ConfigPart
 from ._context import CellContext, Leaving
 from ._entry import EntryPart
@@ -155,6 +155,7 @@
     """
     from twisted.internet import reactor
 
+    use_steady_clock(reactor)
     failures = []
 
     def give_up(error):
