--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -118,7 +118,11 @@
 
 @inlineCallbacks
 def read_stored_job(store, job_id):
-    """Return a job's :class:`JobState` and its row as the store has them, or (None, None)."""
+    """Return a job's :class:`JobState` and its row as the store has them, or (None, None).
+
+    A job that is marked as cancelled has no row here, and has not ended: its last task may end
+    before the home reads the mark, and then it is completed. A caller was shown both.
+    """
     ended = yield store.read_row(ENDED, PART, job_id)
     if ended is not None:
         return JobState(decode(ended.value, EndedJob).state), None
@@ -126,7 +130,7 @@
     rows, _ = yield store.read(JOBS, job_part(job_id), first=job_id, end=end)
     keys = {row.key: row for row in rows}
     if job_id + CANCEL_MARK in keys:
-        return JobState.CANCELLED, None
+        return JobState.RUNNING, None
     return (JobState.RUNNING, keys[job_id]) if job_id in keys else (None, None)
 
 
