Test that fails: a refused feed breaks off what is read for a hint

Cause: every answer of the feed, a refusal too, is taken for the beginning of the change and cancels the hint's reading.

--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -15,7 +15,7 @@
 
 from anvilflow.cell._config import ConfigPart
 from anvilflow.standins import make_platform_config
-from anvilflow.standins._wire import WireClient
+from anvilflow.standins._wire import CALLER, WireClient
 from anvilflow.utils import encode
 
 from ._helpers import make_cell
@@ -148,3 +148,32 @@
     cell.store.put("op", "config", make_platform_config(6))
     cell.advance(0.5)
     assert _versions(cell) == {6}
+
+
+def test_refused_feed_does_not_break_off_what_is_read_for_a_hint(monkeypatch):
+    """The store refuses the feed of an instance on a slow link, as it does above its rate.
+
+    The home's hint makes the instance read the configuration, which takes 2 s there. Each refusal
+    of the feed, four a second, was taken for the beginning of its answer and broke the reading off:
+    the old configuration stayed in force, and the link was full of what was thrown away.
+
+    Evidence. Found by reading; with the feed refused for 5.5 s a change had not come after 3 s.
+    """
+    cell = _slow_cell()
+    name = cell.other()
+    cell.advance(0.2)
+    _refuse_feed(monkeypatch, cell.store, name)
+    cell.advance(2.5)
+    cell.store.put("op", "config", _big_config(5))
+    cell.advance(APPLY_S)
+    assert cell.daemons[name].context.config.version == 5
+
+
+def _refuse_feed(monkeypatch, store, caller):
+    answer = store.handle
+
+    def handle(method, path, query, body, headers):
+        is_refused = path == "/-/rows-feed" and headers[CALLER] == [caller.encode()]
+        return (429, b"") if is_refused else answer(method, path, query, body, headers)
+
+    monkeypatch.setattr(store, "handle", handle)
