Only an answer that brings rows ends the reading for a hint

Cause: on_begin was called for every answer of the feed, refusals included; each cancelled the hint's reading. With the feed refused and an answer of 2 s, the instance never had the change, and its link carried what was thrown away. Change: callers are told the status with which an answer begins; the store's client passes on only that of rows. Tests: test_refused_feed_does_not_break_off_what_is_read_for_a_hint (was known red; also with the safeguard taken out), test_beginning_of_an_answer_is_told_with_its_status.

--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -14,6 +14,7 @@
 import pytest
 
 from anvilflow.cell._config import ConfigPart
+from anvilflow.platform import _store
 from anvilflow.standins import make_platform_config
 from anvilflow.standins._wire import CALLER, WireClient
 from anvilflow.utils import encode
@@ -150,7 +151,8 @@
     assert _versions(cell) == {6}
 
 
-def test_refused_feed_does_not_break_off_what_is_read_for_a_hint(monkeypatch):
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_refused_feed_does_not_break_off_what_is_read_for_a_hint(monkeypatch, safeguard):
     """The store refuses the feed of an instance on a slow link, as it does above its rate.
 
     The home's hint makes the instance read the configuration, which takes 2 s there. Each refusal
@@ -159,6 +161,8 @@
 
     Evidence. Found by reading; with the feed refused for 5.5 s a change had not come after 3 s.
     """
+    if not safeguard:
+        monkeypatch.setattr(_store, "_brings_rows", lambda status: True)
     cell = _slow_cell()
     name = cell.other()
     cell.advance(0.2)
@@ -166,7 +170,7 @@
     cell.advance(2.5)
     cell.store.put("op", "config", _big_config(5))
     cell.advance(APPLY_S)
-    assert cell.daemons[name].context.config.version == 5
+    assert (cell.daemons[name].context.config.version == 5) is safeguard
 
 
 def _refuse_feed(monkeypatch, store, caller):
--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -76,7 +76,7 @@
 NOT_SENT = (ConnectError, DNSLookupError, RequestNotSent)
 
 
-def _nothing():
+def _nothing(_):
     """Take no notice."""
 
 
@@ -132,7 +132,7 @@
             Longest pause between two pieces of the answer; `timeout` then ends with the answer's
             beginning. For answers whose size others decide. Unit: seconds.
         on_begin : callable
-            Called when the head of the answer is there.
+            Called with the status when the head of the answer is there.
         headers : dict, default=None
         """
         # The agent below treq's client: parsing the URL, cookies and content encodings, which no
@@ -161,7 +161,7 @@
 
 
 def _read(response, limit, on_begin):
-    on_begin()
+    on_begin(response.code)
     limit.progress()
     reader = BodyReader(on_data=limit.progress)
     response.deliverBody(reader)
--- a/anvilflow/clients/tests/test_http.py
+++ b/anvilflow/clients/tests/test_http.py
@@ -99,3 +99,12 @@
     exchange.answer(HEAD + b"x" * 10)
     exchange.transport.loseConnection()
     assert exchange.results[0].check(Exception)
+
+
+def test_beginning_of_an_answer_is_told_with_its_status():
+    """Whoever waits for a large answer must know a refusal from its beginning."""
+    begun = []
+    exchange = _Exchange(timeout=1.0, on_begin=begun.append)
+    exchange.answer(b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 10\r\n\r\n")
+    assert begun == [429]
+    assert exchange.results == []
--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -78,6 +78,15 @@
     """Take no notice."""
 
 
+def _brings_rows(status):
+    """Whether an answer's status says that what was asked for follows.
+
+    A refusal brings nothing. Taken for the beginning of a change it broke off the reading that did
+    bring it, four times a second where the feed was refused.
+    """
+    return status == 200
+
+
 class StoreClient:
     """Calls to the store.
 
@@ -140,8 +149,8 @@
         """Return the rows of a part from key `first` up to `end`, and the newest version.
 
         Read page by page; the version is that of the first page, so that a feed that goes on from
-        there misses nothing that changed between the pages. `on_begin` is called when the first
-        page begins to arrive.
+        there misses nothing that changed between the pages. `on_begin` is called when a page
+        begins to arrive.
         """
         rows = []
         version = None
@@ -180,7 +189,7 @@
         wait_s : float
             Longest wait for a change. Unit: seconds.
         on_begin : callable
-            Called when the answer begins to arrive.
+            Called when rows begin to arrive.
 
         Raises
         ------
@@ -209,7 +218,7 @@
                 body,
                 timeout=timeout,
                 idle_timeout=self.timeout,
-                on_begin=on_begin,
+                on_begin=lambda status: on_begin() if _brings_rows(status) else None,
                 headers=headers,
             )
         except NOT_SENT as exc:
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -202,7 +202,7 @@
         if self._answer.called:
             return
         if self._on_begin is not None:
-            self._on_begin()
+            self._on_begin(result[0])
         self._progress()
         self._link = self._find_link()
         if self._link is None:
