Test that fails: a slow store multiplies what slow links hold back

Cause: an instance on a slow link holds back for ten steps, and a step is two readings of the store.

--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -99,3 +99,25 @@
         cell.advance(2.0)
         homes.add(cell.home())
     assert homes.isdisjoint(slow) is safeguard
+
+
+def test_slow_store_does_not_multiply_what_slow_links_hold_back():
+    """All instances are killed and started again, all have slow links, and the store is slow.
+
+    Callers were refused for 11 s. An instance on a slow link held back for ten steps, so that those
+    on fast links come first; a step is two readings of the store, 0.8 s each where it is a hundred
+    times as slow, and no instance had a fast link.
+
+    Evidence. Found by reading; in a trial the first home began after 0.8 s, with answers of 0.25 s
+    after 7.1 s, of 0.4 s after 10.9 s; without the ten steps after 1.5 and 2.3 s.
+    """
+    names = tuple(f"a{number}" for number in range(8))
+    cell = make_cell(n_instances=8, slow=names)
+    for name in names:
+        cell.kill(name)
+    cell.advance(1.0)
+    cell.store_faults.slow_s = 0.4
+    for name in names:
+        cell.start_instance(name)
+    cell.advance(6.0)
+    assert len(cell.homes()) == 1
