--- a/anvilflow/cell/tests/test_unrecorded_ends.py
+++ b/anvilflow/cell/tests/test_unrecorded_ends.py
@@ -80,7 +80,14 @@
 def _wait_for_a_reading_of_jobs(cell):
     scheduler = cell.daemons[cell.home()].supervisor.part("home")._scheduler
     before = scheduler._jobs_known_at
-    while scheduler._jobs_known_at == before:
+    _advance_until(cell, lambda: scheduler._jobs_known_at != before)
+
+
+def _advance_until(cell, condition):
+    """Let time pass until something is so, ten seconds at the most."""
+    until = cell.clock.seconds() + 10.0
+    while not condition():
+        assert cell.clock.seconds() < until
         cell.advance(0.005)
 
 
@@ -111,8 +118,7 @@
     former = cell.home()
     cell.store_faults.silent = True
     cell.store_faults.only = {former}
-    while cell.home() == former:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: cell.home() != former)
     cell.worker_faults["i-0"].silent = True
     cell.worker_faults["i-0"].only = set(cell.daemons) - {former}
     entry = next(name for name in cell.daemons if name not in (former, cell.home()))
@@ -147,8 +153,7 @@
     former = cell.home()
     cell.worker_faults["i-3"].silent = True
     cell.kill(former)
-    while cell.home() == former:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: cell.home() != former)
     cell.advance(0.9)
     accepted_at = cell.clock.seconds()
     cell.submit("a0" if former != "a0" else "a1", JOB, {"count": 3, "cpu": 1000})
@@ -168,11 +173,9 @@
     cell.submit(home, JOB, {"count": 1, "cpu": 1000}, {"count": 1, "after": [0]}, spec="0.5 done 1")
     cell.advance(0.4)
     cell.store_faults.slow_s = 0.3
-    while not any(span.how == "done" for span in cell.spans):
-        cell.advance(0.005)
+    _advance_until(cell, lambda: any(span.how == "done" for span in cell.spans))
     cell.advance(0.35)
     answers = cell.call(home, "DELETE", f"/urgent/{JOB}")
-    while not answers:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: answers)
     assert answers[0][0] == 200
     assert cell.store.value("ended", JOB, part="cell")["state"] == "cancelled"
--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -190,6 +190,9 @@
 def test_tasks_of_a_worker_that_left_when_it_said_so_are_started_elsewhere_at_once():
     """A worker leaves at its time: its entry is removed and nobody listens at its address."""
     cell, worker = _make_cell_with_a_worker_whose_time_is_over()
+    # The hold that is under way ends with the worker, without an answer.
+    cell.worker_faults[worker.worker_id].loses_answers = True
+    cell.advance(0.6)
     worker.crash()
     cell.worker_faults[worker.worker_id].refuses = True
     cell.store.remove("servers", worker.worker_id)
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -277,6 +277,20 @@
     assert again.worker_id != start.worker_id
 
 
+def test_worker_that_answers_after_a_refused_connection_has_not_left():
+    """It was started anew at its network, say; one more answer that is lost means nothing."""
+    scheduler = make_scheduler()
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [start], 0.0)
+    number = int(start.worker_id[1:])
+    scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=0.5), 0.0)
+    scheduler.worker_silent(start.worker_id, 0.6, nobody_listens=True)
+    scheduler.report(start.worker_id, make_report([item(start, 10)]), asked_at=0.7, now=0.7)
+    scheduler.worker_unlisted(start.worker_id)
+    scheduler.workers[start.worker_id].lease_over_at = 99.0
+    assert scheduler.plan(1.0, 1.0) == []
+
+
 def test_failures_that_are_told_in_another_order_all_count():
     """A worker falls silent, its task fails elsewhere, and then it comes back with a failure, too.
 
--- a/anvilflow/jobs/tests/test_unknown_tasks.py
+++ b/anvilflow/jobs/tests/test_unknown_tasks.py
@@ -109,6 +109,15 @@
     assert job.is_ended and len(job.steps[0, 0].tasks[0].failed_runs) == 3
 
 
+def test_run_that_is_only_known_by_its_end_raises_the_run_number():
+    """A worker refuses a number that is not higher, and two failures as run 1 would count once."""
+    scheduler = make_scheduler()
+    end = RunEnd(number=1, task=TASK, run_id=3, how="failed", checkpoint="")
+    assert tell(scheduler, end) == 0
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=0.2)
+    assert start.run_id == 4
+
+
 @pytest.mark.parametrize("is_cancelled", [False, True])
 def test_end_of_an_occurrence_that_is_not_due_yet_by_this_homes_clock_is_kept(is_cancelled):
     """The former home's clock is ahead of the next one's: it has begun an occurrence of a job.
