--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -111,9 +111,17 @@
             )
         ]
 
+    def _may_be_heard_of(self, job_id):
+        """Whether a job is unknown, and may yet come with the next reading of the feed.
+
+        Runs of ended jobs must not wait for that: a home that takes over after a cancelling would
+        let them run on, and so would each one after it.
+        """
+        return not self.knows_job(job_id)
+
     def _may_become_known(self, name):
         job_id = name.split(".", 1)[0]
-        if not self.knows_job(job_id):
+        if self._may_be_heard_of(job_id):
             return True
         job = self.jobs.get(job_id)
         return job is not None and not job.is_ended and job.is_to_open(name)
