Soak: power lost at the end, configurations that grow over slow links, steps of the time of day

Cause: instances were killed with connections that closed, some 15 s before the end; configurations stayed small; the time of day was left alone, and callers' connections went past the proxies. Change: each soak ends with all instances vanishing (silent connections, new ones hang) right after an acceptance, a cancelling, a job shown as completed or a configuration; one or more come back, and calls go on. A launcher sets the time of day by 5 s either way, at one instance or at all. New checks: an end that was shown stays; no start later than 4 s after a cancelling and the last fault.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -17,6 +17,9 @@
 #: Pause between looks at a job's state. Unit: seconds.
 LOOK_S = 0.4
 
+#: States that a job never leaves.
+ENDS = frozenset({"completed", "failed", "cancelled"})
+
 _HOST = {b"host": [b"desk.example"], b"content-type": [b"application/json"]}
 
 
@@ -31,6 +34,7 @@
     accepted_at: float | None = None
     in_doubt: bool = False
     cancelled: bool = False
+    cancelled_at: float | None = None
     shown: str = ""
 
 
@@ -44,6 +48,11 @@
         Where each instance takes calls.
     random_state : random.Random
     judge : Judge
+
+    Notes
+    -----
+    `acknowledged` is called with "accepted", "cancelled" or "completed" in the moment in which a
+    caller is told so.
     """
 
     def __init__(self, *, reactor, fronts, random_state, judge):
@@ -52,6 +61,7 @@
         self.random_state = random_state
         self.judge = judge
         self.calls = []
+        self.acknowledged = lambda what: None
         self._http = HttpClient(clock=reactor, connections=4)
 
     def _now(self):
@@ -94,7 +104,7 @@
         if cancels:
             yield self._sleep(self.random_state.uniform(0.0, 2.0))
             yield self._cancel(call)
-        while not self.judge.over and call.shown not in ("completed", "failed", "cancelled"):
+        while not self.judge.over and call.shown not in ENDS:
             yield self._look(call)
             yield self._sleep(LOOK_S)
 
@@ -105,6 +115,7 @@
             status, _ = yield self._ask(b"POST", call.path, body)
             if status == 200:
                 call.accepted_at = self._now()
+                self.acknowledged("accepted")
                 return
             call.in_doubt = call.in_doubt or status not in (429, 503)
             yield self._sleep(self.random_state.uniform(0.2, 1.0))
@@ -116,6 +127,8 @@
         while not self.judge.over:
             status, _ = yield self._ask(b"DELETE", call.path)
             if status in (200, 410):
+                call.cancelled_at = self._now()
+                self.acknowledged("cancelled")
                 return
             yield self._sleep(LOOK_S)
 
@@ -123,14 +136,28 @@
     def _look(self, call):
         status, value = yield self._ask(b"GET", call.path)
         if status == 200:
-            call.shown = value["state"]
-            self.judge.state_shown(call)
+            before, call.shown = call.shown, value["state"]
+            self.judge.state_shown(call, before)
+            if call.shown == "completed":
+                self.acknowledged("completed")
         elif status == 410:
             self.judge.job_denied(call)
 
     @inlineCallbacks
+    def look_again(self):
+        """Ask once more for each end that was shown: it must have stayed."""
+        for call in self.calls:
+            if call.shown in ENDS:
+                yield self._look(call)
+
     def _ask(self, method, path, body=b""):
-        front = self.fronts[self.random_state.choice(sorted(self.fronts))]
+        name = self.random_state.choice(sorted(self.fronts))
+        return self.ask(name, method, path, body)
+
+    @inlineCallbacks
+    def ask(self, name, method, path, body=b""):
+        """Call an instance; return status and value, or twice None without an answer."""
+        front = self.fronts[name]
         url = f"http://{front}{path}"
         try:
             status, answer = yield self._http.call(
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -35,6 +35,11 @@
     "worker unregistered": 1,
 }
 
+#: Kinds that are drawn by themselves, so that the seeds that failed once keep their faults.
+LATER_KINDS = {"clock ahead": 1, "clock back": 1, "clocks ahead": 1, "clocks back": 1}
+
+_CLOCK_SIGNALS = {"ahead": signal.SIGUSR1, "back": signal.SIGUSR2}
+
 
 class Fault(Struct, kw_only=True):
     """One fault. Unit of `at` and `for_s`: seconds."""
@@ -45,9 +50,9 @@
     pick: float
 
 
-def make_faults(random_state, *, n_faults, seconds):
+def make_faults(random_state, *, n_faults, seconds, weights=KINDS):
     """Return `n_faults` within a time, ordered by their beginnings."""
-    kinds = random_state.choices(list(KINDS), weights=list(KINDS.values()), k=n_faults)
+    kinds = random_state.choices(list(weights), weights=list(weights.values()), k=n_faults)
     faults = [
         Fault(
             at=random_state.uniform(0.5, seconds),
@@ -97,7 +102,8 @@
         return self.world.places[int(fault.pick * len(self.world.places))]
 
     def _proxy(self, fault):
-        names = sorted(self.world.proxies)
+        # Not those in front of callers, who cannot tell a fault there from one of the instance.
+        names = sorted(name for name in self.world.proxies if not name.endswith("front"))
         return self.world.proxies[names[int(fault.pick * len(names))]]
 
     def inject(self, fault):
@@ -115,6 +121,12 @@
                 name = self._instance(fault)
                 self.instances.send(name, signal.SIGTERM)
                 self._later(7.0, self.instances.start, name)
+            case ["clock" | "clocks" as which, way]:
+                names = [self._instance(fault)] if which == "clock" else self.instances.names
+                back = "back" if way == "ahead" else "ahead"
+                for name in names:
+                    self.instances.send(name, _CLOCK_SIGNALS[way])
+                    self._later(fault.for_s, self.instances.send, name, _CLOCK_SIGNALS[back])
             case ["reload"]:
                 self.instances.send(self._instance(fault), signal.SIGHUP)
             case ["config"]:
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -12,6 +12,8 @@
 #: Time that a process has for its end after SIGTERM. Unit: seconds.
 GRACE_S = 6.0
 
+_LAUNCHER = Path(__file__).with_name("_launch.py").resolve()
+
 
 class Instances:
     """Processes of a cell.
@@ -34,6 +36,7 @@
         self.fronts = {}
         self._running = {}
         self._stopped = set()
+        self._without_power = set()
         self._logs = {}
         self._stack = ExitStack()
         for name in self.names:
@@ -41,10 +44,9 @@
 
     def _write_settings(self, name, free_address):
         front, ready, peers = (free_address() for _ in range(3))
-        self.fronts[name] = front
-        host, port = peers.split(":")
         world = self.world
-        public = world.make_proxy(f"{name} peers", (host, int(port))).address
+        self.fronts[name] = world.make_proxy(f"{name} front", _target(front)).address
+        public = world.make_proxy(f"{name} peers", _target(peers)).address
         settings = {
             "instance": name,
             "failure_domain": "z1",
@@ -60,16 +62,21 @@
         return [name for name in self._running if name not in self._stopped]
 
     def start(self, name):
-        """Start an instance unless it runs."""
-        if self.is_running(name):
+        """Start an instance unless it runs or its machine has no power."""
+        if self.is_running(name) or name in self._without_power:
             return
         log = self._logs.get(name)
         if log is None:
             log = self._stack.enter_context((self.folder / f"{name}.log").open("ab"))
             self._logs[name] = log
-        env = {**os.environ, "ANVILFLOW_CONFIG": str(self.folder / f"{name}.json")}
+        # A file, not a module of this package, which would import what takes the time first.
+        env = {
+            **os.environ,
+            "ANVILFLOW_CONFIG": str(self.folder / f"{name}.json"),
+            "PYTHONPATH": str(_LAUNCHER.parents[1]),
+        }
         self._running[name] = subprocess.Popen(
-            [sys.executable, "-m", "anvilflow.cell"], stdout=log, stderr=log, env=env
+            [sys.executable, str(_LAUNCHER)], stdout=log, stderr=log, env=env
         )
 
     def is_running(self, name):
@@ -92,9 +99,35 @@
             case signal.SIGCONT:
                 self._stopped.discard(name)
 
+    def lose_power(self):
+        """Let all instances vanish: nobody hears a connection end, or is answered on a new one."""
+        for proxy in self.world.proxies.values():
+            proxy.silence()
+        for name in self.names:
+            self._set_power(name, False)
+            self.send(name, signal.SIGKILL)
+
+    def power_on(self, name):
+        """Start an instance again whose machine had no power."""
+        self._set_power(name, True)
+        self.start(name)
+
+    def _set_power(self, name, is_on):
+        for end in ("front", "peers"):
+            self.world.proxies[f"{name} {end}"].is_dark = not is_on
+        if is_on:
+            self._without_power.discard(name)
+        else:
+            self._without_power.add(name)
+
     def close(self):
         """Kill what still runs."""
         for process in self._running.values():
             process.kill()
             process.wait()
         self._stack.close()
+
+
+def _target(address):
+    host, port = address.split(":")
+    return host, int(port)
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -2,7 +2,10 @@
 
 from anvilflow.standins import find_broken_runs
 
-#: Time that a cancelled job's tasks may still run, after everything works again. Unit: seconds.
+from ._callers import ENDS
+
+#: Time for which a cancelled job's tasks may still run and be started, after everything works
+#: again: an entry without a home leaves a mark that the home finds. Unit: seconds.
 CANCEL_S = 4.0
 
 
@@ -12,6 +15,10 @@
     Parameters
     ----------
     world : World
+
+    Notes
+    -----
+    `calm_at` is the time at which the last fault ended.
     """
 
     def __init__(self, *, world):
@@ -19,10 +26,14 @@
         self.over = False
         self.broken = []
         self.n_checked = 0
+        self.calm_at = 0.0
+        self._old_configs = set()
 
-    def state_shown(self, call):
-        """Check a state that a caller was told."""
+    def state_shown(self, call, before):
+        """Check a state that a caller was told, and that one told `before` had not ended."""
         self.n_checked += 1
+        if before in ENDS and call.shown != before:
+            self.broken.append(f"{call.job_id} was shown as {before}, and is {call.shown}")
         if call.shown == "completed" and self._n_done(call) < call.n_tasks:
             self.broken.append(f"{call.job_id} is shown as completed, but not all is done")
         if call.shown == "cancelled" and not call.cancelled:
@@ -34,6 +45,18 @@
         """Note that an accepted job was said not to exist."""
         self.broken.append(f"{call.job_id} was accepted and is denied")
 
+    def old_config_used(self, name, path, version, age_s):
+        """Note that an instance goes by an older version than the one acknowledged."""
+        if (name, path) not in self._old_configs:
+            self._old_configs.add((name, path))
+            said = f"{name} does not go by version {version}, {age_s:.1f} s old: {path}"
+            self.broken.append(said)
+
+    def _is_start_too_late(self, call, span):
+        if call.cancelled_at is None:
+            return False
+        return span.began_at > max(call.cancelled_at, self.calm_at) + CANCEL_S
+
     def _n_done(self, call):
         # What was untold at some time may have been told later, and then counts.
         tasks = {
@@ -45,8 +68,7 @@
 
     def unfinished(self, calls):
         """Return the accepted jobs whose end has not been shown."""
-        ends = ("completed", "failed", "cancelled")
-        return [call for call in calls if call.accepted_at is not None and call.shown not in ends]
+        return [call for call in calls if call.accepted_at is not None and call.shown not in ENDS]
 
     def finish(self, calls):
         """Check everything at the end; return what is broken."""
@@ -60,6 +82,8 @@
                 self.broken.append(f"{span.task} was started, and nobody submitted it")
             elif call.accepted_at is None and not call.in_doubt:
                 self.broken.append(f"{span.task} was started, and its job was refused")
+            elif self._is_start_too_late(call, span):
+                self.broken.append(f"{span.task} was started long after its job was cancelled")
             elif call.cancelled and span.ended_at is None:
                 self.broken.append(f"{span.task} still runs, and its job was cancelled")
         self.broken += find_broken_runs(self.world.spans, self.world.workers)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -3,6 +3,8 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Factory, Protocol
 
+from ._line import Line
+
 #: Time within which the target takes a connection. Unit: seconds.
 CONNECT_S = 1.0
 
@@ -21,7 +23,8 @@
     -----
     `delay_s` holds every piece back. `cut_to_target` and `cut_from_target` keep one direction back
     until :meth:`heal`, and `refuses` resets new connections. :meth:`silence` lets those that are
-    open now say nothing for good, while new ones work.
+    open now say nothing for good, while new ones work; but not while `is_dark`, when the target has
+    no power: new ones are never answered.
     """
 
     def __init__(self, *, reactor, host, target):
@@ -29,6 +32,8 @@
         self.host = host
         self.target = target
         self.pairs = []
+        self.is_dark = False
+        self.lines = {True: Line(reactor=reactor), False: Line(reactor=reactor)}
         self.port = reactor.listenTCP(0, _make_factory(self), interface=host, backlog=256)
         self.heal()
 
@@ -46,6 +51,11 @@
         for pair in self.pairs:
             pair.flush()
 
+    def limit(self, bytes_s):
+        """Let so many bytes a second pass each way; None: all at once."""
+        for line in self.lines.values():
+            line.bytes_s = bytes_s
+
     def silence(self):
         """Let all open connections fall silent for good."""
         for pair in self.pairs:
@@ -104,14 +114,11 @@
         # Never before an earlier piece, also when the delay has become shorter.
         at = max(now + self.proxy.delay_s, self._free_at[to_target])
         self._free_at[to_target] = at
+        line = self.proxy.lines[to_target]
         if at <= now:
-            leg.transport.write(data)
+            line.send(leg, data)
         else:
-            self.proxy.reactor.callLater(at - now, self._send_late, leg, data)
-
-    def _send_late(self, leg, data):
-        if leg.transport is not None and leg.transport.connected and not self.silent:
-            leg.transport.write(data)
+            self.proxy.reactor.callLater(at - now, line.send, leg, data)
 
     def lost(self):
         """One end has closed: close the other, unless nobody may hear of it."""
@@ -150,7 +157,10 @@
             self.transport.abortConnection()
             return
         self.pair.proxy.pairs.append(self.pair)
-        self.pair.connect()
+        if self.pair.proxy.is_dark:
+            self.pair.silent = True
+        else:
+            self.pair.connect()
 
 
 def _make_factory(proxy):
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -7,12 +7,13 @@
 
 from msgspec import Struct
 from twisted.internet.defer import gatherResults, inlineCallbacks
-from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall, deferLater
 
 from anvilflow.utils import encode
 
 from ._callers import Callers
-from ._faults import Injector, make_faults
+from ._ending import Ending, LastFaults, make_ending
+from ._faults import LATER_KINDS, Injector, make_faults
 from ._instances import Instances
 from ._judge import CANCEL_S, Judge
 from ._world import World
@@ -36,6 +37,7 @@
     n_runs: int
     n_checked: int
     faults: list[str]
+    ending: Ending
     broken: list[str]
 
 
@@ -50,10 +52,21 @@
     seconds : float
         For how long faults begin. Unit: seconds.
     n_faults, n_instances, n_workers : int
+    grows : bool, default=None
+        Whether the configuration grows at the end; by default, as the seed says.
     """
 
     def __init__(
-        self, *, reactor, seed, folder, seconds=14.0, n_faults=12, n_instances=5, n_workers=6
+        self,
+        *,
+        reactor,
+        seed,
+        folder,
+        seconds=14.0,
+        n_faults=12,
+        n_instances=5,
+        n_workers=6,
+        grows=None,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -62,6 +75,7 @@
         self.n_faults = n_faults
         self.n_instances = n_instances
         self.n_workers = n_workers
+        self.grows = grows
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -79,15 +93,22 @@
             free_address=lambda: _free_address(host),
         )
         faults = make_faults(rng, n_faults=self.n_faults, seconds=self.seconds)
+        later = Random(f"{self.seed} later")
+        faults += make_faults(
+            later, n_faults=self.n_faults // 5, seconds=self.seconds, weights=LATER_KINDS
+        )
+        ending = make_ending(later, n_instances=self.n_instances)
+        if self.grows is not None:
+            ending.grows = self.grows
         try:
-            verdict = yield self._play(rng, world, instances, faults)
+            verdict = yield self._play(rng, world, instances, faults, ending)
         finally:
             instances.close()
             world.close()
         return verdict
 
     @inlineCallbacks
-    def _play(self, rng, world, instances, faults):
+    def _play(self, rng, world, instances, faults, ending):
         for name in instances.names:
             instances.start(name)
         yield self._sleep(START_S)
@@ -100,11 +121,21 @@
         )
         injector.plan(faults)
         calls = []
-        for _ in range(int((self.seconds + 2.0) / CALL_EVERY_S)):
-            calls.append(callers.run_one())
-            yield self._sleep(CALL_EVERY_S)
-        yield self._sleep(max((fault.for_s for fault in faults), default=0.0))
+        last = LastFaults(
+            reactor=self.reactor,
+            world=world,
+            instances=instances,
+            callers=callers,
+            judge=judge,
+            random_state=Random(f"{self.seed} end"),
+        )
+        calling = self._keep_calling(callers, calls)
+        yield self._sleep(self.seconds + 2.0)
+        yield last.play(ending)
+        calling.stop()
         yield self._settle(world, instances, callers, judge)
+        yield last.check_config()
+        yield callers.look_again()
         broken = judge.finish(callers.calls)
         yield gatherResults(calls, consumeErrors=True)
         return Verdict(
@@ -114,13 +145,22 @@
             n_runs=len(world.spans),
             n_checked=judge.n_checked,
             faults=[f"{fault.at:.1f} {fault.kind} {fault.for_s}" for fault in faults],
+            ending=ending,
             broken=broken,
         )
 
+    def _keep_calling(self, callers, calls):
+        """Begin a call again and again, until the loop returned is stopped."""
+        loop = LoopingCall(lambda: calls.append(callers.run_one()))
+        loop.clock = self.reactor
+        loop.start(CALL_EVERY_S)
+        return loop
+
     @inlineCallbacks
     def _settle(self, world, instances, callers, judge):
         """End all faults, start what is down, and wait for the last job."""
         world.heal()
+        judge.calm_at = self.reactor.seconds()
         until = self.reactor.seconds() + SETTLE_S
         while self.reactor.seconds() < until:
             for name in instances.names:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -117,6 +117,8 @@
         self.store_faults = WireFaults()
         self.store_target = self._serve(self.store, self.store_faults)
         self.config_version = 1
+        self.config_at = 0.0
+        self.n_routes = 0
         self.advice = AdviceServer(clock=reactor, allowed=set(), base_s=ADVICE_S)
         self.advice_target = self._serve(self.advice, WireFaults())
         self.change_config()
@@ -134,12 +136,17 @@
         self.proxies[name] = Proxy(reactor=self.reactor, host=self.host, target=target)
         return self.proxies[name]
 
-    def change_config(self):
-        """Write a newer configuration."""
+    def change_config(self, *, n_more=0):
+        """Write a newer configuration: with a queue of its own, and `n_more` routes."""
         self.config_version += 1
+        self.n_routes += n_more
         rules = {"decide-ms": ADVICE_S * 1000, "each-ms": 0.1, "valid-ms": 2500}
         config = make_platform_config(self.config_version, advice=rules)
+        extra = [f"v{self.config_version}", *(f"more-{i:025}" for i in range(self.n_routes))]
+        first = config["routes"][0]
+        config["routes"] += [{**first, "name": name, "prefix": f"/{name}/"} for name in extra]
         self.store.put("op", "config", config)
+        self.config_at = self.reactor.seconds()
 
     def _make_place(self, number):
         place = _Place(name=f"w{number}", faults=WireFaults())
