Test that fails: homes that do not reach each other take turns while they load

Cause: a home writes its row only when it has loaded; over a slow link that is later than a row counts as still.

--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -125,3 +125,30 @@
         cell.start_instance(name)
     cell.advance(6.0)
     assert (len(cell.homes()) == 1) is safeguard
+
+
+def test_loading_home_that_an_instance_does_not_reach_keeps_its_place():
+    """A successor on a slow link reads the rows of all jobs; one instance does not reach it.
+
+    That one saw a row that stood still and claimed. It could not be reached either, and wrote
+    nothing while it loaded: the two took turns for as long as the cut lasted, each deposed before
+    it had started a task. Over a full link a connection takes longer than its 0.4 s, too.
+
+    Evidence. Found by asking whether a cut may do while a home loads what it may not do later; in a
+    trial the home changed by 1.4, 2.6, 3.6, 4.6 and 5.6 s. In a play, 13 calls to the home over
+    full links had no answer within 0.4 s.
+    """
+    cell = _cell_with_many_jobs(8)
+    for name in cell.daemons:
+        cell.wire.slow_link(name, SLOW)
+    former, term = cell.home(), _term(cell)
+    cell.kill(former)
+    while cell.home() == former:
+        cell.advance(0.01)
+    home = cell.home()
+    lone = next(name for name in reversed(cell.daemons) if name != home)
+    cell.network.silence(lone, home)
+    cell.network.silence(home, lone)
+    cell.advance(5.0)
+    assert _term(cell) == term + 1
+    assert cell.homes() == [home]
