Test that fails: a home whose answers trickle holds its place

Cause: limits on pauses, and a heartbeat while it loads: nothing ends the loading of a home whose link is squeezed. Measured: fails; in a trial with 200 jobs and all links at 5 kB a second the cell had no home for 51 s.

--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -26,10 +26,10 @@
 N_JOBS = 800
 
 
-def _cell_with_many_jobs(n_instances):
+def _cell_with_many_jobs(n_instances, n_jobs=N_JOBS):
     cell = make_cell(n_instances=n_instances, n_workers=6)
     names = list(cell.daemons)
-    for number in range(N_JOBS):
+    for number in range(n_jobs):
         entry = names[number % len(names)]
         cell.submit(entry, f"{number:016x}", {"count": 4, "cpu": 1}, spec="0.2 done 1")
         if number % 10 == 0:
@@ -181,3 +181,22 @@
     cell.advance(5.0)
     assert (_term(cell) == term + 1) is safeguard
     assert (cell.homes() == [home]) is safeguard
+
+
+def test_home_that_loads_for_too_long_offers_its_place():
+    """The link of a new home is squeezed to 5 kB a second just after its claim.
+
+    Its answers never pause for long, so that its reading neither fails nor ends for half a minute.
+    It says all the while that it lives, and no other instance may begin: callers wait.
+
+    Evidence. Found by asking what an answer that trickles may hold for ever; in a trial with 200
+    jobs the cell had no home for 51 s.
+    """
+    cell = _cell_with_many_jobs(5, n_jobs=200)
+    former = cell.home()
+    cell.kill(former)
+    while cell.home() == former:
+        cell.advance(0.005)
+    cell.wire.slow_link(cell.home(), 5_000)
+    cell.advance(8.0)
+    assert len(cell.homes()) == 1
