Test that fails: records of many large jobs exceed a call

Cause: a transaction is limited to 45 jobs, whatever their records' size; one over 1 MB is refused and made again for ever.

--- /dev/null
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -0,0 +1,60 @@
+"""What the home records in one transaction.
+
+The store takes 1 MB in a call. Records of jobs grow with their tasks and checkpoints: 27 bytes for
+each task that has one. Where many large jobs changed at the same time the transaction was refused,
+and made again for ever, the same one: no end of any job was recorded any more, and no caller heard
+that a job was completed.
+
+Evidence. Found by asking what counts jobs and not bytes; 600 tasks with checkpoints make a record
+of 17,320 bytes, and 45 such records 1.04 MB on the wire.
+"""
+
+from anvilflow.jobs._job import JobRun
+
+from ._helpers import JOB, make_cell
+
+#: Largest call that the store takes. Unit: bytes.
+MAX_CALL_BYTES = 1_000_000
+
+#: A job's checkpoints. Unit: bytes.
+N_PADDING = 40_000
+
+
+def _limit_calls(monkeypatch, store):
+    answer = store.handle
+
+    def handle(method, path, query, body, headers):
+        return (
+            (413, b"") if len(body) > MAX_CALL_BYTES else answer(method, path, query, body, headers)
+        )
+
+    monkeypatch.setattr(store, "handle", handle)
+
+
+def _large(to_record):
+    def make_large_record(job):
+        record = to_record(job)
+        record.checkpoints["0.0.9"] = "x" * N_PADDING
+        return record
+
+    return make_large_record
+
+
+def _sizes(task, _):
+    """The first task of each job takes a second, the others a minute."""
+    return (1.0 if task.endswith(".0") else 60.0), "done", 1000
+
+
+def test_records_of_large_jobs_do_not_exceed_a_call(monkeypatch):
+    """A task of each of thirty large jobs ends in the same moment; a small job ends after them."""
+    monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record))
+    cell = make_cell(n_workers=8, sizes=_sizes)
+    _limit_calls(monkeypatch, cell.store)
+    for number in range(30):
+        cell.submit(cell.home(), f"{number + 1:016x}", {"count": 2, "cpu": 1000})
+    cell.advance(3.0)
+    cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000})
+    cell.advance(3.0)
+    ended = cell.store.value("ended", JOB, part="cell")
+    assert ended is not None
+    assert ended["state"] == "completed"
