Test that fails: a record that exceeds a row stops all records

Cause: nothing limits a job's record to what a row holds; a larger one is refused, and made again for ever.

--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -13,12 +13,16 @@
 
 from anvilflow.cell import _recorder
 from anvilflow.jobs._job import JobRun
+from anvilflow.utils import decode_lenient
 
 from ._helpers import JOB, make_cell
 
 #: Largest call that the store takes. Unit: bytes.
 MAX_CALL_BYTES = 1_000_000
 
+#: Largest value of a row that it takes. Unit: bytes.
+MAX_ROW_BYTES = 65_536
+
 #: A job's checkpoints. Unit: bytes.
 N_PADDING = 40_000
 
@@ -34,10 +38,10 @@
     monkeypatch.setattr(store, "handle", handle)
 
 
-def _large(to_record):
+def _large(to_record, n_padding=N_PADDING):
     def make_large_record(job):
         record = to_record(job)
-        record.checkpoints["0.0.9"] = "x" * N_PADDING
+        record.checkpoints["0.0.9"] = "x" * n_padding
         return record
 
     return make_large_record
@@ -63,3 +67,31 @@
     cell.advance(3.0)
     ended = cell.store.value("ended", JOB, part="cell")
     assert (ended is not None and ended["state"] == "completed") is safeguard
+
+
+def test_record_that_exceeds_a_row_does_not_stop_all_records(monkeypatch):
+    """A job of 2,500 tasks with checkpoints has a record of 74 kB; a row holds 64 kB.
+
+    Its transaction was refused and made again for ever, and with it all that the home records.
+    """
+    monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record, 70_000))
+    cell = make_cell(n_workers=8, sizes=_sizes)
+    _limit_rows(monkeypatch, cell.store)
+    cell.submit(cell.home(), f"{1:016x}", {"count": 2, "cpu": 1000})
+    cell.advance(3.0)
+    cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000})
+    cell.advance(3.0)
+    assert cell.store.value("ended", JOB, part="cell") is not None
+    record = cell.store.value("progress", f"{1:016x}", part="cell")
+    assert record["done_tasks"] == {"0.0": [0]}
+
+
+def _limit_rows(monkeypatch, store):
+    answer = store.handle
+
+    def handle(method, path, query, body, headers):
+        writes = decode_lenient(body)["writes"] if path == "/-/rows-tx" else ()
+        is_large = any(len(item["value"]) > MAX_ROW_BYTES * 4 / 3 for item in writes)
+        return (413, b"") if is_large else answer(method, path, query, body, headers)
+
+    monkeypatch.setattr(store, "handle", handle)
