A record that exceeds a row leaves its checkpoints out

Change: such a record is written without checkpoints; what is done or has failed stays in it. Test: test_record_that_exceeds_a_row_does_not_stop_all_records (was known red; also with the safeguard taken out). A record of 12,000 done tasks in one step has 60,927 bytes: beyond some 13,000 it exceeds a row still.

--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -38,6 +38,10 @@
 #: refused, and made again for ever: nothing was recorded any more. Unit: bytes.
 BYTES_PER_COMMIT = 600_000
 
+#: Largest value that a row holds. A record over it was refused for ever, and with it all others.
+#: Unit: bytes.
+MAX_ROW_BYTES = 65_536
+
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
@@ -302,13 +306,27 @@
         job_id = job.job_id
         if not job.is_ended:
             self._written.add(job_id)
-            return [write(PROGRESS, job_id, job.to_record())]
+            return [_progress_write(job)]
         writes = [ended_write(job_id, job.state, self.context.wall_clock())]
         if job_id in self._written:
             writes.append(write(PROGRESS, job_id, None))
         return writes
 
 
+def _progress_write(job):
+    """Return the write of a job's progress.
+
+    2,400 checkpoints fill a row. Left out they cost the next home the work since their tasks began;
+    what is done or has failed, which decides what may run, is kept.
+    """
+    record = job.to_record()
+    item = write(PROGRESS, job.job_id, record)
+    if len(item.value) <= MAX_ROW_BYTES:
+        return item
+    record.checkpoints = {}
+    return write(PROGRESS, job.job_id, record)
+
+
 def answer_timeout(answer_s):
     """Return how long a transaction is waited for when the last answer took `answer_s`."""
     return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_ANSWERS * answer_s))
--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -69,11 +69,14 @@
     assert (ended is not None and ended["state"] == "completed") is safeguard
 
 
-def test_record_that_exceeds_a_row_does_not_stop_all_records(monkeypatch):
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_record_that_exceeds_a_row_does_not_stop_all_records(monkeypatch, safeguard):
     """A job of 2,500 tasks with checkpoints has a record of 74 kB; a row holds 64 kB.
 
     Its transaction was refused and made again for ever, and with it all that the home records.
     """
+    if not safeguard:
+        monkeypatch.setattr(_recorder, "MAX_ROW_BYTES", 10_000_000)
     monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record, 70_000))
     cell = make_cell(n_workers=8, sizes=_sizes)
     _limit_rows(monkeypatch, cell.store)
@@ -81,9 +84,9 @@
     cell.advance(3.0)
     cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000})
     cell.advance(3.0)
-    assert cell.store.value("ended", JOB, part="cell") is not None
+    assert (cell.store.value("ended", JOB, part="cell") is not None) is safeguard
     record = cell.store.value("progress", f"{1:016x}", part="cell")
-    assert record["done_tasks"] == {"0.0": [0]}
+    assert (record is not None and record["done_tasks"] == {"0.0": [0]}) is safeguard
 
 
 def _limit_rows(monkeypatch, store):
