Test that fails: a job that exceeds a row is taken for a write in doubt

Cause: bodies of 256 kB are taken, a row holds 64 kB; the store's refusal counts as no answer. Measured: fails, with 504 where 413 is due; the other 4 tests of the file pass.

--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -98,3 +98,19 @@
         return (413, b"") if is_large else answer(method, path, query, body, headers)
 
     monkeypatch.setattr(store, "handle", handle)
+
+
+def test_job_that_exceeds_a_row_is_refused_at_once(monkeypatch):
+    """A client sends a job of 700 steps, whose row would have over 64 kB.
+
+    The store refused it, which was taken for a write in doubt: the client was told to send it
+    again, and its instance counted the store as away and refused other callers.
+    """
+    cell = make_cell()
+    _limit_rows(monkeypatch, cell.store)
+    steps = [{"count": 1, "cpu": 1000, "mem-mb": 100, "after": [0]} for _ in range(700)]
+    steps[0].pop("after")
+    answers = cell.submit(cell.other(), JOB, *steps)
+    cell.advance(3.0)
+    assert [status for status, _, _ in answers] == [413]
+    assert not cell.daemons[cell.other()].context.store_health.is_bad
