A job that exceeds a row is refused at once

Cause: bodies of 256 kB are taken, a row holds 64 kB. The store's refusal was taken for a write in doubt: the client had 504 and was to send the job again, and the instance took the store for away. Change: the entry looks at the row's size and answers 413. Test: test_job_that_exceeds_a_row_is_refused_at_once (was known red; also with the safeguard taken out).

--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -13,6 +13,7 @@
     PlatformRefusedError,
     RequestError,
     SlowWriteError,
+    TooLargeError,
     UnknownOutcomeError,
 )
 from ..jobs import ENDED_STATES, JobState
@@ -22,7 +23,7 @@
 from ._context import Claimed, HomeChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job_surely
 from ._recorder import answer_timeout
-from ._tables import JobRow
+from ._tables import MAX_ROW_BYTES, JobRow
 
 #: Wait for the home's answer before the store is asked instead. The home answers in a few
 #: milliseconds or is changing. Unit: seconds.
@@ -121,6 +122,10 @@
     def submit(self, spec, queue):
         """Accept a job durably; AF302 says it certainly was not, AF305 that it may have been."""
         value = JobRow(spec=spec, queue=queue)
+        if len(encode(value)) > MAX_ROW_BYTES:
+            # The store refuses it however often it comes. Taken for a write in doubt, the client
+            # was told to send it again, and the instance took the store for away each time.
+            raise TooLargeError(f"the job's row is over {MAX_ROW_BYTES} bytes")
         job_id = spec.job_id
         unsure = False
         if not self._store_in_doubt():
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -11,6 +11,7 @@
 from ._tables import (
     HOME,
     HOME_KEY,
+    MAX_ROW_BYTES,
     PART,
     PROGRESS,
     HomeRow,
@@ -38,10 +39,6 @@
 #: refused, and made again for ever: nothing was recorded any more. Unit: bytes.
 BYTES_PER_COMMIT = 600_000
 
-#: Largest value that a row holds. A record over it was refused for ever, and with it all others.
-#: Unit: bytes.
-MAX_ROW_BYTES = 65_536
-
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
@@ -316,7 +313,8 @@
 def _progress_write(job):
     """Return the write of a job's progress.
 
-    2,400 checkpoints fill a row. Left out they cost the next home the work since their tasks began;
+    2,200 checkpoints fill a row. One over its size was refused for ever, and with it all that the
+    home records. Left out they cost the next home the work since their tasks began;
     what is done or has failed, which decides what may run, is kept.
     """
     record = job.to_record()
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -19,6 +19,9 @@
 #: Ends the key of a cancelled job's mark.
 CANCEL_MARK = ".cancel"
 
+#: Largest value that a row holds, as the platform's settings give it. Unit: bytes.
+MAX_ROW_BYTES = 65_536
+
 #: The row of the home, and the key it lies under.
 HOME = "home"
 HOME_KEY = "home"
--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -1,4 +1,4 @@
-"""What the home records in one transaction.
+"""What the home and entries write in one transaction and in one row.
 
 The store takes 1 MB in a call. Records of jobs grow with their tasks and checkpoints: 27 bytes for
 each task that has one. Where many large jobs changed at the same time the transaction was refused,
@@ -11,7 +11,7 @@
 
 import pytest
 
-from anvilflow.cell import _recorder
+from anvilflow.cell import _entry, _recorder
 from anvilflow.jobs._job import JobRun
 from anvilflow.utils import decode_lenient
 
@@ -100,17 +100,20 @@
     monkeypatch.setattr(store, "handle", handle)
 
 
-def test_job_that_exceeds_a_row_is_refused_at_once(monkeypatch):
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_that_exceeds_a_row_is_refused_at_once(monkeypatch, safeguard):
     """A client sends a job of 700 steps, whose row would have over 64 kB.
 
     The store refused it, which was taken for a write in doubt: the client was told to send it
-    again, and its instance counted the store as away and refused other callers.
+    again, and its instance took the store for away until its next look.
     """
+    if not safeguard:
+        monkeypatch.setattr(_entry, "MAX_ROW_BYTES", 10_000_000)
     cell = make_cell()
     _limit_rows(monkeypatch, cell.store)
     steps = [{"count": 1, "cpu": 1000, "mem-mb": 100, "after": [0]} for _ in range(700)]
     steps[0].pop("after")
     answers = cell.submit(cell.other(), JOB, *steps)
     cell.advance(3.0)
-    assert [status for status, _, _ in answers] == [413]
+    assert ([status for status, _, _ in answers] == [413]) is safeguard
     assert not cell.daemons[cell.other()].context.store_health.is_bad
