--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -11,6 +11,7 @@
 from ._tables import (
     HOME,
     HOME_KEY,
+    MAX_ROW_BYTES,
     PART,
     PROGRESS,
     HomeRow,
@@ -33,6 +34,11 @@
 #: home's row two. In a slow store a transaction takes 0.7 s, and a burst ends 45 jobs a second.
 JOBS_PER_COMMIT = 45
 
+#: Records in one transaction at the most, but for one that is larger by itself. A call holds 1 MB;
+#: records are a third larger on the wire, and the home's row has up to 64 kB. A call over that was
+#: refused, and made again for ever: nothing was recorded any more. Unit: bytes.
+BYTES_PER_COMMIT = 600_000
+
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
@@ -134,12 +140,24 @@
 
     @inlineCallbacks
     def _commit(self, jobs):
-        snapshot = [(job, job.change, self._writes(job)) for job in jobs]
+        snapshot = self._take(jobs)
         conditions = [condition(HOME, HOME_KEY, self._row_version)]
         writes = [write(HOME, HOME_KEY, self._make_row())]
         writes += [item for _, _, items in snapshot for item in items]
         yield self._repeat(conditions, writes, snapshot)
 
+    def _take(self, jobs):
+        """Return the jobs that fit into one transaction, each with its change and its writes."""
+        snapshot = []
+        n_bytes = 0
+        for job in jobs:
+            writes = self._writes(job)
+            n_bytes += sum(len(item.value or b"") for item in writes)
+            if snapshot and n_bytes > BYTES_PER_COMMIT:
+                break
+            snapshot.append((job, job.change, writes))
+        return snapshot
+
     def _make_row(self):
         handover = make_handover(self.scheduler, self.context.clock.seconds())
         self._handover = frozenset(worker.info.worker_id for worker in handover)
@@ -286,13 +304,28 @@
         job_id = job.job_id
         if not job.is_ended:
             self._written.add(job_id)
-            return [write(PROGRESS, job_id, job.to_record())]
+            return [_progress_write(job)]
         writes = [ended_write(job_id, job.state, self.context.wall_clock())]
         if job_id in self._written:
             writes.append(write(PROGRESS, job_id, None))
         return writes
 
 
+def _progress_write(job):
+    """Return the write of a job's progress.
+
+    2,200 checkpoints fill a row. One over its size was refused for ever, and with it all that the
+    home records. Left out they cost the next home the work since their tasks began;
+    what is done or has failed, which decides what may run, is kept.
+    """
+    record = job.to_record()
+    item = write(PROGRESS, job.job_id, record)
+    if len(item.value) <= MAX_ROW_BYTES:
+        return item
+    record.checkpoints = {}
+    return write(PROGRESS, job.job_id, record)
+
+
 def answer_timeout(answer_s):
     """Return how long a transaction is waited for when the last answer took `answer_s`."""
     return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_ANSWERS * answer_s))
--- /dev/null
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -0,0 +1,119 @@
+"""What the home and entries write in one transaction and in one row.
+
+The store takes 1 MB in a call. Records of jobs grow with their tasks and checkpoints: 27 bytes for
+each task that has one. Where many large jobs changed at the same time the transaction was refused,
+and made again for ever, the same one: no end of any job was recorded any more, and no caller heard
+that a job was completed.
+
+Evidence. Found by asking what counts jobs and not bytes; 600 tasks with checkpoints make a record
+of 17,320 bytes, and 45 such records 1.04 MB on the wire.
+"""
+
+import pytest
+
+from anvilflow.cell import _entry, _recorder
+from anvilflow.jobs._job import JobRun
+from anvilflow.utils import decode_lenient
+
+from ._helpers import JOB, make_cell
+
+#: Largest call that the store takes. Unit: bytes.
+MAX_CALL_BYTES = 1_000_000
+
+#: Largest value of a row that it takes. Unit: bytes.
+MAX_ROW_BYTES = 65_536
+
+#: A job's checkpoints. Unit: bytes.
+N_PADDING = 40_000
+
+
+def _limit_calls(monkeypatch, store):
+    answer = store.handle
+
+    def handle(method, path, query, body, headers):
+        return (
+            (413, b"") if len(body) > MAX_CALL_BYTES else answer(method, path, query, body, headers)
+        )
+
+    monkeypatch.setattr(store, "handle", handle)
+
+
+def _large(to_record, n_padding=N_PADDING):
+    def make_large_record(job):
+        record = to_record(job)
+        record.checkpoints["0.0.9"] = "x" * n_padding
+        return record
+
+    return make_large_record
+
+
+def _sizes(task, _):
+    """The first task of each job takes a second, the others a minute."""
+    return (1.0 if task.endswith(".0") else 60.0), "done", 1000
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_records_of_large_jobs_do_not_exceed_a_call(monkeypatch, safeguard):
+    """A task of each of thirty large jobs ends in the same moment; a small job ends after them."""
+    if not safeguard:
+        monkeypatch.setattr(_recorder, "BYTES_PER_COMMIT", 10_000_000)
+    monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record))
+    cell = make_cell(n_workers=8, sizes=_sizes)
+    _limit_calls(monkeypatch, cell.store)
+    for number in range(30):
+        cell.submit(cell.home(), f"{number + 1:016x}", {"count": 2, "cpu": 1000})
+    cell.advance(3.0)
+    cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000})
+    cell.advance(3.0)
+    ended = cell.store.value("ended", JOB, part="cell")
+    assert (ended is not None and ended["state"] == "completed") is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_record_that_exceeds_a_row_does_not_stop_all_records(monkeypatch, safeguard):
+    """A job of 2,500 tasks with checkpoints has a record of 74 kB; a row holds 64 kB.
+
+    Its transaction was refused and made again for ever, and with it all that the home records.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_recorder, "MAX_ROW_BYTES", 10_000_000)
+    monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record, 70_000))
+    cell = make_cell(n_workers=8, sizes=_sizes)
+    _limit_rows(monkeypatch, cell.store)
+    cell.submit(cell.home(), f"{1:016x}", {"count": 2, "cpu": 1000})
+    cell.advance(3.0)
+    cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000})
+    cell.advance(3.0)
+    assert (cell.store.value("ended", JOB, part="cell") is not None) is safeguard
+    record = cell.store.value("progress", f"{1:016x}", part="cell")
+    assert (record is not None and record["done_tasks"] == {"0.0": [0]}) is safeguard
+
+
+def _limit_rows(monkeypatch, store):
+    answer = store.handle
+
+    def handle(method, path, query, body, headers):
+        writes = decode_lenient(body)["writes"] if path == "/-/rows-tx" else ()
+        is_large = any(len(item["value"]) > MAX_ROW_BYTES * 4 / 3 for item in writes)
+        return (413, b"") if is_large else answer(method, path, query, body, headers)
+
+    monkeypatch.setattr(store, "handle", handle)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_that_exceeds_a_row_is_refused_at_once(monkeypatch, safeguard):
+    """A client sends a job of 700 steps, whose row would have over 64 kB.
+
+    The store refused it, which was taken for a write in doubt: the client was told to send it
+    again, and its instance took the store for away until its next look.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_entry, "MAX_ROW_BYTES", 10_000_000)
+    cell = make_cell()
+    _limit_rows(monkeypatch, cell.store)
+    steps = [{"count": 1, "cpu": 1000, "mem-mb": 100, "after": [0]} for _ in range(700)]
+    steps[0].pop("after")
+    answers = cell.submit(cell.other(), JOB, *steps)
+    cell.advance(3.0)
+    assert ([status for status, _, _ in answers] == [413]) is safeguard
+    assert not cell.daemons[cell.other()].context.store_health.is_bad
