Soak: a configuration grows only when all instances are in touch

Cause: an instance that drains at the end of the random faults is back 7 s later, and was asked for the first larger configuration when it had run for 3 s; only one that has run for 4 s is held to it. Change: 9 s of calm before the configuration grows, in place of 5.

--- a/soak/_ending.py
+++ b/soak/_ending.py
@@ -15,9 +15,9 @@
 #: Rates of the instances' links to the store while it grows. Unit: bytes a second.
 LINK_RATES = (625_000, 1_250_000, 2_500_000, 12_500_000)
 
-#: Calm after which an instance is in touch, and time in which it applies a configuration.
-#: Unit: seconds.
-CALM_S = 5.0
+#: Calm after which all instances are in touch, and time in which one applies a configuration. One
+#: that drains is back after 7 s, and in touch 4 s later. Unit: seconds.
+CALM_S = 9.0
 APPLY_S = 3.0
 
 #: Longest wait for the acknowledgement upon which power is lost, and how long calls go on after it.
@@ -131,6 +131,6 @@
         for path in (f"/v{version}/", f"/v{version - 1}/"):
             answers = yield gatherResults([self.callers.ask(n, b"GET", path) for n in names])
             for name, (status, _) in zip(names, answers, strict=True):
-                denied_or_served = 404 if path == f"/v{version}/" else 200
-                if status == denied_or_served:
+                wrong_status = 404 if path == f"/v{version}/" else 200
+                if status == wrong_status:
                     self.judge.old_config_used(name, path, version, age_s)
