--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -15,7 +15,7 @@
 
 from anvilflow.cell._config import ConfigPart
 from anvilflow.platform import _store
-from anvilflow.standins import make_platform_config
+from anvilflow.standins import StoreCall, make_platform_config
 from anvilflow.standins._wire import CALLER, WireClient
 from anvilflow.utils import encode
 
@@ -177,7 +177,7 @@
     answer = store.handle
 
     def handle(method, path, query, body, headers):
-        is_refused = path == "/-/rows-feed" and headers[CALLER] == [caller.encode()]
+        is_refused = path == StoreCall.FEED and headers[CALLER] == [caller.encode()]
         return (429, b"") if is_refused else answer(method, path, query, body, headers)
 
     monkeypatch.setattr(store, "handle", handle)
--- a/anvilflow/cell/tests/test_drawn_faults.py
+++ b/anvilflow/cell/tests/test_drawn_faults.py
@@ -5,7 +5,7 @@
 import pytest
 
 from anvilflow.jobs import Scheduler
-from anvilflow.standins import PlatformCell
+from anvilflow.standins import OrderCall, PlatformCell
 
 from ._helpers import find_runs_after_cancelling
 
@@ -45,7 +45,7 @@
         self.events = sorted(self._draw_events(), key=lambda event: event[0])
 
     def _draw_delay(self, path):
-        is_order = path in ("/-/run-start", "/-/run-stop")
+        is_order = path in (OrderCall.START, OrderCall.STOP)
         if is_order and self.random_state.random() < LATE_SHARE:
             return self.random_state.uniform(*LATE_S)
         return None
--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -13,6 +13,7 @@
 
 from anvilflow.cell import _entry, _recorder
 from anvilflow.jobs._job import JobRun
+from anvilflow.standins import StoreCall
 from anvilflow.utils import decode_lenient
 
 from ._helpers import JOB, make_cell
@@ -93,7 +94,7 @@
     answer = store.handle
 
     def handle(method, path, query, body, headers):
-        writes = decode_lenient(body)["writes"] if path == "/-/rows-tx" else ()
+        writes = decode_lenient(body)["writes"] if path == StoreCall.COMMIT else ()
         is_large = any(len(item["value"]) > MAX_ROW_BYTES * 4 / 3 for item in writes)
         return (413, b"") if is_large else answer(method, path, query, body, headers)
 
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -4,10 +4,10 @@
 from ._cell import Cell, make_client
 from ._faults import Faults
 from ._membership import MembershipServer, MembershipState
-from ._metadata_store import MetadataStore
+from ._metadata_store import MetadataStore, StoreCall
 from ._network import MemoryNetwork
 from ._objects import MemoryObjects, ObjectServer, ObjectState
-from ._order_worker import AdviceServer, OrderWorker, RunSpan
+from ._order_worker import AdviceServer, OrderCall, OrderWorker, RunSpan
 from ._platform_cell import (
     PlatformCell,
     find_broken_runs,
@@ -35,9 +35,11 @@
     "MetadataStore",
     "ObjectServer",
     "ObjectState",
+    "OrderCall",
     "OrderWorker",
     "PlatformCell",
     "RunSpan",
+    "StoreCall",
     "TableServer",
     "TableState",
     "VirtualCell",
--- a/anvilflow/standins/_metadata_store.py
+++ b/anvilflow/standins/_metadata_store.py
@@ -1,12 +1,21 @@
 """Stand-in for the users' metadata store: rows, conditional transactions, feeds."""
 
 import base64
+from enum import StrEnum
 
 from twisted.internet.defer import Deferred
 
 from ..utils import decode_lenient, encode
 
 
+class StoreCall(StrEnum):
+    """Calls of the store's protocol, by their paths."""
+
+    COMMIT = "/-/rows-tx"
+    READ = "/-/rows-get"
+    FEED = "/-/rows-feed"
+
+
 class MetadataStore:
     """Rows by table, part and key under one version counter.
 
@@ -33,13 +42,13 @@
     def handle(self, method, path, query, body, headers):
         """Answer a call."""
         match path:
-            case "/-/rows-tx":
+            case StoreCall.COMMIT:
                 self.n_writes += 1
                 return self._commit(decode_lenient(body))
-            case "/-/rows-get":
+            case StoreCall.READ:
                 self.n_reads += 1
                 return self._get(query)
-            case "/-/rows-feed":
+            case StoreCall.FEED:
                 self.n_reads += 1
                 return self._feed(query)
             case _:
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -1,5 +1,7 @@
 """Stand-in for a worker of the users' platform: starts, stops, holds, leases, fencing tokens."""
 
+from enum import StrEnum
+
 from msgspec import Struct
 from twisted.internet.defer import Deferred
 
@@ -14,6 +16,15 @@
 LATE_S = 2.0
 
 
+class OrderCall(StrEnum):
+    """Calls of a worker's protocol, by their paths."""
+
+    START = "/-/run-start"
+    STOP = "/-/run-stop"
+    HOLD = "/-/hold"
+    PACE = "/-/pace"
+
+
 class RunSpan(Struct, kw_only=True):
     """One run as it happened; `ended_at` is None while it lasts. Unit: seconds of true time.
 
@@ -114,20 +125,20 @@
             self.clock.callLater(delay, self._act, path, body, headers, is_late=True)
             return Deferred()
         answer = self._act(path, body, headers)
-        if path == "/-/run-start" and self.n_lost_starts:
+        if path == OrderCall.START and self.n_lost_starts:
             self.n_lost_starts -= 1
             return Deferred()
         first, last = self.deaf_between
-        if path == "/-/hold" and first < self.clock.seconds() < last:
+        if path == OrderCall.HOLD and first < self.clock.seconds() < last:
             return Deferred()
         return answer
 
     def _delay_of(self, path):
         """Return how much later an order is carried out; None: at once."""
-        if path == "/-/run-start" and self.n_late_starts:
+        if path == OrderCall.START and self.n_late_starts:
             self.n_late_starts -= 1
             return self.late_s
-        if path == "/-/run-stop" and self.n_late_stops:
+        if path == OrderCall.STOP and self.n_late_stops:
             self.n_late_stops -= 1
             return self.late_s
         return self.draw_delay(path) if self.draw_delay is not None else None
@@ -141,13 +152,13 @@
             return self._answer(409, reason="fence")
         self.token = max(self.token, call.get("fencing-token", 0))
         match path:
-            case "/-/run-start":
+            case OrderCall.START:
                 return self._start(call, is_late)
-            case "/-/run-stop":
+            case OrderCall.STOP:
                 return self._stop(call)
-            case "/-/hold":
+            case OrderCall.HOLD:
                 return self._hold(call)
-            case "/-/pace":
+            case OrderCall.PACE:
                 self.paces.append((call["task"], call["percent"]))
                 return self._answer(200)
             case _:
