--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -34,8 +34,8 @@
 #: all instances at once would fill the part of the store that the home itself writes to.
 RANK_STEP_READS = 2
 
-#: Link below which an instance should become the home only where no other can: five times the
-#: 4.4 Mbit/s that the home of 35 instances and 176 workers was measured to send. Unit: Mbit/s.
+#: Link below which an instance should become the home only where no other can: four times the
+#: 5 Mbit/s that the home of 35 instances and 176 workers sent at most in a second. Unit: Mbit/s.
 HOME_LINK_MBPS = 20.0
 
 #: How long an instance on such a link holds back where it does not know the order, as after the end
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -71,7 +71,8 @@
         """Names of the connected instances in the order in which they should become the home.
 
         Those on the fastest links come first. The home of 35 instances and 176 workers sends
-        0.55 MB a second, nine tenths of a link of 5 Mbit/s, and reads its tables over it.
+        0.38 MB a second (median of 96 s; at most 0.63, a whole link of 5 Mbit/s), and reads its
+        tables over it.
         """
         return sorted(self.peers, key=lambda name: (-(self.peers[name].peer.link_mbps or 0), name))
 
