Thresholds of the scheduler are a policy of its own, filled from the settings

Cause: what a mechanism is worth could only be measured by an edit of its module's constants. Change: SchedulingPolicy in jobs, checked with its bounds, in the settings under 'scheduling'; a reload takes it whole or keeps the old one. Values are as they were; what keeps a promise has no field. Tests that took a safeguard out by patching a constant now do it by the policy.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -331,6 +331,7 @@
         if scheduler is None or not self._loaded or not self._fleet.may_order():
             return
         scheduler.n_advisers = self._advisers.n_advisers
+        scheduler.policy = self.context.settings.scheduling
         for seconds in scheduler.take_first_starts():
             self.context.meters.timed("first_start", seconds)
         self.act(scheduler.plan(self.now, self.context.wall_clock()))
--- a/anvilflow/cell/_home_state.py
+++ b/anvilflow/cell/_home_state.py
@@ -118,4 +118,5 @@
         stop_s=context.settings.bounds.stop_s,
         now=now,
         grace_period=grace_period,
+        policy=context.settings.scheduling,
     )
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from ..exceptions import SettingsError
+from ..jobs import SchedulingPolicy
 
 #: The one way in which workers take orders that is built: each is a call.
 ORDERS_BY_CALL = "invocation"
@@ -61,6 +62,9 @@
     log_level : str
     link_mbps : float or None, default=None
         Bandwidth of the instance's own link; None: not known. Unit: Mbit/s.
+    scheduling : SchedulingPolicy
+        Thresholds and switches of decisions. Unlike elsewhere, an unknown key is refused here: the
+        platform sends none, and a misspelt one would silently leave the default in force.
     """
 
     instance: str
@@ -72,6 +76,7 @@
     orders: str = ORDERS_BY_CALL
     log_level: str = "info"
     link_mbps: float | None = None
+    scheduling: SchedulingPolicy = msgspec.field(default_factory=SchedulingPolicy)
 
 
 def load_cell_settings(path):
--- a/anvilflow/cell/tests/test_observer.py
+++ b/anvilflow/cell/tests/test_observer.py
@@ -5,6 +5,7 @@
 
 from anvilflow.cell import ListenSettings, _observer
 from anvilflow.exceptions import SettingsError
+from anvilflow.jobs import SchedulingPolicy
 
 from ._helpers import JOB, STEP, make_cell
 
@@ -81,6 +82,17 @@
     assert daemon.context.settings is new
 
 
+def test_policy_that_is_read_anew_is_followed():
+    """An operator sets a threshold and sends SIGHUP: the home's next plan goes by it."""
+    cell = make_cell()
+    daemon = cell.daemons[cell.home()]
+    policy = SchedulingPolicy(preempt_s=None)
+    new = msgspec.structs.replace(daemon.context.settings, scheduling=policy)
+    daemon.reload(lambda: new)
+    cell.advance(0.2)
+    assert daemon.context.home._scheduler.policy is policy
+
+
 @pytest.mark.parametrize("fault", ["unreadable", "other address"])
 def test_settings_that_cannot_be_taken_leave_the_old_ones(fault):
     """A file that is half written, or that moves an open socket: the instance goes on as it is."""
--- a/anvilflow/cell/tests/test_settings.py
+++ b/anvilflow/cell/tests/test_settings.py
@@ -35,6 +35,9 @@
         ('"10.0.0.1:2"', '"nowhere"', "$.listen.ready"),
         ('"new-field": 3', '"orders": "heartbeat"', "$.orders"),
         ('"instance"', "instance:", "not JSON"),
+        ('"new-field": 3', '"scheduling": {"reserve": 0.2}', "$.scheduling"),
+        ('"new-field": 3', '"scheduling": {"reserve_share": 1.5}', "$.scheduling.reserve_share"),
+        ('"new-field": 3', '"scheduling": {"max_reserved": -1}', "$.scheduling.max_reserved"),
     ],
 )
 def test_bad_settings_are_refused(tmp_path, before, after, said):
@@ -49,3 +52,11 @@
     """The path of the file is part of the message."""
     with pytest.raises(SettingsError, match="nothing-here"):
         load_cell_settings(tmp_path / "nothing-here")
+
+
+def test_policy_is_read_and_defaults_stay(tmp_path):
+    """An operator sets one threshold; null means never."""
+    text = GOOD.replace('"new-field": 3', '"scheduling": {"preempt_s": null}')
+    policy = load_cell_settings(write(tmp_path, text)).scheduling
+    assert policy.preempt_s is None
+    assert policy.reserve_share == 0.1
--- a/anvilflow/cell/tests/test_whole_path.py
+++ b/anvilflow/cell/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from anvilflow.jobs import SchedulingPolicy
 from anvilflow.standins import AdviceServer, make_platform_config
 
 from ._helpers import JOB, make_cell
@@ -84,15 +85,14 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_urgent_task_finds_room_on_workers_full_of_bulk_work(monkeypatch, safeguard):
+def test_urgent_task_finds_room_on_workers_full_of_bulk_work(safeguard):
     """Bulk tasks of five seconds want every core; then a describer sends a quick check.
 
     A tenth of each worker is left to the urgent queue. Without it the check waits for the end of a
     bulk task, five seconds.
     """
-    if not safeguard:
-        monkeypatch.setattr("anvilflow.jobs._placement.RESERVE_SHARE", 0.0)
-    cell = make_cell(n_workers=2, cpu=10_000)
+    policy = SchedulingPolicy() if safeguard else SchedulingPolicy(reserve_share=0.0)
+    cell = make_cell(n_workers=2, cpu=10_000, policy=policy)
     cell.submit("a0", JOB, {"count": 40, "cpu": 1000}, queue="bulk", spec="5.0 done 1000")
     cell.advance(1.0)
     asked_at = cell.clock.seconds()
@@ -230,21 +230,21 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_quick_work_does_not_wait_behind_long_asks_for_advice(monkeypatch, safeguard):
+def test_quick_work_does_not_wait_behind_long_asks_for_advice(safeguard):
     """Many heavy jobs ask for advice of 0.8 s each; then a quick lookup asks for one of 0.05 s.
 
     Some instances are kept free of long asks. Without that every instance is busy with two, and
     the lookup's answer waits behind them.
     """
-    if not safeguard:
-        monkeypatch.setattr("anvilflow.jobs._placement.LONG_ASK_SHARE", 2.0)
+    policy = SchedulingPolicy() if safeguard else SchedulingPolicy(long_ask_share=2.0)
     rules = {"each-ms": 1, "valid-ms": 2500}
     queues = [
         {"name": "urgent", "prefix": "/urgent/", "advice": {"decide-ms": 50, **rules}},
         {"name": "bulk", "prefix": "/bulk/", "priority": 2, "advice": {"decide-ms": 800, **rules}},
     ]
     advice = AdviceServer(clock=None, allowed=None, base_s=lambda n: 0.8 if n < 10 else 0.05)
-    cell = make_cell(n_instances=5, advice=advice, config=make_platform_config(queues=queues))
+    config = make_platform_config(queues=queues)
+    cell = make_cell(n_instances=5, advice=advice, config=config, policy=policy)
     for number in range(10):
         cell.submit("a0", f"00000000000000e{number}", {"count": 1, "cpu": 1000}, queue="bulk")
     cell.advance(0.2)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -4,6 +4,7 @@
 from ._grace_period import ORDER_S, GracePeriod
 from ._handover import HandoverWorker, make_handover
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
+from ._policy import SchedulingPolicy
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
@@ -28,6 +29,7 @@
     "RunEnd",
     "RunReport",
     "Scheduler",
+    "SchedulingPolicy",
     "SetPace",
     "StartRun",
     "StepSpec",
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -9,21 +9,12 @@
 #: few milliseconds; a busy instance adds some tens. Unit: seconds.
 TICKET_MARGIN_S = 0.15
 
-#: An ask goes out this much before the tasks of a step can start, beyond its own length: estimates
-#: of the running step are off by a fifth and more. Unit: seconds.
-ASK_AHEAD_S = 0.35
-
 #: Largest number of workers that one ask may name.
 MAX_ASKED = 100
 
 #: Time after which an ask without an answer is made again, beyond its own length. Unit: seconds.
 ASK_TIMEOUT_S = 2.0
 
-#: Share of a worker's processor that is left to the most urgent queue of its service. Its tasks
-#: otherwise find every worker full of long ones and wait 0.2 to 0.9 s for the next end; a share is
-#: about one of its tasks on a worker.
-RESERVE_SHARE = 0.1
-
 #: Asks under way at once for each instance that carries them: the service takes one call of an
 #: instance at a time, and the second waits ready behind the first.
 ASKS_PER_ADVISER = 2
@@ -32,10 +23,6 @@
 #: 0.05 s, those for heavy work 0.8 s. Unit: seconds.
 LONG_ASK_S = 0.25
 
-#: Share of the instances that may be busy with long asks at once. After a take-over and in bursts
-#: of heavy jobs all were, and quick tasks waited 0.8 to 1.6 s for an answer of 0.05 s.
-LONG_ASK_SHARE = 0.6
-
 
 #: Time for which tasks wait before the log says why, and then again. Unit: seconds.
 NOTE_WAIT_S = 1.5
@@ -45,7 +32,7 @@
     """Return the starts and asks that are due, in the order of urgency."""
     actions = []
     _drop_old_asks(scheduler, now)
-    reservations = Reservations()
+    reservations = Reservations(scheduler.policy)
     for job in sorted(_busy_jobs(scheduler), key=_urgency):
         for step in job.steps.values():
             if step.is_done:
@@ -118,7 +105,7 @@
     reserve = _reserve(scheduler, step)
     placed = 0
     for task in waiting:
-        worker = _choose(step, task, workers, reserve)
+        worker = _choose(scheduler, step, task, workers, reserve)
         if worker is None:
             break
         actions.append(_start(scheduler, worker, step, task, now))
@@ -154,7 +141,7 @@
     queue = step.job.queue
     if scheduler.config is None or step.spec.fills:
         return 0.0
-    return RESERVE_SHARE if scheduler.config.has_more_urgent(queue) else 0.0
+    return scheduler.policy.reserve_share if scheduler.config.has_more_urgent(queue) else 0.0
 
 
 def _leaves(worker, spec, reserve):
@@ -163,7 +150,7 @@
     return left >= reserve * worker.info.cpu_milli or not worker.runs
 
 
-def _choose(step, task, workers, reserve):
+def _choose(scheduler, step, task, workers, reserve):
     """Return the fitting worker that the task leaves least room on, away from what it disturbs."""
     spec = step.spec
     fitting = [
@@ -176,14 +163,14 @@
     ]
     if not fitting:
         return None
-    return min(fitting, key=lambda worker: _cost(step, task, worker))
+    return min(fitting, key=lambda worker: _cost(scheduler, step, task, worker))
 
 
-def _cost(step, task, worker):
+def _cost(scheduler, step, task, worker):
     spec = step.spec
     far = bool(spec.data_rack) and worker.info.rack != spec.data_rack
     failed_here = worker.info.worker_id in task.avoid
-    slow = is_slow(worker)
+    slow = scheduler.policy.avoids_slow and is_slow(worker, scheduler.policy)
     return (failed_here, far, worker.n_bad, slow, _disturbs(spec, worker), worker.cpu_free)
 
 
@@ -294,7 +281,7 @@
     is_long = length > LONG_ASK_S
     n_same = sum((other > LONG_ASK_S) == is_long for _, other in scheduler.asking.values())
     if is_long:
-        return n_same < max(1, int(LONG_ASK_SHARE * scheduler.n_advisers))
+        return n_same < max(1, int(scheduler.policy.long_ask_share * scheduler.n_advisers))
     return n_same < ASKS_PER_ADVISER * scheduler.n_advisers
 
 
@@ -313,12 +300,12 @@
 def _ask_ahead(scheduler, step, now):
     """Ask while the steps before still run, as late as the answer then is there in time."""
     rules = step.job.queue.advice
-    if rules is None or step.tickets:
+    if rules is None or step.tickets or not scheduler.policy.asks_ahead:
         return []
     before = [step.job.steps[step.occurrence, number] for number in step.spec.after]
     left = max((_time_left(earlier, now) for earlier in before), default=0.0)
     n_workers = min(MAX_ASKED, len(scheduler.workers))
-    if left > rules.base_s + rules.per_worker_s * n_workers + ASK_AHEAD_S:
+    if left > rules.base_s + rules.per_worker_s * n_workers + scheduler.policy.ask_ahead_s:
         return []
     return _ask(scheduler, step, now)
 
--- a/anvilflow/jobs/_reservations.py
+++ b/anvilflow/jobs/_reservations.py
@@ -1,16 +1,8 @@
 """Room for urgent tasks that fit nowhere now: workers kept free for them, runs stopped for them."""
 
-#: Wait for room after which less urgent runs are stopped for it, when they can resume from a
-#: checkpoint. A stop takes up to 0.9 s, loses up to 0.5 s of the run's work and 0.6 s for its
-#: return: shorter waits are left alone. Unit: seconds.
-PREEMPT_S = 1.2
-
 #: Time that a run is taken to need at the least: estimates are off by a half. Unit: seconds.
 LEAST_LEFT_S = 0.1
 
-#: Workers that one step keeps free at once at the most. More would empty a small cell for one job.
-MAX_RESERVED = 6
-
 _NEVER = float("inf")
 
 
@@ -20,9 +12,14 @@
     Without them a task of several cores waits for as long as smaller ones of less urgent queues
     come: each takes the core that has just become free. Tasks that last were missed for 6 s so, in
     bursts of large jobs, and some for the rest of the day.
+
+    Parameters
+    ----------
+    policy : SchedulingPolicy
     """
 
-    def __init__(self):
+    def __init__(self, policy):
+        self._policy = policy
         self._priorities = {}
 
     def is_reserved_from(self, worker, queue):
@@ -55,13 +52,17 @@
                 waits.append((wait_s, len(victims), worker, victims))
         waits.sort(key=lambda item: item[:2])
         actions = []
-        for wait_s, _, worker, victims in waits[: min(MAX_RESERVED, n_missing)]:
+        for wait_s, _, worker, victims in waits[: min(self._policy.max_reserved, n_missing)]:
             self._priorities[worker.info.worker_id] = queue.priority
-            if wait_s > PREEMPT_S:
+            if self._preempts(wait_s):
                 for run in victims:
                     actions += scheduler.preempt(run, now)
         return actions
 
+    def _preempts(self, wait_s):
+        preempt_s = self._policy.preempt_s
+        return preempt_s is not None and wait_s > preempt_s
+
 
 def _time_to_fit(worker, spec, reserve, now):
     """Return when a task fits, if nothing more is started there. Unit: seconds from now."""
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -3,6 +3,7 @@
 from ._evacuation import find_leaving_runs
 from ._job import JobRun, JobState
 from ._placement import plan_starts
+from ._policy import SchedulingPolicy
 from ._run_book import RunBook
 from ._sickness import GIVEN_UP_SLOWNESS, find_sick_runs, has_copy
 
@@ -30,6 +31,8 @@
         Advice calls that may be under way at once.
     grace_period : GracePeriod, default=None
         What is left of earlier homes; None: what only the term tells.
+    policy : SchedulingPolicy, default=None
+        What it prefers; None: the defaults.
 
     Notes
     -----
@@ -39,11 +42,14 @@
     until all have answered, or until the grace period is over, see `_grace_period`.
     """
 
-    def __init__(self, *, term, lease_s, now, stop_s=0.9, n_advisers=1, grace_period=None):
+    def __init__(
+        self, *, term, lease_s, now, stop_s=0.9, n_advisers=1, grace_period=None, policy=None
+    ):
         super().__init__(
             term=term, lease_s=lease_s, stop_s=stop_s, now=now, grace_period=grace_period
         )
         self.n_advisers = n_advisers
+        self.policy = policy or SchedulingPolicy()
         self.config = None
         self._looked_at = now - LOOK_S
         self._jobs_known_at = float("-inf")
@@ -211,7 +217,7 @@
         What may have copies keeps the first run: the plan starts a second beside it.
         """
         actions = []
-        sick = find_sick_runs(self, now)
+        sick = find_sick_runs(self, now) if self.policy.judges_runs else []
         sick_runs = {id(run) for run, _ in sick}
         for run, why in sick:
             step, task = self.find_task(run.task)
@@ -223,7 +229,7 @@
                 self._worker_did_badly(run.worker, now)
             else:
                 run.worker.slowness = max(run.worker.slowness, GIVEN_UP_SLOWNESS)
-            if step.spec.speculative and not has_copy(task):
+            if self.policy.copies and step.spec.speculative and not has_copy(task):
                 step.copies.append(task)
                 step.job.is_idle = False
             else:
--- a/anvilflow/jobs/_sickness.py
+++ b/anvilflow/jobs/_sickness.py
@@ -23,12 +23,6 @@
 #: Time from which it does. Unit: seconds.
 MIN_ELAPSED_S = 0.4
 
-#: Times that sound workers take for a task after which a run is slow. Workers are 1.25 times as
-#: fast or as slow as the mean, and tasks of a step differ by a half: at 2.2 times, 35 runs were
-#: stopped in a day without slow workers, at three times 9. Sick ones take four to eight times as
-#: long.
-SLOW_TIMES = 3.0
-
 #: Times that a stop and a run elsewhere must be shorter than what is left of a slow run.
 GAIN_TIMES = 1.3
 
@@ -51,9 +45,9 @@
         worker.slowness += SLOWNESS_WEIGHT * (ratio - worker.slowness)
 
 
-def is_slow(worker):
+def is_slow(worker, policy):
     """Whether a worker takes far longer than estimated."""
-    return worker.slowness > SLOW_TIMES
+    return worker.slowness > policy.slow_times
 
 
 def find_sick_runs(scheduler, now):
@@ -146,8 +140,8 @@
     core-seconds of their work thrown away.
     """
     full_s = _least_full_time(run)
-    usual_s = _usual_time(times, run, now)
-    if usual_s is None or full_s < patience * SLOW_TIMES * usual_s:
+    usual_s = _usual_time(scheduler.policy, times, run, now)
+    if usual_s is None or full_s < patience * scheduler.policy.slow_times * usual_s:
         return False
     done = run.percent / 100
     kept = done if run.step.checkpointing and run.checkpoint else 0.0
@@ -155,16 +149,16 @@
     return full_s * (1.0 - done) > GAIN_TIMES * elsewhere_s
 
 
-def _usual_time(times, run, now):
+def _usual_time(policy, times, run, now):
     """Return how long other workers take for a task of the step, or None when that is not known."""
     others = [seconds for worker, seconds in times if worker is not run.worker]
     elapsed = now - run.began_at
     if len(others) >= 2:
         return median(others)
-    if others and elapsed > SLOW_TIMES * others[0]:
+    if others and elapsed > policy.slow_times * others[0]:
         return others[0]
     estimate_s = ESTIMATE_TIMES * run.step.estimate_s
-    return estimate_s if is_slow(run.worker) and 0 < estimate_s < elapsed else None
+    return estimate_s if is_slow(run.worker, policy) and 0 < estimate_s < elapsed else None
 
 
 def has_copy(task):
--- a/anvilflow/jobs/tests/test_reservations.py
+++ b/anvilflow/jobs/tests/test_reservations.py
@@ -8,11 +8,10 @@
     Queue,
     RunEnd,
     Scheduler,
+    SchedulingPolicy,
     StartRun,
     StepSpec,
     StopRun,
-    _placement,
-    _reservations,
 )
 
 from .test_scheduler import answer_started, item, make_report, make_worker_info
@@ -21,9 +20,9 @@
 LAST = Queue(name="last", host="h", prefix="/l/", service="s", priority=2, max_attempts=3)
 
 
-def make_cell(n_workers=1):
+def make_cell(n_workers=1, policy=None):
     """Return a scheduler with workers of ten cores and two queues."""
-    scheduler = Scheduler(term=1, lease_s=3.0, now=0.0)
+    scheduler = Scheduler(term=1, lease_s=3.0, now=0.0, policy=policy)
     scheduler.configure(CellConfig(version=1, queues=(FIRST, LAST)))
     for number in range(n_workers):
         scheduler.worker_listed(make_worker_info(number), 0.0)
@@ -54,24 +53,15 @@
     return started
 
 
-class _NoReservations:
-    def is_reserved_from(self, worker, queue):
-        return False
-
-    def reserve(self, *args):
-        return []
-
-
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_large_urgent_task_is_not_passed_by_small_ones(monkeypatch, safeguard):
+def test_large_urgent_task_is_not_passed_by_small_ones(safeguard):
     """A worker is full of small tasks that end one after the other; an urgent one needs six cores.
 
     More small ones wait. Were each core given to them as it becomes free, six would never be free
     together: the urgent task starts when six have ended, or not at all while small ones come.
     """
-    if not safeguard:
-        monkeypatch.setattr(_placement, "Reservations", _NoReservations)
-    scheduler = make_cell()
+    policy = SchedulingPolicy() if safeguard else SchedulingPolicy(max_reserved=0)
+    scheduler = make_cell(policy=policy)
     small = StepSpec(n_tasks=40, cpu_milli=1000, estimate_s=1.0)
     running = starts_of(submit(scheduler, "00000000000000b1", LAST, small, 0.0))
     answer_started(scheduler, running, 0.0)
@@ -87,14 +77,13 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_runs_that_can_resume_are_stopped_for_an_urgent_task(monkeypatch, safeguard):
+def test_runs_that_can_resume_are_stopped_for_an_urgent_task(safeguard):
     """A worker is full of orders of 30 s that save their progress; a clerk's lookup comes.
 
     One of them is stopped and goes on later. Without that the lookup waits for half a minute.
     """
-    if not safeguard:
-        monkeypatch.setattr(_reservations, "PREEMPT_S", 3600.0)
-    scheduler = make_cell()
+    policy = SchedulingPolicy() if safeguard else SchedulingPolicy(preempt_s=None)
+    scheduler = make_cell(policy=policy)
     order = StepSpec(n_tasks=3, cpu_milli=3000, estimate_s=30.0, checkpointing=True)
     running = starts_of(submit(scheduler, "00000000000000b1", LAST, order, 0.0))
     answer_started(scheduler, running, 0.0)
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -7,6 +7,7 @@
 
 from ..cell import CellContext, CellDaemon, CellSettings
 from ..cell import ListenSettings as CellListen
+from ..jobs import SchedulingPolicy
 from ..platform import AdviceClient, FrontResource, StoreClient, WorkerCalls
 from ..runtime import Bus
 from ..utils import encode
@@ -85,6 +86,8 @@
     random_state : int, default=0
     slow : sequence of str, default=()
         Names of the instances on slow links.
+    policy : SchedulingPolicy, default=None
+        Of all instances.
     """
 
     def __init__(
@@ -98,7 +101,9 @@
         advice=None,
         random_state=0,
         slow=(),
+        policy=None,
     ):
+        self.policy = policy or SchedulingPolicy()
         self.slow = frozenset(slow)
         self.n_instances = n_instances
         self.random_state = Random(random_state)
@@ -163,6 +168,7 @@
             store=STORE,
             advice=ADVICE,
             link_mbps=SLOW_LINK_MBPS if name in self.slow else FAST_LINK_MBPS,
+            scheduling=self.policy,
         )
         if name in self.slow:
             self.wire.slow_link(name, SLOW_LINK_MBPS * BYTES_PER_MBIT)
