Entries by other writers name no worker, and delay none

Cause: an entry with fields missing, of another type, with an unknown state or service, or with a port that does not exist was held like a worker's (an unknown state as draining); one that became unreadable kept its old meaning; and where one was overwritten as a home died, the next home did not look for the worker, and started its tasks a second time. Change: all that each worker says of itself is asked for, types and bounds checked. What names nobody is put aside, with one log line, and read again when the configuration changes. A worker whose entry turns unreadable gets nothing new and is held on, and the home's row names it for the next home. Entries that never were a worker's stand in the row, so that a change of one delays no take-over.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -1,8 +1,7 @@
 """The home's sessions with all workers: what goes out to them and what comes back."""
 
-from ..exceptions import PlatformError
 from ..jobs import ORDER_S
-from ..platform import decode_worker
+from ._registry import Registry
 from ._session import HOLD_WAIT_S, WorkerSession
 
 #: Length of the leases that are sent. Renewals come each half second; a take-over from a home that
@@ -37,6 +36,7 @@
         self.events = events
         self.closed = False
         self.confirmed_at = context.clock.seconds()
+        self._registry = Registry(log=log, scheduler=scheduler)
         self._sessions = {}
         self._unlisted = {}
         self._heard_at = {}
@@ -115,10 +115,9 @@
         if row.value is None:
             self.entry_gone(row.key)
             return
-        try:
-            info = decode_worker(row.key, row.value)
-        except PlatformError as exc:
-            self.log.warning("worker's entry not understood", worker=row.key, error=str(exc))
+        info = self._registry.read(row)
+        if info is None:
+            self._entry_unlisted(row.key)
             return
         self._unlisted.pop(info.worker_id, None)
         if self.scheduler.worker_listed(info, self._now()):
@@ -144,12 +143,27 @@
             runs=len(handover.runs) if handover.runs is not None else None,
         )
 
+    def read_again(self):
+        """Look again at entries that named no worker: the configuration has changed."""
+        for row in self._registry.rows_aside:
+            self.take_entry(row)
+
     def entry_gone(self, worker_id):
         """A worker is no longer registered."""
-        if worker_id in self.scheduler.workers:
-            self.log.info("worker's entry gone", worker=worker_id)
-            self.scheduler.worker_unlisted(worker_id)
-            self._unlisted[worker_id] = self._now()
+        self._registry.removed(worker_id)
+        self._entry_unlisted(worker_id)
+
+    def _entry_unlisted(self, worker_id):
+        """Give a worker no new work: its entry is gone, or names no worker any more.
+
+        What runs there is held on. The home's row names it for the next home, as it does workers
+        that have left.
+        """
+        if worker_id not in self.scheduler.workers or worker_id in self._unlisted:
+            return
+        self.log.info("worker's entry gone", worker=worker_id)
+        self.scheduler.worker_unlisted(worker_id)
+        self._unlisted[worker_id] = self._now()
 
     def _open_session(self, info):
         # A worker may be forgotten while its session goes on, and be registered again.
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -137,7 +137,7 @@
     def _load(self, claimed):
         """Read what lasts, then hear the workers: only then anything is started."""
         claimed_at = self.now
-        state = yield read_state(self.context.store, claimed.former)
+        state = yield read_state(self.context.store, claimed.former, self.context.config)
         if self._claimed is not claimed:
             return
         scheduler = make_scheduler(self.context, claimed, state.missing)
@@ -225,6 +225,7 @@
     def _config_changed(self, _, __):
         if self._scheduler is not None:
             self._scheduler.configure(self.context.config)
+            self._fleet.read_again()
             self.changed()
 
     # Telling the others
--- a/anvilflow/cell/_home_state.py
+++ b/anvilflow/cell/_home_state.py
@@ -8,6 +8,7 @@
 from ..platform import REGISTRY_TABLE, Row
 from ._fleet import LEASE_S
 from ._job_store import gather, read_jobs
+from ._registry import names_worker
 from ._tables import ENDED, PART, PROGRESS
 
 
@@ -28,7 +29,7 @@
 
 
 @inlineCallbacks
-def read_state(store, former):
+def read_state(store, former, config=None):
     """Return the :class:`StoredState`.
 
     All is read at once: where the store is slow each reading takes a quarter of a second.
@@ -38,12 +39,14 @@
     store : StoreClient
     former : HomeRow or None
         The former home's row; None: there was none.
+    config : CellConfig, default=None
+        Names the services whose entries count.
     """
     reads = [
         read_jobs(store),
         store.read(PROGRESS, PART),
         store.read(ENDED, PART),
-        _read_workers(store, former),
+        _read_workers(store, former, config),
     ]
     results = yield gather(reads)
     (jobs, jobs_version), (progress, _), (ended, _), (workers, workers_version, missing) = results
@@ -59,21 +62,23 @@
 
 
 @inlineCallbacks
-def _read_workers(store, former):
+def _read_workers(store, former, config):
     workers, version = yield store.read(REGISTRY_TABLE, "")
     # After the reading: a worker that leaves between the two is in one of them.
-    missing = yield find_missing(store, former)
+    missing = yield find_missing(store, former, config)
     if missing is not None:
-        missing -= {row.key for row in workers}
+        missing -= {row.key for row in workers if names_worker(row, config)}
     return workers, version, missing
 
 
 @inlineCallbacks
-def find_missing(store, former):
+def find_missing(store, former, config=None):
     """Return the ids of workers that have left since, or None when that is no longer known.
 
     Entries lapse while the store is away, and the home that holds the workers cannot say so: their
-    tasks run on, on workers that the next home would not even look for.
+    tasks run on, on workers that the next home would not even look for. An entry that another
+    program has overwritten does not say where its worker is, either. One that the former home knew
+    to name no worker is nobody's.
     """
     if former is None:
         return frozenset()
@@ -85,11 +90,11 @@
         return None
     missing = set(former.missing)
     for row in rows:
-        if row.value is None:
-            missing.add(row.key)
-        else:
+        if names_worker(row, config):
             missing.discard(row.key)
-    return frozenset(missing)
+        else:
+            missing.add(row.key)
+    return frozenset(missing.difference(former.nameless))
 
 
 def make_scheduler(context, claimed, missing):
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -306,3 +306,4 @@
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term)
         self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
+            row.nameless = former.nameless
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -39,6 +39,10 @@
 #: refused, and made again for ever: nothing was recorded any more. Unit: bytes.
 BYTES_PER_COMMIT = 600_000
 
+#: Entries of the registry that name no worker in the home's row at the most, some 2 kB of it. After
+#: a change of one that is left out a new home waits for the leases of nobody, 3.8 s.
+MAX_NAMELESS = 100
+
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
@@ -160,7 +164,9 @@
 
     def _make_row(self):
         handover = make_handover(self.scheduler, self.context.clock.seconds())
-        self._handover = frozenset(worker.info.worker_id for worker in handover)
+        nameless = sorted(self.scheduler.nameless)[:MAX_NAMELESS]
+        # Those that become workers get no task, either, before a row without them is durable.
+        self._handover = frozenset([worker.info.worker_id for worker in handover] + nameless)
         for worker in handover:
             self.scheduler.workers[worker.info.worker_id].in_handover = True
         grace_period = self.scheduler.grace_period
@@ -177,6 +183,7 @@
             registry_version=self.scheduler.registry_version if is_known else 0,
             n_workers=len(self.scheduler.workers) + len(missing),
             missing=missing,
+            nameless=nameless,
         )
 
     @inlineCallbacks
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -36,6 +36,7 @@
     `handover` names what runs on workers that the next home cannot ask, or would not know of.
     `registry_version` says up to where the home has followed the registry; `n_workers` how many it
     holds; `missing` are workers that had left it when this home began and have not been seen since.
+    `nameless` are entries of the registry that name no worker, and did not while it was the home.
     `n_loads` counts the claims in a row after which no home has begun.
     """
 
@@ -47,6 +48,7 @@
     registry_version: int = 0
     n_workers: int = 0
     missing: list[str] = []
+    nameless: list[str] = []
     n_loads: int = 0
 
 
--- a/anvilflow/jobs/_spec.py
+++ b/anvilflow/jobs/_spec.py
@@ -144,6 +144,7 @@
     version: int
     queues: tuple[Queue, ...]
     limits: Limits = Limits()
+    services: tuple[str, ...] = ()
 
     @cached_property
     def _by_name(self):
@@ -176,6 +177,14 @@
                 return queue
         return None
 
+    @cached_property
+    def _services(self):
+        return frozenset(self.services).union(queue.service for queue in self.queues)
+
+    def names_service(self, name):
+        """Whether a service is configured."""
+        return name in self._services
+
     def queue_named(self, name):
         """Return the queue called `name`, or None."""
         return self._by_name.get(name)
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -31,6 +31,7 @@
         self.ended = {}
         self.workers = {}
         self.asking = {}
+        self.nameless = set()
         self.pace_changed_at = {}
         self._first_starts = []
         self.began_at = now
@@ -45,6 +46,8 @@
             worker = Worker(info=info, lease_over_at=self._unheard_lease_over_at())
             self.workers[info.worker_id] = worker
             self.grace_period.worker_found(info.worker_id)
+            worker.in_handover = info.worker_id in self.nameless
+            self.nameless.discard(info.worker_id)
         worker.info = info
         worker.listed = True
         worker.note_leaving(now)
--- a/anvilflow/platform/_config.py
+++ b/anvilflow/platform/_config.py
@@ -36,8 +36,13 @@
     idle_timeout_ms: float = 15000
 
 
+class _WireService(Wire):
+    name: str
+
+
 class _WireConfig(Wire):
     version: int
+    services: list[_WireService] = []
     routes: list[_WireRoute] = []
     limits: _WireLimits = field(default_factory=_WireLimits)
 
@@ -49,6 +54,7 @@
     return CellConfig(
         version=wire.version,
         queues=tuple(_queue(route) for route in wire.routes),
+        services=tuple(service.name for service in wire.services),
         limits=Limits(
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
--- a/anvilflow/platform/_registry.py
+++ b/anvilflow/platform/_registry.py
@@ -1,34 +1,51 @@
 """Workers as they register themselves in the store."""
 
-from msgspec import field
+from typing import Annotated, Literal
+
+from msgspec import Meta
 
 from ..exceptions import PlatformError
 from ..jobs import WorkerInfo
 from ..utils import decode
 from ._wire import Wire
 
+_Name = Annotated[str, Meta(min_length=1)]
+_Amount = Annotated[int, Meta(ge=0)]
+_Time = Annotated[float, Meta(ge=0.0)]
+
+_LAST_PORT = 65_535
+
 
 class _WireCapacity(Wire):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount = 0
 
 
 class _WireWorker(Wire):
-    """An entry. Its ``labels`` are the worker's kind and its rack, in this order."""
+    """An entry. Its ``labels`` are the worker's kind and its rack, in this order.
 
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: _WireCapacity = field(default_factory=_WireCapacity)
-    labels: list[str] = []
-    remaining_ms: float | None = None
+    Entries may come from another writer. All that every worker says of itself is asked for here,
+    also what is not used: an entry without it is no worker's.
+    """
+
+    service: _Name
+    address: _Name
+    zone: _Name
+    version: str
+    slots: _Amount
+    state: Literal["ready", "draining"]
+    sequence: int
+    capacity: _WireCapacity
+    labels: list[str]
+    cold_remaining_ms: _Time = 0.0
+    remaining_ms: _Time | None = None
 
 
 def decode_worker(worker_id, body):
-    """Return the :class:`WorkerInfo` in an entry's value; AF401 when it is malformed."""
+    """Return the :class:`WorkerInfo` in an entry's value; AF401 when it names no worker."""
     wire = decode(body, _WireWorker, error=PlatformError)
+    _check_address(wire.address)
     capacity = wire.capacity
     return WorkerInfo(
         worker_id=worker_id,
@@ -41,6 +58,13 @@
         cpu_milli=capacity.cpu,
         memory_mb=capacity.mem_mb,
         accelerators=capacity.gpu,
-        draining=wire.state != "ready",
+        draining=wire.state == "draining",
         leaves_in_s=wire.remaining_ms / 1000 if wire.remaining_ms is not None else None,
     )
+
+
+def _check_address(address):
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) <= _LAST_PORT
+    if not (host and is_port):
+        raise PlatformError(f"not HOST:PORT - at `$.address`: {address[:80]!r}")
--- a/anvilflow/platform/tests/test_boundary.py
+++ b/anvilflow/platform/tests/test_boundary.py
@@ -110,7 +110,8 @@
     assert (queue.target_latency_s, queue.max_attempts, queue.advice.valid_s) == (0.25, 3, 2.5)
     assert config.queue_for("other", "/p/x") is None
     assert config.limits.max_body_bytes == 100
-    entry = {"service": "s", "address": "h:1", "labels": ["a", "r1-3"], "state": "draining",
+    entry = {"service": "s", "address": "h:1", "zone": "z", "version": "v1", "slots": 8,
+             "sequence": 3, "labels": ["a", "r1-3"], "state": "draining",
              "capacity": {"cpu": 5, "mem-mb": 6}, "remaining-ms": 1500}  # fmt: skip
     info = decode_worker("i-1", encode(entry))
     assert (info.rack, info.kind, info.draining, info.leaves_in_s) == ("r1-3", "a", True, 1.5)
--- /dev/null
+++ b/anvilflow/platform/tests/test_registry.py
@@ -0,0 +1,106 @@
+"""Entries of the registry by other writers: they name no worker, and nothing breaks by them."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from anvilflow.exceptions import PlatformError
+from anvilflow.platform import decode_worker
+from anvilflow.utils import decode_lenient, encode
+
+#: An entry as every worker writes it.
+ENTRY = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "sequence": 4,
+}
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+def test_whole_entry_names_a_worker():
+    """All fields are there; new ones may come."""
+    info = decode_worker("i-1", encode({**ENTRY, "clock-ms": 482113}))
+    assert (info.service, info.cpu_milli, info.rack, info.draining) == (
+        "desk",
+        16000,
+        "r1-3",
+        False,
+    )
+
+
+@pytest.mark.parametrize("field", sorted(set(ENTRY) - {"cold-remaining-ms"}))
+def test_entry_without_a_field_names_no_worker(field):
+    """Another writer leaves a field out."""
+    entry = {key: value for key, value in ENTRY.items() if key != field}
+    with pytest.raises(PlatformError) as caught:
+        decode_worker("i-1", encode(entry))
+    assert caught.value.code == "AF401"
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", ""),
+        ("service", 7),
+        ("address", "10.128.0.9"),
+        ("address", "10.128.0.9:"),
+        ("address", ":8080"),
+        ("address", "10.128.0.9:99999"),
+        ("address", "10.128.0.9:0"),
+        ("address", "10.128.0.9:" + "9" * 5000),
+        ("address", ["10.128.0.9", 8080]),
+        ("state", "resting"),
+        ("state", None),
+        ("capacity", {"cpu": -1, "mem-mb": 1}),
+        ("capacity", {"cpu": "many", "mem-mb": 1}),
+        ("capacity", {"mem-mb": 1}),
+        ("labels", "a"),
+        ("labels", [1, 2]),
+        ("slots", -8),
+        ("sequence", "4"),
+        ("remaining-ms", -5),
+        ("cold-remaining-ms", "soon"),
+    ],
+)
+def test_entry_with_an_impossible_value_names_no_worker(field, value):
+    """Another writer gives a field another type, or a value that no worker has."""
+    with pytest.raises(PlatformError) as caught:
+        decode_worker("i-1", encode({**ENTRY, field: value}))
+    assert caught.value.code == "AF401"
+
+
+@given(st.binary(max_size=200))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_any_bytes_are_read_or_refused(body):
+    """Bytes that cannot be read are refused with the code, never with another error."""
+    with pytest.raises(PlatformError):
+        decode_worker("i-1", body)
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON)
+@settings(max_examples=400, deadline=None, derandomize=True)
+def test_nearly_right_entries_are_read_or_refused(field, value):
+    """One field has any value: the entry is refused, or what is read is what was written."""
+    body = encode({**ENTRY, field: value})
+    try:
+        info = decode_worker("i-1", body)
+    except PlatformError:
+        return
+    entry = decode_lenient(body)
+    host, _, port = info.address.rpartition(":")
+    assert host and 0 < int(port) <= 65535
+    assert info.cpu_milli >= 0 and info.memory_mb >= 0 and info.accelerators >= 0
+    assert (info.service, list(info.labels)) == (entry["service"], entry["labels"])
+    assert info.draining == (entry["state"] == "draining")
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -103,7 +103,10 @@
             "service": "desk",
             "address": self.address,
             "zone": "z1",
+            "version": "v1",
+            "slots": 8,
             "state": state,
+            "sequence": 1,
             "capacity": {"cpu": self.cpu, "mem-mb": 32768},
             "labels": ["a", self.rack],
         }
