An instance cut off from the store asks the successors who is the home

Cause: the next home's name stands in the store. Change: a home tells the addresses of its first three successors with its beat. Where the row cannot be read, the instance connects to them; the one that says it is the home, of a term that is not older, and does not yield, is followed. Claims are as before. In the test both instances accept at once; without the addresses both refuse.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -239,6 +239,7 @@
             config_version=config.version if config is not None else 0,
             yielding=self.context.leaving or self.is_store_away or self._loads_in_vain,
             successors=links.successors if links is not None else [],
+            addresses=links.successor_addresses if links is not None else [],
         )
 
     @property
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -1,6 +1,6 @@
 """Which instance is the home of the cell, and when another takes over."""
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from ..exceptions import PlatformError, PreconditionError
@@ -77,6 +77,7 @@
         self._newest_version = 0
         self.is_home = False
         self._successors = ()
+        self._addresses = ()
         self._yielding = False
         self._heard_at = 0.0
         self._busy = False
@@ -94,6 +95,7 @@
     def _beat(self, source, beat):
         self._heard_at = self.now
         self._successors = tuple(beat.successors)
+        self._addresses = tuple(beat.addresses or ())
         if beat.yielding and not self._yielding:
             self.log.info("home yields", home=source, term=beat.term)
         self._yielding = beat.yielding
@@ -104,6 +106,7 @@
     def _deposed(self, _, __):
         if self.is_home:
             self.is_home = False
+            self._addresses = tuple(self.context.links.successor_addresses)
             self.log.warning("deposed", row_version=self.row_version)
             self._look()
 
@@ -134,8 +137,10 @@
         try:
             changed = yield self._read_row()
         except PlatformError as exc:
+            self.context.store_health.bad()
             self.log.info("home not looked up", error=str(exc))
-            yield self._sleep(jitter(self.context.random_state, AGAIN_S))
+            if not (yield self._ask_successors()):
+                yield self._sleep(jitter(self.context.random_state, AGAIN_S))
             return
         if self.row is None or (self._yielding and not changed):
             yield self._claim_in_turn("no home" if self.row is None else "home yields")
@@ -143,6 +148,35 @@
         # A connection that is open but silent says what a new one would only say after its time.
         yield self._watch(None if linked and not changed else Outcome(self._dial()))
 
+    @inlineCallbacks
+    def _ask_successors(self):
+        """Look for a home among the successors of the last one; return whether there is one.
+
+        An instance that is cut off from the store alone cannot read who the home is. Without this
+        it refused all jobs after a change of homes, for as long as it was cut off: a client comes
+        back a second later, and 14 quick jobs of a day were late by it.
+        """
+        asked = [self.context.links.ask_for_home(address) for address in self._addresses]
+        words = yield gatherResults(asked)
+        known_term = self.row.term if self.row is not None else 0
+        words = [word for word in words if word is not None]
+        homes = [word for word in words if word.beat.term >= known_term and not word.beat.yielding]
+        home = max(homes, key=lambda word: word.beat.term, default=None)
+        for word in words:
+            if word is not home:
+                word.link.abort()
+        if home is None or self.is_home:
+            return False
+        self._follow(home.link, home.beat.term)
+        return True
+
+    def _follow(self, link, term):
+        self.context.links.follow_home(link)
+        self._heard_at = self.now
+        self._yielding = False
+        self.log.info("home found", home=link.peer.instance, term=term)
+        self.post(HomeChanged())
+
     def _rank(self):
         name = self.context.name
         if name in self._successors:
@@ -199,11 +233,7 @@
         if link.peer.incarnation != row.incarnation or known != row.incarnation:
             link.abort()
             return "not home"
-        self.context.links.follow_home(link)
-        self._heard_at = self.now
-        self._yielding = False
-        self.log.info("home found", home=row.holder, term=row.term)
-        self.post(HomeChanged())
+        self._follow(link, row.term)
         return "home"
 
     @inlineCallbacks
@@ -280,6 +310,7 @@
             row.registry_version = former.registry_version
             row.n_workers = former.n_workers
             row.missing = former.missing
+            row.nameless = former.nameless
             row.n_loads = former.n_loads + 1
         conditions = [condition(HOME, HOME_KEY, self.row_version)]
         try:
@@ -306,4 +337,3 @@
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term)
         self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
-            row.nameless = former.nameless
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -13,6 +13,19 @@
 #: Wait for a connection to another instance. One way takes about 1 ms. Unit: seconds.
 DIAL_TIMEOUT_S = 0.4
 
+#: Wait for the word of an instance that it is the home, which it sends with its hello. Unit:
+#: seconds.
+WORD_TIMEOUT_S = 0.15
+
+#: Successors whose addresses the home tells. The next home is one of the first, and in a cell of 44
+#: each address is sent 220 times a second.
+MAX_ADDRESSES = 3
+
+#: Time for which a home that loses its place remembers who was connected: all others leave it
+#: within milliseconds for the next one, and it sees its own end up to a second later. Unit:
+#: seconds.
+REMEMBERED_S = 5.0
+
 
 class LinksPart(Part):
     """Owns the sockets between instances.
@@ -30,6 +43,8 @@
         self.peers = {}
         self.home_link = None
         self._calls = {}
+        self._asked = {}
+        self._gone = {}
         self._n_calls = 0
         self._stopped = False
 
@@ -58,6 +73,7 @@
             incarnation=context.incarnation,
             failure_domain=context.settings.failure_domain,
             link_mbps=round(context.settings.link_mbps or 0),
+            address=context.settings.listen.peers_address,
         )
         return Link(hello=hello, clock=context.clock, queue_limit=QUEUE_LIMIT, events=self)
 
@@ -74,10 +90,39 @@
         0.38 MB a second (median of 96 s; at most 0.63, a whole link of 5 Mbit/s), and reads its
         tables over it.
         """
-        return sorted(self.peers, key=lambda name: (-(self.peers[name].peer.link_mbps or 0), name))
+        return [hello.instance for hello in _in_order(link.peer for link in self.peers.values())]
+
+    @property
+    def successor_addresses(self):
+        """Addresses of the first of them, and of those that were connected a moment ago."""
+        since = self.now - REMEMBERED_S
+        hellos = {name: hello for name, (hello, at) in self._gone.items() if at >= since}
+        hellos.update((name, link.peer) for name, link in self.peers.items())
+        return _first_addresses(hellos.values())
 
     # To the home
 
+    def ask_for_home(self, address):
+        """Connect to an instance; the Deferred fires with its :class:`HomeWord`, or None.
+
+        None says that it is not the home, or is not reached.
+        """
+        done = self.dial(address)
+        done.addCallback(self._await_word)
+        done.addErrback(lambda _: None)
+        return done
+
+    def _await_word(self, link):
+        self._asked[link] = word = Deferred()
+        word.addTimeout(WORD_TIMEOUT_S, self.context.clock)
+        word.addErrback(self._no_word, link)
+        return word
+
+    def _no_word(self, failure, link):
+        self._asked.pop(link, None)
+        link.abort()
+        return failure
+
     def dial(self, address):
         """Connect to an instance; the Deferred fires with a link that said hello."""
         link = self._make_link()
@@ -135,6 +180,10 @@
                 self.post(HomeLinkLost())
         if link.peer is not None and self.peers.get(link.peer.instance) is link:
             del self.peers[link.peer.instance]
+            self._gone[link.peer.instance] = (link.peer, self.now)
+        asked = self._asked.pop(link, None)
+        if asked is not None:
+            asked.errback(PeerSilentError("the connection to the other instance is gone"))
 
     def link_broken(self, link, error):
         """The other end sent what cannot be read."""
@@ -148,7 +197,10 @@
                 if done is not None:
                     done.callback(body)
             case HomeBeat():
-                if link is self.home_link:
+                asked = self._asked.pop(link, None)
+                if asked is not None:
+                    asked.callback(HomeWord(link=link, beat=body))
+                elif link is self.home_link:
                     self.context.bus.post(body, source=link.peer.instance)
             case JobCall():
                 self._serve_job(link, body)
@@ -224,6 +276,30 @@
         done.addCallback(link.send)
 
 
+def _in_order(hellos):
+    return sorted(hellos, key=lambda hello: (-(hello.link_mbps or 0), hello.instance))
+
+
+def _first_addresses(hellos):
+    return [hello.address for hello in _in_order(hellos) if hello.address][:MAX_ADDRESSES]
+
+
+class HomeWord:
+    """An instance said that it is the home.
+
+    Parameters
+    ----------
+    link : Link
+    beat : HomeBeat
+    """
+
+    __slots__ = ("beat", "link")
+
+    def __init__(self, *, link, beat):
+        self.link = link
+        self.beat = beat
+
+
 class HomeLinkLost:
     """The connection to the home is gone."""
 
--- a/anvilflow/cell/tests/test_recovery.py
+++ b/anvilflow/cell/tests/test_recovery.py
@@ -4,7 +4,7 @@
 from logbook import TestHandler as LogRecorder
 from twisted.internet.defer import inlineCallbacks
 
-from anvilflow.cell import _entry, _recorder, _store_watch
+from anvilflow.cell import _entry, _links, _recorder, _store_watch
 from anvilflow.cell._job_store import store_job
 from anvilflow.exceptions import PlatformUnavailableError
 
@@ -236,6 +236,30 @@
     assert cell.store.n_writes - before <= 6
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+@pytest.mark.parametrize("kind", ["silent", "status"])
+def test_instances_cut_off_from_the_store_find_the_next_home(monkeypatch, kind, safeguard):
+    """The home and one more instance do not reach the store for some seconds; the others do.
+
+    The next home's name stands in the store, which those two cannot read. They refused all jobs
+    until the store answered them again; a client came back a second later, too late for a quick
+    job. Now they ask the successors that the last home has named.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_links, "MAX_ADDRESSES", 0)
+    cell = make_cell(n_instances=5)
+    former = cell.home()
+    cut = [former, next(name for name in cell.daemons if name != former)]
+    setattr(cell.store_faults, kind, {"silent": True, "status": 503}[kind])
+    cell.store_faults.only = set(cut)
+    cell.advance(2.5)
+    assert cell.home() not in cut
+    answers = [cell.submit(name, f"00000000000002{n:02x}", STEP) for n, name in enumerate(cut)]
+    cell.advance(0.1)
+    statuses = [answer[0][0] if answer else None for answer in answers]
+    assert (statuses == [200, 200]) is safeguard
+
+
 def test_accepting_does_not_try_a_silent_store_again_and_again():
     """An instance is cut off from the store for seconds; jobs come to it, one each 0.4 s.
 
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -23,6 +23,7 @@
      - incarnation
      - failure_domain
      - link_mbps
+     - address
 
     """
 
@@ -31,14 +32,16 @@
         'incarnation',
         'failure_domain',
         'link_mbps',
+        'address',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None,):
+    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None, address=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.link_mbps = link_mbps
+        self.address = address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +72,11 @@
                     self.link_mbps = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +103,10 @@
             oprot.writeFieldBegin('link_mbps', TType.I32, 4)
             oprot.writeI32(self.link_mbps)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 5)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1721,6 +1733,7 @@
      - config_version
      - yielding
      - successors
+     - addresses
 
     """
 
@@ -1729,14 +1742,16 @@
         'config_version',
         'yielding',
         'successors',
+        'addresses',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
         self.successors = successors
+        self.addresses = addresses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1772,6 +1787,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.addresses = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1797,8 +1822,15 @@
         if self.successors is not None:
             oprot.writeFieldBegin('successors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.successors))
-            for iter27 in self.successors:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.successors:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.addresses is not None:
+            oprot.writeFieldBegin('addresses', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.addresses))
+            for iter34 in self.addresses:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2089,10 +2121,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2117,8 +2149,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter34 in self.workers:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.workers:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2190,20 +2222,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tickets.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tickets.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2234,15 +2266,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter47 in self.workers:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter54 in self.workers:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.tickets))
-            for iter48 in self.tickets:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.tickets:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_s is not None:
@@ -2621,11 +2653,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Message()
-                        _elem54.read(iprot)
-                        self.messages.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Message()
+                        _elem61.read(iprot)
+                        self.messages.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2642,8 +2674,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter55 in self.messages:
-                iter55.write(oprot)
+            for iter62 in self.messages:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2676,6 +2708,7 @@
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
     (4, TType.I32, 'link_mbps', None, None, ),  # 4
+    (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
 )
 all_structs.append(Shape)
 Shape.thrift_spec = (
@@ -2804,6 +2837,7 @@
     (2, TType.I64, 'config_version', None, None, ),  # 2
     (3, TType.BOOL, 'yielding', None, None, ),  # 3
     (4, TType.LIST, 'successors', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -6,6 +6,7 @@
   2: string incarnation,
   3: string failure_domain,
   4: optional i32 link_mbps,
+  5: optional string address,
 }
 
 struct Shape {
@@ -118,6 +119,8 @@
   2: i64 config_version,
   3: bool yielding,
   4: list<string> successors,
+  // Of the first of them, for an instance that does not reach the store.
+  5: optional list<string> addresses,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
