Less urgent tasks may use a worker that is kept free, where they do no harm

Cause: a worker on which a more urgent task waits for room was kept from all other queues: accelerators and cores stood idle that small tasks would have left in time, or did not compete for. Change: a reservation knows what it leaves to spare and from when on it needs the worker. What fits into the spare, or ends before by its estimate and by its step's running tasks, may start. LoadPlay plays a load on the scheduler alone in virtual time, for this and for what was tried beside it.

--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -74,7 +74,7 @@
 # Candidates
 
 
-def _candidates(scheduler, step, reservations, now):
+def _candidates(scheduler, step, now):
     """Return the workers on which the step may run and that take work now."""
     spec = step.spec
     service = step.job.queue.service
@@ -84,8 +84,6 @@
         info = worker.info
         if info.service != service or not worker.accepts(now):
             continue
-        if reservations.is_reserved_from(worker, step.job.queue):
-            continue
         if spec.label and spec.label not in info.labels:
             continue
         if advice is not None and not _has_ticket(step, info.worker_id, now):
@@ -101,13 +99,14 @@
 
 def _start_tasks(scheduler, step, waiting, reservations, now):
     actions = []
-    workers = _candidates(scheduler, step, reservations, now)
+    workers = _candidates(scheduler, step, now)
     reserve = _reserve(scheduler, step)
     placed = 0
     for task in waiting:
-        worker = _choose(scheduler, step, task, workers, reserve)
+        worker = _choose(scheduler, step, task, workers, reserve, reservations)
         if worker is None:
             break
+        reservations.placed(worker, step.spec)
         actions.append(_start(scheduler, worker, step, task, now))
         placed += 1
     if placed < len(waiting):
@@ -150,13 +149,14 @@
     return left >= reserve * worker.info.cpu_milli or not worker.runs
 
 
-def _choose(scheduler, step, task, workers, reserve):
+def _choose(scheduler, step, task, workers, reserve, reservations):
     """Return the fitting worker that the task leaves least room on, away from what it disturbs."""
     spec = step.spec
     fitting = [
         worker
         for worker in workers
         if worker.fits(spec)
+        and reservations.allows(worker, step)
         and _leaves(worker, spec, reserve)
         and not (spec.max_per_worker and step.n_on(worker.info.worker_id) >= spec.max_per_worker)
         and task.name not in worker.runs
@@ -187,7 +187,11 @@
     """Start all tasks of a gang, or none: a part of it would only wait, and end as alone."""
     if len(waiting) < len(step.tasks):
         return []
-    workers = _candidates(scheduler, step, reservations, now)
+    workers = [
+        worker
+        for worker in _candidates(scheduler, step, now)
+        if not reservations.is_reserved_from(worker, step.job.queue)
+    ]
     racks = _racks(workers) if step.spec.rack_sensitive else []
     for group in [*racks, workers]:
         chosen = _fit_gang(step, waiting, group)
--- a/anvilflow/jobs/_policy.py
+++ b/anvilflow/jobs/_policy.py
@@ -27,6 +27,9 @@
         Wait for room after which less urgent runs are stopped for it, when they can resume from a
         checkpoint. A stop takes up to 0.9 s, loses up to 0.5 s of the run's work and 0.6 s for its
         return: shorter waits are left alone. None: nothing is stopped. Unit: seconds.
+    backfills : bool, default=True
+        Whether less urgent tasks may use a worker that is kept free, where they leave the room that
+        it is kept for, or end before that room is there.
     judges_runs : bool, default=True
         Whether runs that stand still or crawl are given up for others.
     avoids_slow : bool, default=True
@@ -61,6 +64,7 @@
     reserve_share: Share = 0.1
     max_reserved: Count = 6
     preempt_s: Seconds | None = 1.2
+    backfills: bool = True
     judges_runs: bool = True
     avoids_slow: bool = True
     slow_times: Times = 3.0
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -3,6 +3,8 @@
 from ._balancer import Balancer
 from ._cell import Cell, make_client
 from ._faults import Faults
+from ._load_kinds import KindResult, LoadKind
+from ._load_play import LoadPlay, make_workers
 from ._membership import MembershipServer, MembershipState
 from ._metadata_store import MetadataStore, StoreCall
 from ._network import MemoryNetwork
@@ -26,6 +28,9 @@
     "Balancer",
     "Cell",
     "Faults",
+    "KindResult",
+    "LoadKind",
+    "LoadPlay",
     "MembershipServer",
     "MembershipState",
     "MemoryNetwork",
@@ -54,4 +59,5 @@
     "make_declarations",
     "make_job_body",
     "make_platform_config",
+    "make_workers",
 ]
