--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 # Days of our own on a site of the users' kit: make days KIT=path/to/kit/program SITE=path/to/site
 days:
-	for day in days/*.toml; do $(KIT) run $(SITE) $$day --why "own days" || exit 1; done
+	for day in deploy/days/*.toml; do $(KIT) run $(SITE) $$day --why "own days" || exit 1; done
 
 # A plan and a look round at three sizes.
 bench-scheduler: $(STAMP)
