--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format chaos soak soak-regressions bench-cell bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
+.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
 
 install: $(STAMP)
 
@@ -59,6 +59,11 @@
 days:
 	for day in deploy/days/*.toml; do $(KIT) run $(SITE) $$day --why "own days" || exit 1; done
 
+# What each mechanism of the scheduler is worth on played loads: some minutes. On days of a site:
+# make ablation ABLATION="--kit path/to/kit/program --site path/to/site"
+ablation: $(STAMP)
+	$(BIN)/python benchmarks/ablation.py $(ABLATION)
+
 # A plan and a look round at three sizes.
 bench-scheduler: $(STAMP)
 	$(BIN)/python benchmarks/bench_scheduler.py
--- a/anvilflow/standins/_load_kinds.py
+++ b/anvilflow/standins/_load_kinds.py
@@ -28,6 +28,8 @@
     good : float
         Share of the workers that advice allows.
     worth : float
+    speculative : float
+        Share of the jobs whose tasks may have copies.
     gang : bool
     """
 
@@ -44,6 +46,7 @@
     accelerators: tuple[int, ...] = (0,)
     checkpointing: float = 0.0
     good: float = 1.0
+    speculative: float = 0.0
     gang: bool = False
 
 
--- a/anvilflow/standins/_load_play.py
+++ b/anvilflow/standins/_load_play.py
@@ -62,11 +62,12 @@
     length_s: float
     done_s: float
     can_resume: bool
+    speed: float = 1.0
     stops_at: float | None = None
 
     def worked(self, now):
         """Return the work done so far, that of earlier runs included. Unit: seconds."""
-        return min(self.length_s, self.done_s + max(0.0, now - self.began_at))
+        return min(self.length_s, self.done_s + self.speed * max(0.0, now - self.began_at))
 
     def checkpoint(self, now):
         """Return the newest checkpoint, empty when there is none."""
@@ -86,12 +87,25 @@
         How long jobs come. Unit: seconds.
     n_advisers : int, default=7
         Instances that carry asks for advice, one at a time each.
+    speeds : dict of str to float, default=None
+        Speed of workers that are slow, in parts of a sound one's.
     random_state : int, default=0
     """
 
-    def __init__(self, *, kinds, workers, policy=None, length_s=40.0, n_advisers=7, random_state=0):
+    def __init__(
+        self,
+        *,
+        kinds,
+        workers,
+        policy=None,
+        length_s=40.0,
+        n_advisers=7,
+        speeds=None,
+        random_state=0,
+    ):
         self.kinds = kinds
         self.length_s = length_s
+        self.speeds = speeds or {}
         self.random_state = Random(random_state)
         self.now = 0.0
         self.results = {kind.queue.name: KindResult() for kind in kinds}
@@ -148,6 +162,7 @@
         lengths, chain_s, work = {}, 0.0, 0.0
         accelerators = random.choice(kind.accelerators)
         can_resume = random.random() < kind.checkpointing
+        speculative = kind.speculative > 0 and random.random() < kind.speculative
         steps = []
         for number in range(kind.n_steps):
             n_tasks = max(1, round(random.expovariate(1 / kind.n_tasks)))
@@ -169,6 +184,7 @@
                     estimate_s=max(0.05, mean_s * off),
                     after=(number - 1,) if number else (),
                     checkpointing=can_resume,
+                    speculative=speculative,
                     gang=kind.gang,
                 )
             )
@@ -234,9 +250,10 @@
             length_s=job.lengths_s[action.task],
             done_s=done_s,
             can_resume=step.checkpointing,
+            speed=self.speeds.get(action.worker_id, 1.0),
         )
         self._runs[action.worker_id][action.task] = run
-        ends_at = run.began_at + run.length_s - run.done_s
+        ends_at = run.began_at + (run.length_s - run.done_s) / run.speed
         self._at(ends_at, self._end, action.worker_id, run, "done")
         self._at(self.now + WAY_S, self._answer, action)
 
