Late jobs behind the successors' change counted again: 18 of 31, not 14 of 24

Cause: the count was made by eye, and 24 was the number of refusals, not of late jobs. No behaviour.

--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -154,7 +154,7 @@
 
         An instance that is cut off from the store alone cannot read who the home is. Without this
         it refused all jobs after a change of homes, for as long as it was cut off: a client comes
-        back a second later, and 14 quick jobs of a day were late by it.
+        back a second later, and 18 of 31 late quick jobs of a day had waited for that.
         """
         asked = [self.context.links.ask_for_home(address) for address in self._addresses]
         words = yield gatherResults(asked)
