A home that is short of processor says how late it is, and is waited for; answers are read before their time is over

Besides, timers come before what has arrived: answers that were there were given up, and orders sent again. Holds wait 1.0 s in place of 0.5 while it is short. A time limit that is over lets what has arrived be read first. The stand-ins' clock can charge processor time for each call.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -5,6 +5,10 @@
 from msgspec import Struct
 
 from ..metrics import Meters
+from ._lag import LagMeter
+
+#: Period in which each instance measures how late it is: that of a home's beats. Unit: seconds.
+LAG_PERIOD_S = 0.2
 
 
 class ConfigChanged(Struct, kw_only=True):
@@ -91,6 +95,7 @@
         self.config = None
         self.leaving = False
         self.store_health = StoreHealth(clock=clock)
+        self.lag = LagMeter(period=LAG_PERIOD_S)
         self.meters = Meters()
         self.dump = dict
         self.links = None
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -9,6 +9,10 @@
 #: would keep tasks of a lost worker waiting for longer. Unit: seconds.
 LEASE_S = 3.0
 
+#: Longest wait of a hold while the home is short of processor. Holds that end without news were
+#: half of its calls. Two of these and the lag stay within a lease. Unit: seconds.
+SHORT_HOLD_WAIT_S = 1.0
+
 #: Time that a worker's missing entry is given to come back, for example after an outage of the
 #: store in which it lapsed. Unit: seconds.
 UNLISTED_S = 2.5
@@ -79,8 +83,13 @@
         return 2 * n_heard > len(self.scheduler.workers)
 
     def hold_wait(self):
-        """Return how long a hold may wait; shorter where only workers can confirm the home."""
-        return HOLD_WAIT_S if self.is_confirmed() else HOLD_WAIT_S / 2
+        """Return how long a hold may wait.
+
+        Shorter where only workers can confirm the home; longer where it is short of processor.
+        """
+        if not self.is_confirmed():
+            return HOLD_WAIT_S / 2
+        return SHORT_HOLD_WAIT_S if self.context.lag.is_short else HOLD_WAIT_S
 
     # Orders
 
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -15,7 +15,7 @@
 from ..runtime import Part
 from ..utils import jitter, to_builtins
 from ._advisers import Advisers
-from ._context import Claimed, ConfigChanged, Deposed, Leaving
+from ._context import LAG_PERIOD_S, Claimed, ConfigChanged, Deposed, Leaving
 from ._fleet import Fleet
 from ._follower import TableFollower
 from ._home_calls import HomeCalls
@@ -27,9 +27,6 @@
 from ._recorder import Recorder
 from ._tables import JOBS
 
-#: Period of telling the instances that the home lives. Unit: seconds.
-BEAT_S = 0.2
-
 #: Longest time between two plans: what falls due by time alone is seen by then. A plan with nothing
 #: to do takes 0.03 ms at 14,000 running tasks. Unit: seconds.
 PLAN_S = 0.05
@@ -76,7 +73,7 @@
         self.on(Deposed, lambda *_: self._end())
         self.on(ConfigChanged, self._config_changed)
         self.on(Leaving, lambda *_: self._tell())
-        self.every(BEAT_S, self._tell)
+        self.every(LAG_PERIOD_S, self._beat_due)
         self.every(PLAN_S, self._plan_due)
         self.every(SWEEP_S, self._sweep, delay=SWEEP_S)
 
@@ -250,6 +247,7 @@
             yielding=self.context.leaving or self.is_store_away or self._loads_in_vain,
             successors=links.successors if links is not None else [],
             addresses=links.successor_addresses if links is not None else [],
+            lag_ms=round(1000 * self.context.lag.lag_s),
         )
 
     @property
@@ -270,6 +268,14 @@
     def _loads_in_vain(self):
         return self._n_failed_loads > 0 or (self.is_loading and self._load_beat.is_late)
 
+    def _beat_due(self):
+        was_short = self.context.lag.is_short
+        self.context.lag.called(self.now)
+        if self.context.lag.is_short and not was_short:
+            self.context.meters.count("short_of_processor")
+            self.log.warning("short of processor", lag_s=round(self.context.lag.lag_s, 3))
+        self._tell()
+
     def _tell(self):
         is_home = self.context.home is self or self.is_loading
         if not is_home or self.context.links is None:
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -19,6 +19,10 @@
 #: come from a busy processor: the tenth of a second that a quota can take away. Unit: seconds.
 SILENT_S = 0.5
 
+#: Times the lag of which a home tells that it is waited for beyond what any other one is. One with
+#: an eighth of a core fell behind in a burst and was taken for dead, and so was each after it.
+LAG_TIMES = 3
+
 #: Least time between two readings of the home's row after which a row that has not changed tells
 #: that its holder does not write: twice the period of its writes. Unit: seconds.
 STILL_S = 0.3
@@ -80,6 +84,7 @@
         self._addresses = ()
         self._yielding = False
         self._heard_at = 0.0
+        self._patience_s = 0.0
         self._busy = False
         self._read_s = 0.0
 
@@ -94,6 +99,7 @@
 
     def _beat(self, source, beat):
         self._heard_at = self.now
+        self._patience_s = LAG_TIMES * (beat.lag_ms or 0) / 1000
         self._successors = tuple(beat.successors)
         self._addresses = tuple(beat.addresses or ())
         if beat.yielding and not self._yielding:
@@ -117,7 +123,7 @@
             return
         linked = self.context.links is not None and self.context.links.home_link is not None
         silent = self.now - self._heard_at
-        if linked and silent < SILENT_S and not self._yielding:
+        if linked and silent < SILENT_S + self._patience_s and not self._yielding:
             return
         self._busy = True
         done = self._check(linked)
@@ -215,6 +221,7 @@
         changed = self.row is not None and self.row.incarnation != before
         if changed:
             self._yielding = False
+            self._patience_s = 0.0
             self._successors = ()
         return changed
 
@@ -250,7 +257,7 @@
             Of the connection that is being made to it; None: it is not reached.
         """
         before = self._newest_version
-        wait_s = max(STILL_S, STILL_READS * self._read_s) + self._turn_s()
+        wait_s = max(STILL_S, STILL_READS * self._read_s) + self._patience_s + self._turn_s()
         until = self.now + wait_s
         while True:
             pause = min(LOOK_S, max(_TICK_S, until - self.now))
--- a/anvilflow/clients/_time_limit.py
+++ b/anvilflow/clients/_time_limit.py
@@ -34,6 +34,11 @@
             self._timer.reset(self.idle_timeout)
 
     def _end(self, call):
+        # Timers come before what has arrived: in a process that is late, an answer that is there
+        # would be given up unread, and the call be made once more.
+        self._timer = self.clock.callLater(0, self._give_up, call)
+
+    def _give_up(self, call):
         self._is_over = True
         call.cancel()
 
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -18,6 +18,7 @@
     "starts": ("Orders to start a task, by the worker's answer.", ("answer",)),
     "ends": ("Ends of tasks that workers told, by how they ended.", ("how",)),
     "stops": ("Orders to stop a run, by reason.", ("why",)),
+    "short_of_processor": ("Times that the instance began to be late with its own timers.", ()),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "store_calls": ("Calls to the store.", ("kind",)),
 }
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -24,6 +24,7 @@
      - failure_domain
      - link_mbps
      - address
+     - cpu_milli
 
     """
 
@@ -33,15 +34,17 @@
         'failure_domain',
         'link_mbps',
         'address',
+        'cpu_milli',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None, address=None,):
+    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None, address=None, cpu_milli=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.link_mbps = link_mbps
         self.address = address
+        self.cpu_milli = cpu_milli
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -77,6 +80,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.cpu_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -107,6 +115,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 5)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.cpu_milli is not None:
+            oprot.writeFieldBegin('cpu_milli', TType.I32, 6)
+            oprot.writeI32(self.cpu_milli)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1734,6 +1746,7 @@
      - yielding
      - successors
      - addresses
+     - lag_ms
 
     """
 
@@ -1743,15 +1756,17 @@
         'yielding',
         'successors',
         'addresses',
+        'lag_ms',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
         self.successors = successors
         self.addresses = addresses
+        self.lag_ms = lag_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1797,6 +1812,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.lag_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1833,6 +1853,10 @@
                 oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lag_ms is not None:
+            oprot.writeFieldBegin('lag_ms', TType.I32, 6)
+            oprot.writeI32(self.lag_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2709,6 +2733,7 @@
     (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
     (4, TType.I32, 'link_mbps', None, None, ),  # 4
     (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'cpu_milli', None, None, ),  # 6
 )
 all_structs.append(Shape)
 Shape.thrift_spec = (
@@ -2838,6 +2863,7 @@
     (3, TType.BOOL, 'yielding', None, None, ),  # 3
     (4, TType.LIST, 'successors', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'lag_ms', None, None, ),  # 6
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -7,6 +7,8 @@
   3: string failure_domain,
   4: optional i32 link_mbps,
   5: optional string address,
+  // Thousandths of a core that the instance has.
+  6: optional i32 cpu_milli,
 }
 
 struct Shape {
@@ -121,6 +123,8 @@
   4: list<string> successors,
   // Of the first of them, for an instance that does not reach the store.
   5: optional list<string> addresses,
+  // How late its own timers are: a home that is slow is waited for.
+  6: optional i32 lag_ms,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
--- a/anvilflow/standins/_pausable_clock.py
+++ b/anvilflow/standins/_pausable_clock.py
@@ -1,4 +1,4 @@
-"""A clock whose calls can be held back, as those of a paused process are."""
+"""A clock whose calls can be held back, as in a process that is paused or short of processor."""
 
 
 class _Call:
@@ -41,7 +41,8 @@
             if not self._clock.dead:
                 self._clock.held.append(self)
         else:
-            self.run()
+            self._state = "held"
+            self._clock.run_in_turn(self)
 
 
 class PausableClock:
@@ -50,10 +51,17 @@
     Parameters
     ----------
     inner : Clock
+
+    Notes
+    -----
+    `call_s` is the processor time that each call takes, 0 for a processor without limit: calls
+    that fall due meanwhile wait in their order. Unit: seconds.
     """
 
     def __init__(self, *, inner):
         self.inner = inner
+        self.call_s = 0.0
+        self._free_at = 0.0
         self.paused = False
         self.dead = False
         self.held = []
@@ -66,6 +74,22 @@
         """Call after `delay`, or as soon as the pause is over."""
         return _Call(clock=self, delay=delay, call=call, args=args, kwargs=kwargs)
 
+    def run_in_turn(self, call):
+        """Make a call once the processor is free."""
+        now = self.inner.seconds()
+        begins_at = max(now, self._free_at) if self.call_s else now
+        self._free_at = begins_at + self.call_s
+        if begins_at > now:
+            self.inner.callLater(begins_at - now, self._run, call)
+        else:
+            self._run(call)
+
+    def _run(self, call):
+        if not self.paused:
+            call.run()
+        elif not self.dead:
+            self.held.append(call)
+
     def pause(self):
         """Hold back all calls."""
         self.paused = True
