The home belongs on an instance with enough processor: order by it, hold back without it, give way when late

A weak home is late in each burst, beside instances that would not be. Change: settings tell share and cores, instances tell theirs; successors are ordered by link that bears a home, then processor; an instance under 0.6 of a core holds back where it does not know the order; a home that is late for over 3 s after it began offers its place when one with twice its processor is connected. Missing, zero or negative settings count as one core; an impossible strength told by others as the weakest. Tests: each of the three without its safeguard leaves the home on a weak instance. Tests of cell and jobs: 385 passed.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -25,6 +25,7 @@
 from ._job_store import read_jobs
 from ._load_beat import LoadBeat
 from ._recorder import Recorder
+from ._strength import gives_way
 from ._tables import JOBS
 
 #: Longest time between two plans: what falls due by time alone is seen by then. A plan with nothing
@@ -42,6 +43,10 @@
 #: Unit: seconds.
 STORE_BAD_S = 0.1
 
+#: Least time for which a home keeps its place before it gives way to a stronger instance: what its
+#: beginning costs is over by then. Unit: seconds.
+GIVE_WAY_AFTER_S = 3.0
+
 #: Wait before a home that could not read its tables reads them again. Unit: seconds.
 _AGAIN_S = 0.3
 
@@ -62,6 +67,7 @@
         self._calls = None
         self._planned = None
         self._loaded = False
+        self._loaded_at = 0.0
         self._n_failed_loads = 0
         self._load_beat = None
         self._janitor = None
@@ -182,6 +188,7 @@
         for handover in claimed.former.handover if claimed.former is not None else ():
             self._fleet.take_handover(handover)
         self._loaded = True
+        self._loaded_at = self.now
         self._load_beat.close()
         self._n_failed_loads = 0
         self.context.home = self
@@ -244,12 +251,28 @@
         return HomeBeat(
             term=self._claimed.term if self._claimed else 0,
             config_version=config.version if config is not None else 0,
-            yielding=self.context.leaving or self.is_store_away or self._loads_in_vain,
+            yielding=self._yields,
             successors=links.successors if links is not None else [],
             addresses=links.successor_addresses if links is not None else [],
             lag_ms=round(1000 * self.context.lag.lag_s),
         )
 
+    @property
+    def _yields(self):
+        """Whether another instance should take over."""
+        is_away = self.is_store_away or self._loads_in_vain
+        return self.context.leaving or is_away or self._gives_way
+
+    @property
+    def _gives_way(self):
+        """Whether it is short of processor while a much stronger instance is connected."""
+        links = self.context.links
+        if not self._loaded or links is None or not self.context.lag.is_short:
+            return False
+        if self.now - self._loaded_at < GIVE_WAY_AFTER_S:
+            return False
+        return gives_way(self.context.settings.cpu_milli, links.most_cpu_milli)
+
     @property
     def is_store_away(self):
         """Whether the store has not answered the home's own calls for a while."""
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -10,6 +10,7 @@
 from ._context import Claimed, Deposed, HomeChanged
 from ._links import HomeLinkLost
 from ._outcome import Outcome
+from ._strength import is_fit
 from ._tables import HOME, HOME_KEY, PART, HomeRow, condition, write
 
 #: Period of looking at the home. Unit: seconds.
@@ -38,18 +39,14 @@
 #: all instances at once would fill the part of the store that the home itself writes to.
 RANK_STEP_READS = 2
 
-#: Link below which an instance should become the home only where no other can: four times the
-#: 5 Mbit/s that the home of 35 instances and 176 workers sent at most in a second. Unit: Mbit/s.
-HOME_LINK_MBPS = 20.0
-
-#: How long an instance on such a link holds back where it does not know the order, as after the end
-#: of all instances: the others need a few tenths of a second more or less to start, also where the
-#: store is slow. Unit: seconds.
-SLOW_LINK_S = 0.48
+#: How long an instance that bears a home badly holds back where it does not know the order, as
+#: after the end of all instances: the others need a few tenths of a second more or less to start,
+#: also where the store is slow. Unit: seconds.
+WEAK_S = 0.48
 
 #: Steps that it holds back besides: the claims of the others take as long as the store is slow. Ten
 #: made callers wait for 11 s where all links were slow, and answers of the store took 0.4 s.
-SLOW_LINK_RANKS = 2
+WEAK_RANKS = 2
 
 #: Longest wait for the answer to a claim in readings of the row, and at the least. Unit: seconds.
 CLAIM_READS = 6
@@ -191,16 +188,16 @@
 
     @property
     def _holds_back(self):
-        """Whether instances on faster links should claim first, as far as this one knows."""
-        link_mbps = self.context.settings.link_mbps
-        is_slow = link_mbps is not None and link_mbps < HOME_LINK_MBPS
-        return is_slow and self.context.name not in self._successors
+        """Whether other instances should claim first, as far as this one knows."""
+        settings = self.context.settings
+        is_known = self.context.name in self._successors
+        return not is_known and not is_fit(settings.link_mbps, settings.cpu_milli)
 
     def _turn_s(self):
         """Return how long this instance holds back before it claims."""
         step_s = max(RANK_STEP_S, RANK_STEP_READS * self._read_s)
         turn_s = self._rank() * step_s
-        return turn_s + SLOW_LINK_S + SLOW_LINK_RANKS * step_s if self._holds_back else turn_s
+        return turn_s + WEAK_S + WEAK_RANKS * step_s if self._holds_back else turn_s
 
     def _sleep(self, delay):
         return deferLater(self.context.clock, delay, lambda: None)
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -6,6 +6,7 @@
 from ..peers import Link, LinkFactory
 from ..peers.gen.ttypes import AdviceCall, AdviceReply, Hello, HomeBeat, JobCall, JobReply
 from ..runtime import Part
+from ._strength import in_order, told_cpu_milli
 
 #: Messages that wait on one link at the most.
 QUEUE_LIMIT = 5000
@@ -74,6 +75,7 @@
             failure_domain=context.settings.failure_domain,
             link_mbps=round(context.settings.link_mbps or 0),
             address=context.settings.listen.peers_address,
+            cpu_milli=context.settings.cpu_milli,
         )
         return Link(hello=hello, clock=context.clock, queue_limit=QUEUE_LIMIT, events=self)
 
@@ -84,13 +86,14 @@
 
     @property
     def successors(self):
-        """Names of the connected instances in the order in which they should become the home.
+        """Names of the connected instances in the order in which they should become the home."""
+        return [hello.instance for hello in in_order(link.peer for link in self.peers.values())]
 
-        Those on the fastest links come first. The home of 35 instances and 176 workers sends
-        0.38 MB a second (median of 96 s; at most 0.63, a whole link of 5 Mbit/s), and reads its
-        tables over it.
-        """
-        return [hello.instance for hello in _in_order(link.peer for link in self.peers.values())]
+    @property
+    def most_cpu_milli(self):
+        """Processor of the first of them, 0 when there is none. Unit: thousandths of a core."""
+        hellos = in_order(link.peer for link in self.peers.values())
+        return told_cpu_milli(hellos[0]) if hellos else 0
 
     @property
     def successor_addresses(self):
@@ -276,12 +279,8 @@
         done.addCallback(link.send)
 
 
-def _in_order(hellos):
-    return sorted(hellos, key=lambda hello: (-(hello.link_mbps or 0), hello.instance))
-
-
 def _first_addresses(hellos):
-    return [hello.address for hello in _in_order(hellos) if hello.address][:MAX_ADDRESSES]
+    return [hello.address for hello in in_order(hellos) if hello.address][:MAX_ADDRESSES]
 
 
 class HomeWord:
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -12,6 +12,10 @@
 #: The one way in which workers take orders that is built: each is a call.
 ORDERS_BY_CALL = "invocation"
 
+#: Processor of an instance whose settings do not tell it: it is neither first nor last to become
+#: the home. Unit: thousandths of a core.
+DEFAULT_CPU_MILLI = 1000
+
 
 class ListenSettings(Struct, kw_only=True):
     """Addresses that the process serves.
@@ -62,6 +66,9 @@
     log_level : str
     link_mbps : float or None, default=None
         Bandwidth of the instance's own link; None: not known. Unit: Mbit/s.
+    cpu_share, cores : float or None, default=None
+        Processor of the instance: a share of one core, and how many times as fast as a core it is.
+        Where one is missing or not above zero, the instance counts as having a whole core.
     scheduling : SchedulingPolicy
         Thresholds and switches of decisions. Unlike elsewhere, an unknown key is refused here: the
         platform sends none, and a misspelt one would silently leave the default in force.
@@ -76,8 +83,16 @@
     orders: str = ORDERS_BY_CALL
     log_level: str = "info"
     link_mbps: float | None = None
+    cpu_share: float | None = None
+    cores: float | None = None
     scheduling: SchedulingPolicy = msgspec.field(default_factory=SchedulingPolicy)
 
+    @property
+    def cpu_milli(self):
+        """Processor of the instance. Unit: thousandths of a core."""
+        milli = 1000 * (self.cpu_share or 0.0) * (self.cores or 0.0)
+        return max(1, round(milli)) if 0 < milli < float("inf") else DEFAULT_CPU_MILLI
+
 
 def load_cell_settings(path):
     """Read and check a settings file; AF101 with the path of the key that is wrong.
--- a/anvilflow/cell/tests/test_short_of_processor.py
+++ b/anvilflow/cell/tests/test_short_of_processor.py
@@ -28,10 +28,13 @@
 PAUSE_S = 0.05
 
 
-def _play_burst(cell):
-    """Let a burst of quick jobs come, and what is left of it end; return their ids."""
-    for clock in cell.clocks.values():
-        clock.call_s = CALL_S
+def _play_burst(cell, call_s=None):
+    """Let a burst of quick jobs come, and what is left of it end; return their ids.
+
+    `call_s` names the instances whose calls take another time. Unit: seconds.
+    """
+    for name, clock in cell.clocks.items():
+        clock.call_s = (call_s or {}).get(name, CALL_S)
     names = list(cell.daemons)
     job_ids = [f"{number:016x}" for number in range(N_JOBS)]
     for number, job_id in enumerate(job_ids):
--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -115,8 +115,8 @@
     Those on slow links hold back.
     """
     if not safeguard:
-        monkeypatch.setattr(_leadership, "SLOW_LINK_S", 0.0)
-        monkeypatch.setattr(_leadership, "SLOW_LINK_RANKS", 0)
+        monkeypatch.setattr(_leadership, "WEAK_S", 0.0)
+        monkeypatch.setattr(_leadership, "WEAK_RANKS", 0)
     slow = ("a0", "a1", "a2", "a3", "a4", "a5")
     homes = set()
     for random_state in range(5):
@@ -144,7 +144,7 @@
     after 7.1 s, of 0.4 s after 10.9 s; without the ten steps after 1.5 and 2.3 s.
     """
     if not safeguard:
-        monkeypatch.setattr(_leadership, "SLOW_LINK_RANKS", 10)
+        monkeypatch.setattr(_leadership, "WEAK_RANKS", 10)
     names = tuple(f"a{number}" for number in range(8))
     cell = make_cell(n_instances=8, slow=names)
     for name in names:
--- /dev/null
+++ b/anvilflow/cell/tests/test_strength.py
@@ -0,0 +1,117 @@
+"""The home belongs on an instance that bears it, where instances differ fourfold and more."""
+
+import pytest
+
+from anvilflow.cell import CellSettings, ListenSettings, _home, _strength
+from anvilflow.cell._strength import in_order, told_cpu_milli
+from anvilflow.peers.gen.ttypes import Hello
+
+from ._helpers import make_cell
+from .test_short_of_processor import CALL_S, _play_burst
+
+WEAK = ("a0", "a1", "a2", "a3", "a5")
+
+
+def make_hello(name, *, link_mbps=100, cpu_milli=1000):
+    """Return what an instance says of itself."""
+    return Hello(
+        instance=name,
+        incarnation="i",
+        failure_domain="z",
+        link_mbps=link_mbps,
+        address=f"{name}:1",
+        cpu_milli=cpu_milli,
+    )
+
+
+def make_settings(**values):
+    """Return settings of an instance."""
+    listen = ListenSettings(front="f:1", ready="r:1", peers="p:1")
+    return CellSettings(instance="a0", failure_domain="z", listen=listen, store="s:1", **values)
+
+
+def test_strongest_instance_on_a_link_that_bears_a_home_comes_first():
+    """Links of 20 and 200 Mbit/s both bear a home; one of 5 Mbit/s does not."""
+    hellos = [
+        make_hello("narrow", link_mbps=5, cpu_milli=4000),
+        make_hello("weak", link_mbps=200, cpu_milli=516),
+        make_hello("strong", link_mbps=20, cpu_milli=2151),
+    ]
+    assert [hello.instance for hello in in_order(hellos)] == ["strong", "weak", "narrow"]
+
+
+@pytest.mark.parametrize("cpu_milli", [None, 0, -5, 2_000_000_000])
+def test_instance_that_tells_an_impossible_strength_counts_as_the_weakest(cpu_milli):
+    """It may still become the home, after all others."""
+    liar = make_hello("liar", cpu_milli=cpu_milli)
+    assert told_cpu_milli(liar) == 0
+    assert [hello.instance for hello in in_order([liar, make_hello("z", cpu_milli=1)])][
+        -1
+    ] == "liar"
+
+
+@pytest.mark.parametrize(
+    "values",
+    [{}, {"cpu_share": 0.5}, {"cores": 2}, {"cpu_share": 0.0, "cores": 2}, {"cpu_share": -1.0}],
+)
+def test_settings_without_a_strength_count_as_a_whole_core(values):
+    """Share or cores are missing, zero or negative: such an instance may be the home."""
+    assert make_settings(**values).cpu_milli == 1000
+
+
+def test_strength_is_the_share_of_a_core_that_is_so_many_times_as_fast():
+    """0.717 of a core of three times the speed."""
+    assert make_settings(cpu_share=0.717, cores=3).cpu_milli == 2151
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_successor_is_one_with_much_processor(monkeypatch, safeguard):
+    """The home dies; of the instances that are left one has more than an eighth of a core."""
+    if not safeguard:
+        monkeypatch.setattr(_strength, "told_cpu_milli", lambda hello: 0)
+    cell = make_cell(n_instances=4, weak=WEAK)
+    cell.start_instance("a4")
+    cell.start_instance("a5")
+    cell.advance(1.0)
+    cell.kill(cell.home())
+    cell.advance(1.5)
+    assert (cell.home() == "a4") is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_after_the_end_of_all_instances_has_much_processor(monkeypatch, safeguard):
+    """All instances are killed at once and started again: nobody knows an order."""
+    if not safeguard:
+        monkeypatch.setattr(_strength, "HOME_CPU_MILLI", 0)
+    homes = set()
+    for random_state in range(4):
+        cell = make_cell(n_instances=6, weak=WEAK, random_state=random_state)
+        names = list(cell.daemons)
+        for name in names:
+            cell.kill(name)
+        cell.advance(1.0)
+        for name in names:
+            cell.start_instance(name)
+        cell.advance(2.0)
+        homes.add(cell.home())
+    assert (homes == {"a4"}) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_is_late_gives_way_to_a_much_stronger_instance(monkeypatch, safeguard):
+    """A weak instance became the home while it was alone; a strong one came, and then a burst.
+
+    The home does all that it is asked to, late, until the end of the day, beside one that could
+    do it in time.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_strength, "GIVE_WAY_TIMES", float("inf"))
+    cell = make_cell(n_instances=4, n_workers=12, weak=WEAK)
+    assert cell.home() in WEAK
+    cell.start_instance("a4")
+    cell.advance(_home.GIVE_WAY_AFTER_S)
+    job_ids = _play_burst(cell, call_s={"a4": CALL_S / 8})
+    assert (cell.home() == "a4") is safeguard
+    done = {span.task.split(".")[0] for span in cell.spans if span.how == "done"}
+    assert done == set(job_ids)
+    assert cell.check() == []
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -29,6 +29,9 @@
 FAST_LINK_MBPS = 1000
 BYTES_PER_MBIT = 125_000
 
+#: Share of a core that instances with little processor have.
+WEAK_SHARE = 0.12
+
 #: Time of day at the start of virtual time. Unit: seconds.
 EPOCH_S = 1_700_000_000.0
 
@@ -86,6 +89,8 @@
     random_state : int, default=0
     slow : sequence of str, default=()
         Names of the instances on slow links.
+    weak : sequence of str, default=()
+        Names of the instances with little processor, as their settings tell.
     policy : SchedulingPolicy, default=None
         Of all instances.
     """
@@ -101,10 +106,12 @@
         advice=None,
         random_state=0,
         slow=(),
+        weak=(),
         policy=None,
     ):
         self.policy = policy or SchedulingPolicy()
         self.slow = frozenset(slow)
+        self.weak = frozenset(weak)
         self.n_instances = n_instances
         self.random_state = Random(random_state)
         self.clock = Clock()
@@ -168,6 +175,8 @@
             store=STORE,
             advice=ADVICE,
             link_mbps=SLOW_LINK_MBPS if name in self.slow else FAST_LINK_MBPS,
+            cpu_share=WEAK_SHARE if name in self.weak else 1.0,
+            cores=1.0,
             scheduling=self.policy,
         )
         if name in self.slow:
