--- a/anvilflow/jobs/_policy.py
+++ b/anvilflow/jobs/_policy.py
@@ -46,7 +46,7 @@
     ask_ahead_s : float, default=0.35
         How much before, beyond the ask's own length: estimates of the running step are off by a
         fifth and more. Unit: seconds.
-    asks_by_need : bool, default=False
+    asks_by_need : bool, default=True
         Whether advice is asked about as many workers as the tasks without a place need, those with
         room first; else about the first hundred.
     ask_times, ask_more : float, default=1.5 and 3
@@ -77,7 +77,7 @@
     copies: bool = True
     asks_ahead: bool = True
     ask_ahead_s: Seconds = 0.35
-    asks_by_need: bool = False
+    asks_by_need: bool = True
     ask_times: Times = 1.5
     ask_more: Count = 3
     long_ask_share: Asks = 0.6
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -9,6 +9,8 @@
     make_accelerator_kinds,
     make_accelerator_workers,
     make_processor_kinds,
+    make_wide_kinds,
+    make_wide_workers,
     play_load,
 )
 from ._membership import MembershipServer, MembershipState
@@ -68,6 +70,8 @@
     "make_job_body",
     "make_platform_config",
     "make_processor_kinds",
+    "make_wide_kinds",
+    "make_wide_workers",
     "make_workers",
     "play_load",
 ]
--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -33,11 +33,12 @@
     "giving up sick runs": {"judges_runs": False},
     "slow workers last": {"avoids_slow": False},
     "copies": {"copies": False},
+    "asks by need": {"asks_by_need": False},
     "asking ahead": {"asks_ahead": False},
     "limit on long asks": {"long_ask_share": 2.0},
 }
 
-LOADS = ("usual", "heavy", "slow workers")
+LOADS = ("usual", "heavy", "slow workers", "wide")
 
 #: Days that are played, each with a seed of its own.
 DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
