--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -10,7 +10,6 @@
     StartRun,
     StopRun,
 )
-from ..peers.gen.ttypes import HomeBeat
 from ..platform import REGISTRY_TABLE
 from ..runtime import Part
 from ..utils import jitter, to_builtins
@@ -20,12 +19,12 @@
 from ._follower import TableFollower
 from ._home_calls import HomeCalls
 from ._home_state import make_scheduler, read_state, readings_at_once
+from ._home_voice import HomeVoice
 from ._janitor import SWEEP_S, Janitor
 from ._job_intake import JobIntake
 from ._job_store import read_jobs
 from ._load_beat import LoadBeat
 from ._recorder import Recorder
-from ._strength import gives_way
 from ._tables import JOBS
 
 #: Longest time between two plans: what falls due by time alone is seen by then. A plan with nothing
@@ -43,10 +42,6 @@
 #: Unit: seconds.
 STORE_BAD_S = 0.1
 
-#: Least time for which a home keeps its place before it gives way to a stronger instance: what its
-#: beginning costs is over by then. Unit: seconds.
-GIVE_WAY_AFTER_S = 3.0
-
 #: Wait before a home that could not read its tables reads them again. Unit: seconds.
 _AGAIN_S = 0.3
 
@@ -67,19 +62,20 @@
         self._calls = None
         self._planned = None
         self._loaded = False
-        self._loaded_at = 0.0
+        self.loaded_at = None
         self._n_failed_loads = 0
         self._load_beat = None
         self._janitor = None
         self._intake = None
+        self._voice = HomeVoice(context=context, log=self.log, home=self)
 
     def start(self):
         """Wait for a claim."""
         self.on(Claimed, self._begin)
         self.on(Deposed, lambda *_: self._end())
         self.on(ConfigChanged, self._config_changed)
-        self.on(Leaving, lambda *_: self._tell())
-        self.every(LAG_PERIOD_S, self._beat_due)
+        self.on(Leaving, lambda *_: self._voice.tell())
+        self.every(LAG_PERIOD_S, self._voice.beat_due)
         self.every(PLAN_S, self._plan_due)
         self.every(SWEEP_S, self._sweep, delay=SWEEP_S)
 
@@ -120,7 +116,7 @@
             context=self.context, claimed=claimed, on_deposed=self.deposed, on_error=self.fail_with
         )
         self._load_beat.start()
-        self._tell()
+        self._voice.tell()
         done = self._load(claimed)
         done.addErrback(self._load_failed, claimed)
         done.addErrback(self.fail_with)
@@ -188,7 +184,7 @@
         for handover in claimed.former.handover if claimed.former is not None else ():
             self._fleet.take_handover(handover)
         self._loaded = True
-        self._loaded_at = self.now
+        self.loaded_at = self.now
         self._load_beat.close()
         self._n_failed_loads = 0
         self.context.home = self
@@ -200,7 +196,7 @@
             jobs=len(state.jobs),
             workers=len(state.workers),
         )
-        self._tell()
+        self._voice.tell()
         self._recorder.run().addErrback(self.fail_with)
         self._follow_all(state.jobs_version, state.workers_version)
 
@@ -220,6 +216,7 @@
             self.log.info("home ends", term=self._claimed.term)
         self._claimed = None
         self._loaded = False
+        self.loaded_at = None
         if self._load_beat is not None:
             self._load_beat.close()
         if self.context.home is self:
@@ -246,32 +243,12 @@
 
     def beat(self):
         """Return what the home says of itself."""
-        config = self.context.config
-        links = self.context.links
-        return HomeBeat(
-            term=self._claimed.term if self._claimed else 0,
-            config_version=config.version if config is not None else 0,
-            yielding=self._yields,
-            successors=links.successors if links is not None else [],
-            addresses=links.successor_addresses if links is not None else [],
-            lag_ms=round(1000 * self.context.lag.lag_s),
-        )
-
-    @property
-    def _yields(self):
-        """Whether another instance should take over."""
-        is_away = self.is_store_away or self._loads_in_vain
-        return self.context.leaving or is_away or self._gives_way
+        return self._voice.beat()
 
     @property
-    def _gives_way(self):
-        """Whether it is short of processor while a much stronger instance is connected."""
-        links = self.context.links
-        if not self._loaded or links is None or not self.context.lag.is_short:
-            return False
-        if self.now - self._loaded_at < GIVE_WAY_AFTER_S:
-            return False
-        return gives_way(self.context.settings.cpu_milli, links.most_cpu_milli)
+    def term(self):
+        """How many homes there were, this one included; 0 where this is none."""
+        return self._claimed.term if self._claimed else 0
 
     @property
     def is_store_away(self):
@@ -288,25 +265,10 @@
         return self._claimed is not None and not self._loaded
 
     @property
-    def _loads_in_vain(self):
+    def loads_in_vain(self):
+        """Whether its tables cannot be read, or not in time."""
         return self._n_failed_loads > 0 or (self.is_loading and self._load_beat.is_late)
 
-    def _beat_due(self):
-        was_short = self.context.lag.is_short
-        self.context.lag.called(self.now)
-        if self.context.lag.is_short and not was_short:
-            self.context.meters.count("short_of_processor")
-            self.log.warning("short of processor", lag_s=round(self.context.lag.lag_s, 3))
-        self._tell()
-
-    def _tell(self):
-        is_home = self.context.home is self or self.is_loading
-        if not is_home or self.context.links is None:
-            return
-        beat = self.beat()
-        for link in self.context.links.peers.values():
-            link.send(beat)
-
     # Following tables
 
     def _follow_all(self, jobs_version, workers_version):
--- /dev/null
+++ b/anvilflow/cell/_home_voice.py
@@ -0,0 +1,74 @@
+"""What the home tells the other instances of itself."""
+
+from ..peers.gen.ttypes import HomeBeat
+from ._strength import gives_way
+
+#: Least time for which a home keeps its place before it gives way to a stronger instance: what its
+#: beginning costs is over by then. Unit: seconds.
+GIVE_WAY_AFTER_S = 3.0
+
+
+class HomeVoice:
+    """Tells that the home lives, who should follow it, and whether one should now.
+
+    Parameters
+    ----------
+    context : CellContext
+    log : Logger
+    home : object
+        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away`` and ``loaded_at``.
+    """
+
+    def __init__(self, *, context, log, home):
+        self.context = context
+        self.log = log
+        self.home = home
+
+    def beat(self):
+        """Return what the home says of itself."""
+        config = self.context.config
+        links = self.context.links
+        return HomeBeat(
+            term=self.home.term,
+            config_version=config.version if config is not None else 0,
+            yielding=self._yields,
+            successors=links.successors if links is not None else [],
+            addresses=links.successor_addresses if links is not None else [],
+            lag_ms=round(1000 * self.context.lag.lag_s),
+        )
+
+    def beat_due(self):
+        """Measure how late this instance is, and tell."""
+        lag = self.context.lag
+        was_short = lag.is_short
+        lag.called(self.context.clock.seconds())
+        if lag.is_short and not was_short:
+            self.context.meters.count("short_of_processor")
+            self.log.warning("short of processor", lag_s=round(lag.lag_s, 3))
+        self.tell()
+
+    def tell(self):
+        """Tell all instances that are connected."""
+        is_home = self.context.home is self.home or self.home.is_loading
+        if not is_home or self.context.links is None:
+            return
+        beat = self.beat()
+        for link in self.context.links.peers.values():
+            link.send(beat)
+
+    @property
+    def _yields(self):
+        """Whether another instance should take over."""
+        is_away = self.home.is_store_away or self.home.loads_in_vain
+        return self.context.leaving or is_away or self._gives_way
+
+    @property
+    def _gives_way(self):
+        """Whether it is short of processor while a much stronger instance is connected."""
+        links = self.context.links
+        loaded_at = self.home.loaded_at
+        if loaded_at is None or links is None or not self.context.lag.is_short:
+            return False
+        if self.context.clock.seconds() - loaded_at < GIVE_WAY_AFTER_S:
+            return False
+        return gives_way(self.context.settings.cpu_milli, links.most_cpu_milli)
