--- a/anvilflow/cell/tests/_helpers.py
+++ b/anvilflow/cell/tests/_helpers.py
@@ -21,6 +21,17 @@
     return cell
 
 
+def end_and_start_all(cell):
+    """Kill all instances at once and start them again: none knows who should be the home."""
+    names = list(cell.daemons)
+    for name in names:
+        cell.kill(name)
+    cell.advance(1.0)
+    for name in names:
+        cell.start_instance(name)
+    cell.advance(2.0)
+
+
 def cancel(cell, instance, job_id=JOB):
     """Cancel a job at an instance; return when that was acknowledged, at the latest after 3 s."""
     answers = cell.call(instance, "DELETE", f"/urgent/{job_id}")
--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -21,7 +21,7 @@
 from anvilflow.standins import _slow_link
 from anvilflow.standins._platform_cell import EPOCH_S
 
-from ._helpers import make_cell
+from ._helpers import end_and_start_all, make_cell
 
 #: A link of 5 Mbit/s. Unit: bytes a second.
 SLOW = 625_000
@@ -121,13 +121,7 @@
     homes = set()
     for random_state in range(5):
         cell = make_cell(n_instances=8, slow=slow, random_state=random_state)
-        names = list(cell.daemons)
-        for name in names:
-            cell.kill(name)
-        cell.advance(1.0)
-        for name in names:
-            cell.start_instance(name)
-        cell.advance(2.0)
+        end_and_start_all(cell)
         homes.add(cell.home())
     assert homes.isdisjoint(slow) is safeguard
 
--- a/anvilflow/cell/tests/test_strength.py
+++ b/anvilflow/cell/tests/test_strength.py
@@ -6,7 +6,7 @@
 from anvilflow.cell._strength import in_order, told_cpu_milli
 from anvilflow.peers.gen.ttypes import Hello
 
-from ._helpers import make_cell
+from ._helpers import end_and_start_all, make_cell
 from .test_short_of_processor import CALL_S, _play_burst
 
 WEAK = ("a0", "a1", "a2", "a3", "a5")
@@ -86,13 +86,7 @@
     homes = set()
     for random_state in range(4):
         cell = make_cell(n_instances=6, weak=WEAK, random_state=random_state)
-        names = list(cell.daemons)
-        for name in names:
-            cell.kill(name)
-        cell.advance(1.0)
-        for name in names:
-            cell.start_instance(name)
-        cell.advance(2.0)
+        end_and_start_all(cell)
         homes.add(cell.home())
     assert (homes == {"a4"}) is safeguard
 
