--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference slopes lock thrift
+.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference lock thrift
 
 install: $(STAMP)
 
@@ -86,10 +86,7 @@
 	benchmarks/idle.sh 60
 
 capacity: $(STAMP)
-	$(BIN)/python -m anvilflow.reference capacity docs/slopes.jsonl docs/capacity.md.in docs/CAPACITY.md
-
-slopes: $(STAMP)
-	benchmarks/slopes.sh docs/slopes.jsonl
+	$(BIN)/python -m anvilflow.reference capacity docs/sweep.json docs/capacity.md.in docs/CAPACITY.md
 
 bench-path: $(STAMP)
 	$(BIN)/python benchmarks/bench_path.py
--- a/anvilflow/reference/__main__.py
+++ b/anvilflow/reference/__main__.py
@@ -14,9 +14,9 @@
         Path(folder, name).write_text(text, encoding="utf-8")
 
 
-def capacity(samples, template, page):
-    """Write the page of capacity from the measured samples."""
-    Path(page).write_text(render_capacity(samples, template), encoding="utf-8")
+def capacity(sweep, template, page):
+    """Write the page of capacity from what a sweep showed."""
+    Path(page).write_text(render_capacity(sweep, template), encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/anvilflow/reference/_capacity.py
+++ b/anvilflow/reference/_capacity.py
@@ -1,153 +1,109 @@
-"""The page of capacity at the users' target, worked out from measured slopes.
+"""The page of capacity at the users' target, worked out from one sweep over sizes of a cell.
 
-Each slope is a least-squares line through the samples of one series in ``docs/slopes.jsonl``,
-which ``make slopes`` measures on daemons that run as plain processes beside the stand-ins.
+The sweep plays one day at three sizes; ``docs/sweep.json`` keeps what it showed. A figure is taken
+to grow with a power of the number of instances, the slope of a line through the logarithms.
 """
 
 import statistics
+from math import log
 from pathlib import Path
 
+import json5
+import msgspec
 from msgspec import Struct
 
-from ..utils import decode_lenient
-
-#: The users' target (letter 1).
-N_WORKERS = 950
-N_RUNNING = 14_000
-STARTS_PER_S = 69
-N_CUSTOMERS = 250
-CHANGES_PER_DAY = 1800
-BUDGET_CPU = 0.013
-BUDGET_MB = 128
-BUDGET_BYTES = 17_000
-CONFIG_LIMIT_S = 17
-
-#: Instances for which the page works the cost out.
-_SIZES = (9, 24, 48, 96)
-
-#: Tasks on each worker in the series of active workers.
-_TASKS_PER_ACTIVE_WORKER = 50
-
-_FIGURES = ("cpu", "memory_mb", "http_calls_s", "bytes_s")
-
-
-class Slope(Struct, kw_only=True):
-    """A line through measured points: `base` at 0 and `each` more per unit."""
-
-    figure: str
-    base: float
-    each: float
-    residual: float
-    n_points: int
-    low: float
-    high: float
-
-    def at(self, value):
-        """Return the figure at `value`, never below 0."""
-        return max(0.0, self.base + self.each * value)
-
-
-def read_slopes(path):
-    """Return the samples by series, from a file with one JSON object a line."""
-    series = {}
-    for line in Path(path).read_text(encoding="utf-8").splitlines():
-        row = decode_lenient(line)
-        row["bytes_s"] = row["http_bytes_s"] + row["peer_bytes_s"]
-        series.setdefault(row["name"], []).append(row)
-    return series
-
-
-def fit(rows, figure):
-    """Return the :class:`Slope` of a figure over a series."""
-    values = [row["value"] for row in rows]
-    figures = [row[figure] for row in rows]
-    line = statistics.linear_regression(values, figures)
-    residual = max(
-        abs(line.intercept + line.slope * value - seen)
-        for value, seen in zip(values, figures, strict=True)
-    )
-    return Slope(
-        figure=figure,
-        base=line.intercept,
-        each=line.slope,
-        residual=residual,
-        n_points=len(rows),
-        low=min(values),
-        high=max(values),
-    )
+#: Instances for which the page says where the figures lead: those of the sites' own target.
+TARGET_INSTANCES = 951
+
+#: Powers between which a figure is carried on: more than the square is not to be believed of three
+#: points, and no figure is taken to shrink.
+MIN_POWER = 0.0
+MAX_POWER = 2.0
+
+
+class Figure(Struct, kw_only=True, forbid_unknown_fields=True):
+    """One figure of a sweep, by size; `middle` is of all instances, `busiest` of the highest."""
+
+    name: str
+    unit: str
+    middle: list[float]
+    busiest: list[float]
+
 
+class Sweep(Struct, kw_only=True, forbid_unknown_fields=True):
+    """What one sweep showed, by size."""
 
-class _Costs:
-    """Slopes of all series, and what follows at a number of instances."""
+    commit: str
+    date: str
+    instances: list[int]
+    workers: list[int]
+    worth: list[float]
+    broken: list[str]
+    figures: list[Figure]
 
-    def __init__(self, *, series):
-        self.slopes = {
-            name: {figure: fit(rows, figure) for figure in _FIGURES}
-            for name, rows in series.items()
-        }
-        with_tasks = [row for row in series["running"] if row["value"] > 0]
-        self.running = {figure: fit(with_tasks, figure) for figure in _FIGURES}
 
-    def control(self, figure, n_instances):
-        """Return what one daemon spends on control at the target."""
-        workers = N_WORKERS / n_instances
-        active = self.slopes["active"][figure]
-        spare = _TASKS_PER_ACTIVE_WORKER - N_RUNNING / N_WORKERS
-        each_worker = max(0.0, active.each - spare * max(0.0, self.running[figure].each))
-        total = max(0.0, active.base) + workers * each_worker
-        total += max(0.0, self.slopes["peers"][figure].each) * (n_instances - 1)
-        return total + max(0.0, self.slopes["resources"][figure].each) * N_CUSTOMERS
+def read_sweep(path):
+    """Return the :class:`Sweep` of a file."""
+    return msgspec.convert(json5.loads(Path(path).read_text(encoding="utf-8")), Sweep)
 
-    def starts(self, figure, n_instances):
-        """Return what starting tasks adds."""
-        return max(0.0, self.slopes["starts"][figure].each) * STARTS_PER_S / n_instances
 
+def power(instances, values):
+    """Return the power of the number of instances with which a figure grows.
 
-def render_capacity(samples, template):
+    Examples
+    --------
+    >>> power([10, 100], [3.0, 30.0])
+    1.0
+    """
+    line = statistics.linear_regression([log(n) for n in instances], [log(v) for v in values])
+    return round(line.slope, 2)
+
+
+def at_target(instances, values):
+    """Return where a figure leads at the target, carried on from the largest size."""
+    grown = min(MAX_POWER, max(MIN_POWER, power(instances, values)))
+    return values[-1] * (TARGET_INSTANCES / instances[-1]) ** grown
+
+
+def render_capacity(sweep, template):
     """Return the text of the page.
 
     Parameters
     ----------
-    samples : str or Path
-        Measured samples, one JSON object a line.
+    sweep : str or Path
+        What a sweep showed, JSON with comments.
     template : str or Path
         The page with places for what is worked out.
     """
-    costs = _Costs(series=read_slopes(samples))
+    shown = read_sweep(sweep)
     return (
         Path(template)
         .read_text(encoding="utf-8")
         .format(
-            slopes="\n".join(_slope_tables(costs)),
-            sizes=_sizes_table(costs),
-            records=2 * STARTS_PER_S,
-            changes=f"{CHANGES_PER_DAY / 86_400:.3f}",
+            commit=shown.commit,
+            date=shown.date,
+            target=TARGET_INSTANCES,
+            days="\n".join(_days(shown)),
+            figures="\n".join(_figures(shown)),
         )
     )
 
 
-def _slope_tables(costs):
-    yield "| series | figure | base | each | residual | points | range |"
-    yield "|---|---|---|---|---|---|---|"
-    for name, slopes in [*costs.slopes.items(), ("running, from 400", costs.running)]:
-        for figure, slope in slopes.items():
-            yield (
-                f"| {name} | {figure} | {slope.base:.4g} | {slope.each:.3g} | "
-                f"{slope.residual:.2g} | {slope.n_points} | {slope.low:g} to {slope.high:g} |"
-            )
-
-
-def _sizes_table(costs):
-    lines = ["| instances | control: core | memory MB | bytes/s | starts: core | in budget |"]
-    lines += ["|---|---|---|---|---|---|"]
-    for size in _SIZES:
-        cpu = costs.control("cpu", size)
-        memory = costs.control("memory_mb", size) + costs.starts("memory_mb", size)
-        traffic = costs.control("bytes_s", size)
-        good = cpu <= BUDGET_CPU and memory <= BUDGET_MB and traffic <= BUDGET_BYTES
-        lines.append(
-            f"| {size} | {cpu:.2%} | {memory:.0f} | {traffic:,.0f} | "
-            f"{costs.starts('cpu', size):.2%} | {'yes' if good else 'no'} |"
-        )
-    lines.append(f"| budget | {BUDGET_CPU:.1%} | {BUDGET_MB} | {BUDGET_BYTES:,} | | |")
-    return "\n".join(lines)
+def _days(shown):
+    yield "| instances | workers | worth | rules broken |"
+    yield "|---|---|---|---|"
+    rows = zip(shown.instances, shown.workers, shown.worth, shown.broken, strict=True)
+    for n_instances, n_workers, worth, broken in rows:
+        yield f"| {n_instances} | {n_workers} | {worth} | {broken} |"
+
+
+def _figures(shown):
+    sizes = " | ".join(f"{n}" for n in shown.instances)
+    yield f"| figure | unit | {sizes} | power | at {TARGET_INSTANCES} |"
+    yield f"|---|---|{'---|' * len(shown.instances)}---|---|"
+    for figure in shown.figures:
+        pairs = zip(figure.middle, figure.busiest, strict=True)
+        cells = " | ".join(f"{middle:g} / {busiest:g}" for middle, busiest in pairs)
+        grows = power(shown.instances, figure.busiest)
+        leads = at_target(shown.instances, figure.busiest)
+        yield f"| {figure.name} | {figure.unit} | {cells} | {grows} | {leads:,.0f} |"
--- a/anvilflow/reference/tests/test_reference.py
+++ b/anvilflow/reference/tests/test_reference.py
@@ -18,4 +18,4 @@
 def test_capacity_matches_the_measured_samples():
     """The page is worked out from the samples; a figure changed by hand shows here."""
     page = (DOCS / "CAPACITY.md").read_text(encoding="utf-8")
-    assert page == render_capacity(DOCS / "slopes.jsonl", DOCS / "capacity.md.in")
+    assert page == render_capacity(DOCS / "sweep.json", DOCS / "capacity.md.in")
--- a/benchmarks/standins_process.py
+++ b/benchmarks/standins_process.py
@@ -1,7 +1,7 @@
 """The platform and workers of a cell as one process, with load, for daemons that run beside it.
 
 Writes the daemons' settings files, lists them, and once they are ready keeps tasks running or
-starts tasks at a rate. `make slopes` and `make processes` start it; it ends when it is told to.
+starts tasks at a rate. `make idle` and `make processes` start it; it ends when it is told to.
 """
 
 import sys
