--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -22,6 +22,13 @@
         seconds.
     grace_period : GracePeriod, default=None
         What is left of earlier homes; None: what only the term tells.
+
+    Notes
+    -----
+    `freed` are the workers whose room has grown since the last plan, `needs_whole_plan` says that
+    something concerns more steps than can be told, `planned_whole_at` when such a plan was made.
+    `asking` holds the asks for advice under way, by step, `held_asks` the steps that wait to ask,
+    `asked_last` the worker after which the next ask begins.
     """
 
     def __init__(self, *, term, lease_s, stop_s, now, grace_period=None):
