Refused calls are logged with the configuration they went by

Neither the status of a refusal nor the version behind it stood in any log: a queue not known yet and one whose jobs nobody could be asked about looked the same. Also said now: how long an instance did not read the configuration, and how many readings failed.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -27,7 +27,8 @@
         self._version = None
         self._hinted = None
         self._arriving = False
-        self._away = False
+        self._away_since = None
+        self._n_failed = 0
 
     def start(self):
         """Read the configuration, and follow its changes."""
@@ -67,19 +68,30 @@
             self._version = None
             return
         except PlatformError as exc:
-            # Said once: an outage of ten seconds wrote forty lines an instance.
-            if not self._away:
-                self.log.warning("configuration not read", error=str(exc))
-            self._away = True
+            self._note_failed(exc)
             self.context.store_health.bad()
             # The version stays: what has changed since is all that has to come over the link.
             yield self._pause()
             return
-        self._away = False
+        self._note_read()
         self.context.store_health.good()
         self._take_rows(rows, "read" if self._version is None else "feed")
         self._version = version
 
+    def _note_failed(self, error):
+        # Said once: an outage of ten seconds wrote forty lines an instance.
+        self._n_failed += 1
+        if self._away_since is None:
+            self._away_since = self.now
+            self.log.warning("configuration not read", error=str(error))
+
+    def _note_read(self):
+        if self._away_since is not None:
+            after_s = round(self.now - self._away_since, 3)
+            self.log.info("configuration read again", after_s=after_s, n_failed=self._n_failed)
+        self._away_since = None
+        self._n_failed = 0
+
     @inlineCallbacks
     def _changes(self):
         """Return the rows that have changed, or all of them, and the version to go on from."""
@@ -115,6 +127,7 @@
         if known is not None and config.version <= known.version:
             return
         self.context.config = config
+        self.context.config_at = self.now
         self.log.info(
             "configuration in force", version=config.version, source=source, bytes=len(body)
         )
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -93,6 +93,7 @@
         self.random_state = random_state or Random()
         self.incarnation = f"{self.random_state.getrandbits(64):016x}"
         self.config = None
+        self.config_at = clock.seconds()
         self.leaving = False
         self.store_health = StoreHealth(clock=clock)
         self.lag = LagMeter(period=LAG_PERIOD_S)
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -54,6 +54,12 @@
 #: connections: this instance alone is cut off, others serve. Unit: seconds.
 CUT_OFF_S = 0.5
 
+#: Refusals that a caller may take for an old configuration.
+_LOGGED_REFUSALS = frozenset({404, 503})
+
+#: Paths come from callers: a line holds so much of one. Unit: characters.
+MAX_LOGGED_PATH = 200
+
 #: Final states kept in memory: they never change, and clients ask again and again.
 STATES_KEPT = 2000
 
@@ -106,6 +112,26 @@
         verb = verb if verb in _VERBS else "other"
         self.context.meters.count("calls", verb, str(status))
 
+    def refused(self, verb, path, status, error):
+        """Log a refusal with the configuration that it went by.
+
+        Callers cannot tell a queue that is not known yet from one whose jobs nobody can be asked
+        about; and one instance's refusal says nothing of how old its configuration is.
+        """
+        if status not in _LOGGED_REFUSALS:
+            return
+        context = self.context
+        self.log.info(
+            "call refused",
+            verb=verb,
+            path=path[:MAX_LOGGED_PATH],
+            status=status,
+            error=str(error),
+            version=context.config.version if context.config is not None else None,
+            version_age_s=round(self.now - context.config_at, 3),
+            reaches_home=context.links is not None and context.links.reaches_home,
+        )
+
     def not_ready(self):
         """Refuse a call that comes before any configuration."""
         raise NotReadyError("no configuration yet", details={"retry_after_s": 1})
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -39,8 +39,8 @@
     ----------
     entry : object
         Offers ``config``, ``closing``, ``submit(spec, queue)``, ``state(queue, job_id)``,
-        ``cancel(queue, job_id)`` and ``pending(queue)``, which return Deferreds, and
-        ``answered(verb, status)``.
+        ``cancel(queue, job_id)`` and ``pending(queue)``, which return Deferreds,
+        ``answered(verb, status)``, and ``refused(verb, path, status, error)``.
     """
 
     isLeaf = True
@@ -100,6 +100,8 @@
             _log.error("call failed", trace=failure.getTraceback()[-1500:])
             error = AnvilflowError("internal error; see the log")
         retry_after = (error.details or {}).get("retry_after_s")
+        verb, path = request.method.decode("latin-1"), request.path.decode("utf-8", "replace")
+        self.entry.refused(verb, path, error.http_status, error)
         self._write(request, gone, error.http_status, {"error": error.to_dict()}, retry_after)
 
     def _write(self, request, gone, status, value, retry_after):
