--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -1,6 +1,6 @@
 """HTTP calls in memory and virtual time, which can be lost, slowed and carried out late."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from urllib.parse import parse_qsl, urlsplit
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError, maybeDeferred
@@ -73,6 +73,15 @@
         self.faults = {}
         self.links = {}
         self.calls = Counter()
+        self._under_way = defaultdict(set)
+        self._silent = set()
+
+    def silence(self, name):
+        """Let the connections of a process that calls are under way on fall silent for good.
+
+        Those calls get no answer, whenever it is ready; later ones go over new connections.
+        """
+        self._silent |= self._under_way[name]
 
     def slow_link(self, name, bytes_per_s):
         """Give the process `name` a link of limited bandwidth; return it."""
@@ -95,6 +104,8 @@
         faults = self.faults.get(parts.netloc)
         server = self.servers.get(parts.netloc)
         done = Deferred()
+        self._under_way[caller].add(done)
+        done.addBoth(self._over, caller, done)
         if server is None or (faults.refuses and faults.concern(caller)):
             clock.callLater(WAY_S, done.errback, Failure(ConnectionRefusedError()))
             return done
@@ -103,6 +114,10 @@
         self.clock.callLater(WAY_S, self._arrive, server, faults, caller, clock, call, done)
         return done
 
+    def _over(self, result, caller, done):
+        self._under_way[caller].discard(done)
+        return result
+
     def _arrive(self, server, faults, caller, clock, call, done):
         concerned = faults.concern(caller)
         if concerned and faults.silent:
@@ -127,7 +142,8 @@
         result.addErrback(self._raise)
 
     def _answer(self, result, clock, done):
-        self.clock.callLater(WAY_S, clock.callLater, 0, _settle, done, result)
+        if done not in self._silent:
+            self.clock.callLater(WAY_S, clock.callLater, 0, _settle, done, result)
 
     def _raise(self, failure):
         failure.printTraceback()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,20 +17,30 @@
 FOLDER = Path("out/soak")
 
 
-def one(seed, folder=None):
-    """Play one seed; exit with 1 when a promise was broken."""
-    verdict = run_seed(seed, folder or FOLDER / str(seed))
-    print(f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs")
+def one(seed, folder=None, config=False, instances=5):
+    """Play one seed; exit with 1 when a promise was broken.
+
+    With `config`, only faults that leave most instances calm, and what they make of the operator's
+    changes is checked more often.
+    """
+    verdict = run_seed(
+        seed, folder or FOLDER / str(seed), only_config=config, n_instances=instances
+    )
+    print(
+        f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs, "
+        f"{verdict.n_configs} configurations, {verdict.n_config_checked} answers by them checked"
+    )
     for line in verdict.broken:
         print(f"  {line}")
     sys.exit(1 if verdict.broken else 0)
 
 
-def many(first=None, seeds=8, jobs=4):
+def many(first=None, seeds=8, jobs=4, config=False, instances=5):
     """Play several seeds side by side, fresh ones without `first`; keep the logs of bad ones."""
     first = random.SystemRandom().randrange(10**6) if first is None else first
     with ThreadPoolExecutor(max_workers=jobs) as pool:
-        results = list(pool.map(_play, range(first, first + seeds)))
+        options = [f"--config={config}", f"--instances={instances}"]
+        results = list(pool.map(lambda seed: _play(seed, *options), range(first, first + seeds)))
     bad = [seed for seed, is_good in results if not is_good]
     print(f"{seeds} seeds from {first}: {len(bad)} broken {bad}")
     sys.exit(1 if bad else 0)
@@ -46,10 +56,10 @@
     sys.exit(1 if bad else 0)
 
 
-def _play(seed):
+def _play(seed, *options):
     folder = FOLDER / str(seed)
     shutil.rmtree(folder, ignore_errors=True)
-    command = [sys.executable, "-m", "soak", "one", str(seed)]
+    command = [sys.executable, "-m", "soak", "one", str(seed), *options]
     try:
         done = subprocess.run(command, capture_output=True, text=True, timeout=LONGEST_S)
         output, is_good = done.stdout + done.stderr[-2000:], done.returncode == 0
--- /dev/null
+++ b/soak/_config_watch.py
@@ -0,0 +1,144 @@
+"""Asks all instances, all through a run, for queues that were added and dropped."""
+
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+#: Time in which a change must be in force everywhere. Unit: seconds.
+APPLY_S = 2.0
+
+#: Time after an answer from which the same process may not go by an older version. Unit: seconds.
+DOWNGRADE_S = 0.25
+
+#: Pauses between two questions to one instance: at the least, and for each instance there is, since
+#: one process asks them all. Unit: seconds.
+ASK_EVERY_S = 0.1
+ASK_EACH_S = 0.015
+
+#: Pauses between two changes; a version that is not replaced for 2 s is checked. Unit: seconds.
+CHANGE_PAUSES_S = (0.2, 0.6, 2.5, 3.0, 3.5, 5.0)
+
+#: A job that nobody submitted.
+_NO_JOB = "0" * 16
+
+
+class Question(Struct, kw_only=True):
+    """What one instance was asked, and when. Unit of `at`: seconds.
+
+    `version` is the newest when it was asked, `asked` the one whose queue the path names.
+    """
+
+    name: str
+    process: int
+    path: str
+    version: int
+    asked: int
+    at: float
+
+    @property
+    def is_count(self):
+        """Whether it asks for the number of jobs that wait."""
+        return self.path.endswith(f"/v{self.asked}/")
+
+
+class ConfigWatch:
+    """Changes the configuration in series, and checks what each instance makes of it.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    world : World
+    instances : Instances
+    callers : Callers
+    judge : Judge
+    calm : Calm
+    random_state : random.Random
+    """
+
+    def __init__(self, *, reactor, world, instances, callers, judge, calm, random_state):
+        self.reactor = reactor
+        self.world = world
+        self.instances = instances
+        self.callers = callers
+        self.judge = judge
+        self.calm = calm
+        self.random_state = random_state
+        self.n_checked = 0
+        self._is_over = False
+        self._seen = {}
+
+    def start(self):
+        """Begin; return the Deferreds of what goes on until :meth:`stop`."""
+        return [self._change(), *(self._ask_one(name) for name in self.instances.names)]
+
+    def stop(self):
+        """Ask and change no more."""
+        self._is_over = True
+
+    def _sleep(self, delay):
+        return deferLater(self.reactor, delay, lambda: None)
+
+    @inlineCallbacks
+    def _change(self):
+        while not self._is_over:
+            yield self._sleep(self.random_state.choice(CHANGE_PAUSES_S))
+            if not self._is_over:
+                self.world.change_config()
+
+    @inlineCallbacks
+    def _ask_one(self, name):
+        pause = max(ASK_EVERY_S, ASK_EACH_S * len(self.instances.names))
+        while not self._is_over:
+            for back, ending in ((0, ""), (1, ""), (0, _NO_JOB)):
+                process = self.instances.process_of(name)
+                if process is not None and name in self.callers.fronts:
+                    yield self._ask(name, process, back, ending)
+            yield self._sleep(pause)
+
+    @inlineCallbacks
+    def _ask(self, name, process, back, ending):
+        version = self.world.config_version
+        question = Question(
+            name=name,
+            process=process,
+            path=f"/v{version - back}/{ending}",
+            version=version,
+            asked=version - back,
+            at=self.reactor.seconds(),
+        )
+        status, _ = yield self.callers.ask(name, b"GET", question.path)
+        if self.instances.process_of(name) == process:
+            self._check_regress(question, status)
+            self._check_in_force(question, status)
+
+    def _check_regress(self, question, status):
+        """Check that a process does not go by an older version than it has gone by before."""
+        key = (question.name, question.process)
+        seen, seen_at = self._seen.get(key, (0, 0.0))
+        is_older = status == 404 if question.asked == question.version else status == 200
+        shows = question.asked - 1 if status == 404 else question.asked
+        if is_older and shows < seen and question.at > seen_at + DOWNGRADE_S:
+            self.judge.went_back(question.name, question.path, seen, status)
+        if status == 200 and question.asked > seen:
+            self._seen[key] = (question.asked, self.reactor.seconds())
+
+    def _check_in_force(self, question, status):
+        """Check that the newest version is in force where it must be."""
+        is_due = question.at > self.world.config_at + APPLY_S
+        is_newest = question.version == self.world.config_version
+        if not (is_due and is_newest and self.calm.holds(question.name, question.at)):
+            return
+        self.n_checked += 1
+        if not _is_right(question, status):
+            age_s = question.at - self.world.config_at
+            self.judge.config_not_in_force(question, status, age_s)
+
+
+def _is_right(question, status):
+    """Whether an answer is one that the newest version allows.
+
+    Only the count is promised whatever else fails: a job's state may have nobody to tell it.
+    """
+    if question.asked < question.version:
+        return status == 404
+    return status == 200 if question.is_count else status not in (None, 404)
--- a/soak/_ending.py
+++ b/soak/_ending.py
@@ -61,15 +61,18 @@
     callers : Callers
     judge : Judge
     random_state : random.Random
+    calm : Calm
+        Hears that links are narrow and that power is lost.
     """
 
-    def __init__(self, *, reactor, world, instances, callers, judge, random_state):
+    def __init__(self, *, reactor, world, instances, callers, judge, random_state, calm):
         self.reactor = reactor
         self.world = world
         self.instances = instances
         self.callers = callers
         self.judge = judge
         self.random_state = random_state
+        self.calm = calm
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -98,6 +101,8 @@
             self.instances.start(name)
             rate = self.random_state.choice(LINK_RATES)
             self.world.proxies[f"{name} store"].limit(rate)
+        # What is in force on narrow links is checked below, by a bound of its own, and they stay.
+        self.calm.disturb(self.instances.names, float("inf"))
         yield self._sleep(CALM_S)
         for _ in range(N_GROWTHS):
             self.world.change_config(n_more=MORE_ROUTES)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -38,6 +38,29 @@
 #: Kinds that are drawn by themselves, so that the seeds that failed once keep their faults.
 LATER_KINDS = {"clock ahead": 1, "clock back": 1, "clocks ahead": 1, "clocks back": 1}
 
+#: What leaves most instances calm, so that what they make of the configuration is checked: drawn by
+#: themselves in every soak, and alone in those that watch the configuration above all.
+CONFIG_KINDS = {
+    "kill home": 6,
+    "pause home": 4,
+    "drain home": 2,
+    "kill": 2,
+    "pause": 2,
+    "reload": 2,
+    "silence stores": 2,
+    "silence peers": 1,
+    "silence both": 1,
+    "home's peers cut": 2,
+    "home's store cut": 2,
+    "home's peers reset": 2,
+    "reset": 1,
+    "delay": 1,
+    "store forgets": 1,
+    "store silent": 1,
+    "worker silent": 1,
+    "worker crash": 1,
+}
+
 _CLOCK_SIGNALS = {"ahead": signal.SIGUSR1, "back": signal.SIGUSR2}
 
 
@@ -74,13 +97,16 @@
     world : World
     instances : Instances
     random_state : random.Random
+    calm : Calm, default=None
+        Hears whom a fault of connections or of the store disturbs.
     """
 
-    def __init__(self, *, reactor, world, instances, random_state):
+    def __init__(self, *, reactor, world, instances, random_state, calm=None):
         self.reactor = reactor
         self.world = world
         self.instances = instances
         self.random_state = random_state
+        self.calm = calm
 
     def plan(self, faults):
         """Set the clock for each fault."""
@@ -90,6 +116,10 @@
     def _later(self, delay, call, *args):
         self.reactor.callLater(delay, call, *args)
 
+    def _disturb(self, names, for_s=0.0):
+        if self.calm is not None:
+            self.calm.disturb(names, for_s)
+
     def _home(self):
         row = self.world.store.value("home", "home", part="cell")
         return row["holder"] if row else self.instances.names[0]
@@ -131,12 +161,17 @@
                 self.instances.send(self._instance(fault), signal.SIGHUP)
             case ["config"]:
                 self.world.change_config()
+            case ["silence", "stores" | "peers" | "both" as which]:
+                self._silence_all(which)
+            case ["home's", end, what]:
+                proxy = self.world.proxies[f"{self._home()} {end}"]
+                self._connections(fault, proxy, "cut both" if what == "cut" else what)
             case ["store", *what]:
                 self._store(" ".join(what), fault.for_s)
             case ["worker", *what]:
                 self._worker(" ".join(what), self._place(fault), fault.for_s)
             case _:
-                self._connections(fault, self._proxy(fault))
+                self._connections(fault, self._proxy(fault), fault.kind)
 
     def _kill(self, name, down_s):
         self.instances.send(name, signal.SIGKILL)
@@ -149,6 +184,8 @@
 
     def _store(self, what, for_s):
         faults = self.world.store_faults
+        if what != "forgets":
+            self._disturb(self.instances.names, for_s)
         match what:
             case "silent":
                 faults.silent = True
@@ -196,8 +233,17 @@
         if worker.alive and worker.worker_id == worker_id:
             self.world.store.put("servers", worker_id, worker.entry())
 
-    def _connections(self, fault, proxy):
-        match fault.kind:
+    def _silence_all(self, which):
+        """Let the open connections of all instances fall silent, as where a switch forgets them."""
+        ends = {"stores": ("store",), "peers": ("peers",), "both": ("store", "peers")}[which]
+        for name in self.instances.names:
+            for end in ends:
+                self.world.proxies[f"{name} {end}"].silence()
+        self._disturb(self.instances.names)
+
+    def _connections(self, fault, proxy, what):
+        self._disturb_by(proxy, what, fault.for_s)
+        match what:
             case "reset":
                 proxy.reset(self.random_state, 0.7)
                 return
@@ -208,6 +254,20 @@
                 proxy.cut_to_target = True
             case "cut from":
                 proxy.cut_from_target = True
+            case "cut both":
+                proxy.cut_to_target = proxy.cut_from_target = True
             case "delay":
                 proxy.delay_s = 0.2
         self._later(fault.for_s, proxy.heal)
+
+    def _disturb_by(self, proxy, what, for_s):
+        """Note whom a fault of one proxy disturbs: all if connections fall silent, else its owner.
+
+        Connections to workers and to the advice do not bring the configuration.
+        """
+        key = next(key for key, each in self.world.proxies.items() if each is proxy)
+        name, _, end = key.partition(" ")
+        if end not in ("store", "peers"):
+            return
+        lasts_s = 0.0 if what in ("reset", "silence") else for_s
+        self._disturb(self.instances.names if what == "silence" else [name], lasts_s)
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -26,10 +26,13 @@
     n_instances : int
     free_address : callable
         Returns an address that nobody uses.
+    calm : Calm, default=None
+        Hears of each start and signal but SIGHUP, which disturbs nothing.
     """
 
-    def __init__(self, *, world, folder, n_instances, free_address):
+    def __init__(self, *, world, folder, n_instances, free_address, calm=None):
         self.world = world
+        self.calm = calm
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"a{number}" for number in range(n_instances)]
@@ -78,6 +81,11 @@
         self._running[name] = subprocess.Popen(
             [sys.executable, str(_LAUNCHER)], stdout=log, stderr=log, env=env
         )
+        self._disturb(name)
+
+    def _disturb(self, name):
+        if self.calm is not None:
+            self.calm.disturb([name])
 
     def is_running(self, name):
         """Whether the instance has a process, stopped or not."""
@@ -88,11 +96,19 @@
             process = None
         return process is not None
 
+    def process_of(self, name):
+        """Return the id of the instance's process; None when there is none, or it is stopped."""
+        if not self.is_running(name) or name in self._stopped:
+            return None
+        return self._running[name].pid
+
     def send(self, name, number):
         """Send a signal to an instance's process."""
         if not self.is_running(name):
             return
         self._running[name].send_signal(number)
+        if number != signal.SIGHUP:
+            self._disturb(name)
         match number:
             case signal.SIGSTOP:
                 self._stopped.add(name)
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -52,6 +52,20 @@
             said = f"{name} does not go by version {version}, {age_s:.1f} s old: {path}"
             self.broken.append(said)
 
+    def config_not_in_force(self, question, status, age_s):
+        """Note an answer that only an older version allows, once an instance, path and status."""
+        key = (question.name, question.path, status)
+        if key not in self._old_configs:
+            self._old_configs.add(key)
+            self.broken.append(
+                f"{question.name} answers {status} to {question.path} {age_s:.1f} s after "
+                f"version {question.version}"
+            )
+
+    def went_back(self, name, path, version, status):
+        """Note that a process goes by an older version than before."""
+        self.broken.append(f"{name} answers {status} to {path}, and had version {version} before")
+
     def _is_start_too_late(self, call, span):
         if call.cancelled_at is None:
             return False
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,14 +12,18 @@
 from anvilflow.utils import encode
 
 from ._callers import Callers
+from ._calm import Calm
+from ._config_watch import ConfigWatch
 from ._ending import Ending, LastFaults, make_ending
-from ._faults import LATER_KINDS, Injector, make_faults
+from ._faults import CONFIG_KINDS, LATER_KINDS, Injector, make_faults
 from ._instances import Instances
 from ._judge import CANCEL_S, Judge
 from ._world import World
 
-#: Time for the processes to start and find their home. Unit: seconds.
+#: Time for the processes to start and find their home, and for each of them: they share the
+#: machine's processors. Unit: seconds.
 START_S = 3.0
+START_EACH_S = 0.2
 
 #: Longest time from the end of the last fault to the end of the last job. Unit: seconds.
 SETTLE_S = 45.0
@@ -36,6 +40,8 @@
     n_accepted: int
     n_runs: int
     n_checked: int
+    n_configs: int
+    n_config_checked: int
     faults: list[str]
     ending: Ending
     broken: list[str]
@@ -54,6 +60,8 @@
     n_faults, n_instances, n_workers : int
     grows : bool, default=None
         Whether the configuration grows at the end; by default, as the seed says.
+    only_config : bool, default=False
+        Whether only faults are drawn that leave most instances calm.
     """
 
     def __init__(
@@ -67,6 +75,7 @@
         n_instances=5,
         n_workers=6,
         grows=None,
+        only_config=False,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -76,6 +85,7 @@
         self.n_instances = n_instances
         self.n_workers = n_workers
         self.grows = grows
+        self.only_config = only_config
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -86,40 +96,66 @@
         rng = Random(self.seed)
         host = loopback_host()
         world = World(reactor=self.reactor, host=host, n_workers=self.n_workers)
+        calm = Calm(reactor=self.reactor)
         instances = Instances(
             world=world,
             folder=self.folder,
             n_instances=self.n_instances,
             free_address=lambda: _free_address(host),
+            calm=calm,
         )
-        faults = make_faults(rng, n_faults=self.n_faults, seconds=self.seconds)
-        later = Random(f"{self.seed} later")
-        faults += make_faults(
-            later, n_faults=self.n_faults // 5, seconds=self.seconds, weights=LATER_KINDS
-        )
+        faults, later = self._draw_faults(rng)
         ending = make_ending(later, n_instances=self.n_instances)
         if self.grows is not None:
             ending.grows = self.grows
         try:
-            verdict = yield self._play(rng, world, instances, faults, ending)
+            verdict = yield self._play(rng, world, instances, calm, faults, ending)
         finally:
             instances.close()
             world.close()
         return verdict
 
+    def _draw_faults(self, rng):
+        """Return the faults and the generator of what is drawn later.
+
+        Each group has a generator of its own, so that a group that is added leaves the faults of
+        seeds that failed once as they were.
+        """
+        n_faults, seconds = self.n_faults, self.seconds
+        faults = make_faults(rng, n_faults=n_faults, seconds=seconds)
+        later = Random(f"{self.seed} later")
+        faults += make_faults(later, n_faults=n_faults // 5, seconds=seconds, weights=LATER_KINDS)
+        config = make_faults(
+            Random(f"{self.seed} config"),
+            n_faults=n_faults // 2,
+            seconds=seconds,
+            weights=CONFIG_KINDS,
+        )
+        return (config if self.only_config else faults + config), later
+
     @inlineCallbacks
-    def _play(self, rng, world, instances, faults, ending):
+    def _play(self, rng, world, instances, calm, faults, ending):
         for name in instances.names:
             instances.start(name)
-        yield self._sleep(START_S)
+        yield self._sleep(START_S + START_EACH_S * len(instances.names))
         judge = Judge(world=world)
         callers = Callers(
             reactor=self.reactor, fronts=instances.fronts, random_state=rng, judge=judge
         )
         injector = Injector(
-            reactor=self.reactor, world=world, instances=instances, random_state=rng
+            reactor=self.reactor, world=world, instances=instances, random_state=rng, calm=calm
         )
         injector.plan(faults)
+        watch = ConfigWatch(
+            reactor=self.reactor,
+            world=world,
+            instances=instances,
+            callers=callers,
+            judge=judge,
+            calm=calm,
+            random_state=Random(f"{self.seed} watch"),
+        )
+        watching = watch.start()
         calls = []
         last = LastFaults(
             reactor=self.reactor,
@@ -128,12 +164,15 @@
             callers=callers,
             judge=judge,
             random_state=Random(f"{self.seed} end"),
+            calm=calm,
         )
         calling = self._keep_calling(callers, calls)
         yield self._sleep(self.seconds + 2.0)
         yield last.play(ending)
         calling.stop()
         yield self._settle(world, instances, callers, judge)
+        watch.stop()
+        yield gatherResults(watching)
         yield last.check_config()
         yield callers.look_again()
         broken = judge.finish(callers.calls)
@@ -144,6 +183,8 @@
             n_accepted=sum(call.accepted_at is not None for call in callers.calls),
             n_runs=len(world.spans),
             n_checked=judge.n_checked,
+            n_configs=world.config_version - 1,
+            n_config_checked=watch.n_checked,
             faults=[f"{fault.at:.1f} {fault.kind} {fault.for_s}" for fault in faults],
             ending=ending,
             broken=broken,
