A call without an answer on a kept connection closes the others that were kept as long

A change of the configuration was in force after 2.4 s on an instance whose store connections had all fallen silent: the reading after the one that was given up took the next kept connection, silent as well. Cause: the client trusted each kept connection until a call on it had failed by itself, one time limit after the other. The same holds for orders to workers and for the home's records.

What lost track of one connection lost track of all that were open then; so those kept since before the call are closed with it, and those that answered later stay.

--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -100,7 +100,9 @@
         self.n_calls += 1
         self.n_bytes += len(body) + HEAD_BYTES
         call.addCallback(self._count)
-        self._send((host, port), request, exchange)
+        sent_at = self.clock.seconds()
+        if self._send((host, port), request, exchange):
+            call.addErrback(self._distrust, (host, port), sent_at)
         return call
 
     def _count(self, result):
@@ -120,10 +122,11 @@
     # Connections
 
     def _send(self, place, request, exchange):
+        """Send a request; return whether it goes over a kept connection."""
         kept = self._idle.get(place)
         if kept:
             kept.pop().send(request, exchange)
-            return
+            return True
         factory = Factory.forProtocol(
             lambda: HttpConnection(
                 on_idle=lambda connection: self._keep(place, connection),
@@ -136,6 +139,21 @@
         connecting.addErrback(exchange.fail)
         # Given up while it connects, the call must not be sent afterwards.
         exchange.connection = _Connecting(connecting)
+        return False
+
+    def _distrust(self, failure, place, sent_at):
+        """Close what was kept since before a call on a kept connection had no answer in time.
+
+        What lost track of one connection lost track of all that were open. Each further try took
+        the next of them, and waited for its time to be over: with three, a change of configuration
+        was late by twice that. A server that answers slowly costs a new connection.
+        """
+        if failure.check(TimeoutError):
+            kept = self._idle.get(place, ())
+            for connection in [each for each in kept if each.idle_since <= sent_at]:
+                kept.remove(connection)
+                connection.abort()
+        return failure
 
     def _connected(self, connection, request, exchange):
         if exchange.is_given_up:
@@ -144,6 +162,7 @@
         connection.send(request, exchange)
 
     def _keep(self, place, connection):
+        connection.idle_since = self.clock.seconds()
         kept = self._idle.setdefault(place, [])
         if len(kept) < self.connections:
             kept.append(connection)
--- a/anvilflow/clients/_http_connection.py
+++ b/anvilflow/clients/_http_connection.py
@@ -62,9 +62,14 @@
         Called with the connection when it can take the next exchange.
     on_closed : callable
         Called with the connection when it is gone.
+
+    Notes
+    -----
+    `idle_since` is the time at which whoever keeps it took it back. Unit: seconds.
     """
 
     def __init__(self, *, on_idle, on_closed):
+        self.idle_since = 0.0
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._exchange = None
--- a/anvilflow/clients/tests/test_http.py
+++ b/anvilflow/clients/tests/test_http.py
@@ -232,3 +232,62 @@
     for byte in answer:
         protocol.dataReceived(bytes([byte]))
     assert server.results == [(200, b"abcde")]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_try_after_silence_does_not_take_another_connection_that_may_be_silent(
+    monkeypatch, safeguard
+):
+    """A change of the configuration is late, or an order reaches its worker late.
+
+    Something between the two ends loses track of all open connections, three of which are kept. A
+    call on the first has no answer in time, and the next two tries wait as long on the others.
+
+    Evidence. Six real processes, connections to the store silenced right before a change: one had
+    it in force after 2.4 s, a second time limit later than the others, which had it after 1.1 to
+    1.3 s. With the safeguard all had it after 1.2 s at the most, in three runs.
+    """
+    if not safeguard:
+        monkeypatch.setattr(HttpClient, "_distrust", lambda self, failure, *_: failure)
+    server = _Server()
+    for _ in range(3):
+        server.call()
+    for protocol in [server.accept() for _ in range(3)]:
+        protocol.dataReceived(ANSWER)
+    server.clock.advance(1.0)
+    server.call(timeout=0.5)
+    server.clock.advance(0.6)
+    assert server.results[3].check(TimeoutError)
+    server.call()
+    assert (len(server.clock.tcpClients) == 4) is safeguard
+
+
+def test_connection_that_answered_meanwhile_is_kept_when_another_call_is_given_up():
+    """One of two calls has no answer; the other one's connection works."""
+    server = _Server()
+    for _ in range(2):
+        server.call()
+    first, second = (server.accept() for _ in range(2))
+    first.dataReceived(ANSWER)
+    second.dataReceived(ANSWER)
+    server.clock.advance(1.0)
+    server.call(timeout=0.5)
+    server.call(timeout=0.5)
+    server.clock.advance(0.2)
+    first.dataReceived(ANSWER)
+    server.clock.advance(0.4)
+    server.call()
+    assert len(server.clock.tcpClients) == 2
+
+
+def test_connections_are_kept_when_a_call_over_a_new_one_is_given_up():
+    """The server takes a connection and does not answer: that says nothing of the others."""
+    server = _Server()
+    server.call()
+    server.call(timeout=0.5)
+    first, _ = (server.accept() for _ in range(2))
+    first.dataReceived(ANSWER)
+    server.clock.advance(0.6)
+    assert server.results[1].check(TimeoutError)
+    server.call()
+    assert len(server.clock.tcpClients) == 2
