A configuration that is not understood leaves the last one in force

All instances ended at the same time, and callers had nobody left to ask, after a configuration that this release cannot read: the part that follows it took it for a fault of its own, was restarted, read it again, and after six times the process gave up. Found while looking for answers that the configuration decides and something else prevents; the store is said to take valid ones only, but a newer release's would do it.

It is logged and passed over now, as entries of workers are that are not understood; the next one is taken. It is not read again for the home's hints. Three tests; the first and second failed before (errors of 3 of 3 instances after 10 s), the third without its condition.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -52,6 +52,7 @@
         self._version = None
         self._hinted = None
         self._arriving = False
+        self._not_understood = False
         self._away_since = None
         self._n_failed = 0
 
@@ -64,11 +65,13 @@
         """Another instance has this version: read at once if ours is older, and not on its way.
 
         The feed's connection may have gone silent. If its answer is arriving, a second one would
-        halve the bandwidth of the first: on slow links both then came too late.
+        halve the bandwidth of the first: on slow links both then came too late. And if what the
+        store has is not understood here, it would be read again with each beat of the home.
         """
         config = self.context.config
         is_news = config is None or version > config.version
-        if not is_news or self._arriving or self._hinted is not None:
+        is_needless = self._arriving or self._not_understood or self._hinted is not None
+        if not is_news or is_needless:
             return
         self._hinted = reading = self._read_hinted()
         reading.addErrback(lambda failure: failure.trap(PlatformError))
@@ -147,7 +150,22 @@
     def _take_rows(self, rows, source):
         for row in rows:
             if row.key == CONFIG_KEY and row.value is not None:
-                self._take(row.value, source)
+                self._take_row(row, source)
+
+    def _take_row(self, row, source):
+        """Take a configuration; one that is not understood leaves the last one in force.
+
+        As a fault of this part it ended all instances at the same time, and again after each start.
+        """
+        try:
+            self._take(row.value, source)
+        except PlatformError as exc:
+            self._not_understood = True
+            self.log.warning(
+                "configuration not understood", row_version=row.version, error=str(exc)
+            )
+        else:
+            self._not_understood = False
 
     def _pause(self):
         delay = jitter(self.context.random_state, AGAIN_S)
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -14,7 +14,7 @@
 import pytest
 
 from anvilflow.cell._config import ConfigPart
-from anvilflow.platform import _store
+from anvilflow.platform import _store, decode_config
 from anvilflow.standins import StoreCall, make_platform_config
 from anvilflow.standins._wire import CALLER, WireClient
 from anvilflow.utils import encode
@@ -129,6 +129,53 @@
     return lambda rows, source: None if source == "feed" else take(rows, source)
 
 
+_MALFORMED = {"version": 7, "routes": 5}
+
+
+def test_configuration_that_is_not_understood_leaves_the_last_one_in_force():
+    """Another release's operator writes a configuration that this one cannot read.
+
+    Every instance took that for a fault of its own, read it again after each restart, and ended
+    after six of them: all at the same time, and callers had nobody left to ask.
+    """
+    cell = make_cell(n_instances=3)
+    cell.store.put("op", "config", _MALFORMED)
+    cell.advance(10.0)
+    assert cell.errors == []
+    assert _versions(cell) == {1}
+    assert cell.call("a0", "GET", "/urgent/")[0][0] == 200
+    cell.store.put("op", "config", make_platform_config(8))
+    cell.advance(0.5)
+    assert _versions(cell) == {8}
+
+
+def test_instance_that_starts_without_a_configuration_it_understands_waits_for_one():
+    """It refuses with 503, tells the balancer that it is not ready, and takes the next one."""
+    cell = make_cell(n_instances=3)
+    cell.store.put("op", "config", _MALFORMED)
+    cell.kill("a1")
+    daemon = cell.start_instance("a1")
+    cell.advance(10.0)
+    assert cell.errors == []
+    assert cell.call("a1", "GET", "/urgent/")[0][0] == 503
+    assert not daemon.supervisor.part("entry")._is_ready()
+    cell.store.put("op", "config", make_platform_config(8))
+    cell.advance(0.5)
+    assert cell.call("a1", "GET", "/urgent/")[0][0] == 200
+
+
+def test_configuration_that_is_not_understood_is_not_read_with_each_beat_of_the_home():
+    """The home, of a newer release, has understood it, and says so five times a second."""
+    cell = make_cell(n_instances=3)
+    name, home = cell.other(), cell.home()
+    cell.daemons[home].context.config = decode_config(encode(make_platform_config(7)))
+    cell.store.put("op", "config", _MALFORMED)
+    cell.advance(1.0)
+    before = cell.daemons[name].context.store.n_reads
+    cell.advance(10.0)
+    assert cell.daemons[name].context.store.n_reads - before < 25
+
+
 @pytest.mark.parametrize("kind", ["silent", "status"])
 def test_outage_of_the_store_costs_a_slow_link_no_second_reading(kind):
     """The store is away for six seconds, and the configuration did not change.
