--- a/soak/_config_watch.py
+++ b/soak/_config_watch.py
@@ -108,6 +108,8 @@
         )
         status, _ = yield self.callers.ask(name, b"GET", question.path)
         if self.instances.process_of(name) == process:
+            if status is not None:
+                self.calm.answered(name)
             self._check_regress(question, status)
             self._check_in_force(question, status)
 
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -81,11 +81,8 @@
         self._running[name] = subprocess.Popen(
             [sys.executable, str(_LAUNCHER)], stdout=log, stderr=log, env=env
         )
-        self._disturb(name)
-
-    def _disturb(self, name):
         if self.calm is not None:
-            self.calm.disturb([name])
+            self.calm.start(name)
 
     def is_running(self, name):
         """Whether the instance has a process, stopped or not."""
@@ -107,8 +104,8 @@
         if not self.is_running(name):
             return
         self._running[name].send_signal(number)
-        if number != signal.SIGHUP:
-            self._disturb(name)
+        if number != signal.SIGHUP and self.calm is not None:
+            self.calm.disturb([name])
         match number:
             case signal.SIGSTOP:
                 self._stopped.add(name)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -59,6 +59,22 @@
     assert calm.holds("a0", 12.0 + CONTACT_S)
 
 
+@pytest.mark.parametrize("answers", [True, False])
+def test_start_lasts_until_the_process_answers_or_for_too_long(answers):
+    """Beside other soaks a process takes seconds to begin; one that never does is a finding."""
+    clock = Clock()
+    calm = Calm(reactor=clock)
+    calm.start("a0")
+    clock.advance(5.0)
+    if answers:
+        calm.answered("a0")
+    assert not calm.holds("a0", 5.0)
+    clock.advance(4.0)
+    assert calm.holds("a0", 9.0) is answers
+    clock.advance(2.0)
+    assert calm.holds("a0", 11.0)
+
+
 @pytest.mark.parametrize(
     ("path", "asked", "status", "is_right"),
     [
