A job's queue is the one of the newer configuration, the home's or its entry's

A queue was moved to another service, and a job that came after the change, by an instance that had it, ran on a worker of the former service: the home, whose feed was late, went by its own configuration, however old.

The job's row says by which version it was accepted. A home that is behind takes the row's queue, and does not know the new service's workers yet: the job waits until the home has the change.

--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -141,7 +141,7 @@
     @inlineCallbacks
     def submit(self, spec, queue):
         """Accept a job durably; AF302 says it certainly was not, AF305 that it may have been."""
-        value = JobRow(spec=spec, queue=queue)
+        value = JobRow(spec=spec, queue=queue, config_version=self.config.version)
         if len(encode(value)) > MAX_ROW_BYTES:
             # The store refuses it however often it comes. Taken for a write in doubt, the client
             # was told to send it again, and the instance took the store for away each time.
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -70,6 +70,7 @@
             now=self._now(),
             wall_now=self.context.wall_clock(),
             record=record,
+            config_version=value.config_version,
         )
         if added:
             self.log.info(
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -53,10 +53,11 @@
 
 
 class JobRow(Struct, kw_only=True):
-    """An accepted job, with its queue as configured when it was accepted."""
+    """An accepted job, with its queue as configured when it was accepted, and by which version."""
 
     spec: JobSpec
     queue: Queue
+    config_version: int = 0
 
 
 #: Parts of the table of jobs. With the store a hundred times as slow each takes 3.3 jobs a second:
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -19,7 +19,7 @@
 from anvilflow.standins._wire import CALLER, WireClient
 from anvilflow.utils import encode
 
-from ._helpers import make_cell
+from ._helpers import JOB, make_cell
 
 _CALL = WireClient.call
 
@@ -129,6 +129,30 @@
     return lambda rows, source: None if source == "feed" else take(rows, source)
 
 
+def test_home_with_an_older_configuration_goes_by_that_of_the_jobs_entry(monkeypatch):
+    """An operator moves a queue to another service; a caller's job runs by the former one.
+
+    The instance that took the job has the change, the home does not yet, as while its feed is
+    silent. It knew the queue by its own configuration, and that went first, however old it was.
+    """
+    cell = make_cell(n_instances=3)
+    moved = cell.workers["i-3"]
+    cell.store.put("servers", "i-3", {**moved.entry(), "service": "annex"})
+    cell.advance(0.5)
+    home = cell.daemons[cell.home()].supervisor.part("config")
+    monkeypatch.setattr(home, "_take_rows", lambda rows, source: None)
+    queues = [{"name": "urgent", "prefix": "/urgent/", "service": "annex"}]
+    cell.store.put("op", "config", make_platform_config(5, queues=queues))
+    cell.advance(0.5)
+    cell.submit(cell.other(), JOB, {"count": 2, "cpu": 1000})
+    cell.advance(1.0)
+    assert cell.spans == []
+    monkeypatch.undo()
+    cell.store.put("op", "config", make_platform_config(6, queues=queues))
+    cell.advance(1.0)
+    assert {span.worker for span in cell.spans} == {"i-3"}
+
+
 _MALFORMED = {"version": 7, "routes": 5}
 
 
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -69,14 +69,13 @@
             job.queue = config.queue_named(job.queue.name) or job.queue
             job.wake()
 
-    def add_job(self, spec, queue, *, version, now, wall_now, record=None):
+    def add_job(self, spec, queue, *, version, now, wall_now, record=None, config_version=0):
         """Take on an accepted job; return False when it is known already."""
         if self.knows_job(spec.job_id):
             return False
-        configured = self.config.queue_named(queue.name) if self.config else None
         self.jobs[spec.job_id] = JobRun(
             spec=spec,
-            queue=configured or queue,
+            queue=self._newer_queue(queue, config_version),
             version=version,
             now=now,
             wall_now=wall_now,
@@ -87,6 +86,16 @@
         self._take_up(self.jobs[spec.job_id], now)
         return True
 
+    def _newer_queue(self, queue, config_version):
+        """Return a job's queue by the newer of two configurations: this home's and its entry's.
+
+        An operator moved a queue to another service. A home that had not heard of it yet sent jobs
+        that came after the change, by an entry that had, to workers of the former one.
+        """
+        if self.config is None or self.config.version < config_version:
+            return queue
+        return self.config.queue_named(queue.name) or queue
+
     def jobs_read(self, asked_at):
         """Note that all jobs are known which were accepted before `asked_at`. Unit: seconds."""
         self._jobs_known_at = asked_at
