An instance that stops answers the calls in progress first

A job handed in while the store is slow would have been left in doubt.

It closes its port then, serves the connections that are open for 0.2 s at the least, and ends when no call is in progress, a second before it would be killed at the latest.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -37,6 +37,10 @@
 #: sends no new connections. Unit: seconds.
 BALANCER_S = 2.5
 
+#: Time for what clients had sent before the port was closed to arrive, and for the last answers to
+#: leave; the period of looking whether there are any. Unit: seconds.
+LAST_CALLS_S = 0.2
+
 _log = Logger("daemon")
 
 
@@ -111,11 +115,32 @@
         context.leaving = True
         _log.info("leaving")
         context.bus.post(Leaving())
-        longest = context.settings.bounds.grace_s - END_MARGIN_S
-        yield deferLater(context.clock, min(longest, BALANCER_S + 1.0), lambda: None)
+        end_at = context.clock.seconds() + context.settings.bounds.grace_s - END_MARGIN_S
+        yield self._sleep_until(min(end_at, context.clock.seconds() + BALANCER_S + 1.0))
+        yield self._answer_last_calls(end_at)
         yield self.supervisor.stop()
         _log.info("stopped")
 
+    @inlineCallbacks
+    def _answer_last_calls(self, end_at):
+        """Take no more connections, and wait for the calls that are in progress.
+
+        A process that ends takes them along: their clients hear nothing, and do not know whether
+        their jobs were accepted.
+        """
+        entry = self.supervisor.part("entry")
+        if entry is None:
+            return
+        entry.stop_listening()
+        is_idle = False
+        while not is_idle and self.context.clock.seconds() < end_at:
+            yield self._sleep_until(min(end_at, self.context.clock.seconds() + LAST_CALLS_S))
+            is_idle = entry.n_in_progress == 0
+
+    def _sleep_until(self, at):
+        clock = self.context.clock
+        return deferLater(clock, max(0.0, at - clock.seconds()), lambda: None)
+
 
 def make_cell_daemon(settings, *, reactor, give_up):
     """Return the :class:`CellDaemon` of `settings` with real sockets."""
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -73,6 +73,17 @@
         super().__init__(context=context)
         self._ended = OrderedDict()
         self._untold = {}
+        self.front = None
+        self._port = None
+
+    @property
+    def n_in_progress(self):
+        """Number of calls of clients that have not been answered yet."""
+        return self.front.n_in_progress
+
+    def stop_listening(self):
+        """Take no new connections of clients; those that are open are served on."""
+        self._port.stopListening()
 
     @property
     def config(self):
@@ -88,13 +99,14 @@
         """Listen to clients and to the balancer."""
         listen = self.context.settings.listen
         network = self.context.network
-        front = Site(FrontResource(entry=self), timeout=60)
+        self.front = FrontResource(entry=self)
+        front = Site(self.front, timeout=60)
         front.log = lambda request: None
         ready = Site(ReadyResource(is_ready=self._is_ready), timeout=60)
         ready.log = lambda request: None
-        for address, site in ((listen.front, front), (listen.ready, ready)):
-            port, _ = network.listen(address, site)
-            self._stack.callback(port.stopListening)
+        for address, site in ((listen.ready, ready), (listen.front, front)):
+            self._port, _ = network.listen(address, site)
+            self._stack.callback(self._port.stopListening)
         self.on(HomeChanged, lambda *_: self._tell_again())
         # A home reads the rows of all jobs when it begins.
         self.on(Claimed, lambda *_: self._untold.clear())
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -41,6 +41,10 @@
         Offers ``config``, ``closing``, ``submit(spec, queue)``, ``state(queue, job_id)``,
         ``cancel(queue, job_id)`` and ``pending(queue)``, which return Deferreds,
         ``answered(verb, status)``, and ``refused(verb, path, status, error)``.
+
+    Notes
+    -----
+    `n_in_progress` counts the calls that have been read and not been answered yet.
     """
 
     isLeaf = True
@@ -48,17 +52,24 @@
     def __init__(self, *, entry):
         super().__init__()
         self.entry = entry
+        self.n_in_progress = 0
         self._verbs = {b"POST": self._submit, b"GET": self._get, b"DELETE": self._cancel}
 
     def render(self, request):
         """Answer one call."""
+        self.n_in_progress += 1
         done = maybeDeferred(self._serve, request)
         gone = []
         request.notifyFinish().addErrback(gone.append)
         done.addCallback(self._answer, request, gone)
         done.addErrback(self._fail, request, gone)
+        done.addBoth(self._over)
         return NOT_DONE_YET
 
+    def _over(self, result):
+        self.n_in_progress -= 1
+        return result
+
     def _serve(self, request):
         config = self.entry.config
         if config is None:
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -8,7 +8,7 @@
 from ..cell import CellContext, CellDaemon, CellSettings
 from ..cell import ListenSettings as CellListen
 from ..jobs import SchedulingPolicy
-from ..platform import AdviceClient, FrontResource, StoreClient, WorkerCalls
+from ..platform import AdviceClient, StoreClient, WorkerCalls
 from ..runtime import Bus
 from ..utils import encode
 from ._front_call import FrontCall
@@ -261,7 +261,7 @@
         """Make a client's call; return a list that gets ``(status, value, headers)``."""
         entry = self.daemons[instance].supervisor.part("entry")
         request = FrontCall(method=method, host="desk.example", path=path, body=body)
-        maybeDeferred(FrontResource(entry=entry).render, request)
+        maybeDeferred(entry.front.render, request)
         return request.answers
 
     def submit(self, instance, job_id, *steps, queue="urgent", **values):
