--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -3,13 +3,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from ..exceptions import PlatformError
-from ..jobs import (
-    AskAdvice,
-    NoteWait,
-    SetPace,
-    StartRun,
-    StopRun,
-)
+from ..jobs import AskAdvice, NoteWait, SetPace, StartRun, StopRun
 from ..platform import REGISTRY_TABLE
 from ..runtime import Part
 from ..utils import jitter, to_builtins
@@ -26,6 +20,7 @@
 from ._load_beat import LoadBeat
 from ._recorder import Recorder
 from ._tables import JOBS
+from ._waiting import Waiting
 
 #: Longest time between two plans: what falls due by time alone is seen by then. A plan with nothing
 #: to do takes 0.03 ms at 14,000 running tasks. Unit: seconds.
@@ -63,7 +58,6 @@
         self._planned = None
         self._loaded = False
         self.loaded_at = None
-        self.jobs_version = 0
         self._n_failed_loads = 0
         self._load_beat = None
         self._janitor = None
@@ -180,7 +174,6 @@
             context=self.context, log=self.log, scheduler=scheduler, janitor=self._janitor
         )
         self.act(self._intake.take_over(state))
-        self.jobs_version = state.jobs_version
         for row in state.workers:
             self._fleet.take_entry(row)
         for handover in claimed.former.handover if claimed.former is not None else ():
@@ -247,13 +240,9 @@
         """Return what the home says of itself and of what waits."""
         return self._voice.full_beat()
 
-    def n_waiting(self):
-        """Count the jobs of which nothing has begun, by queue; :attr:`jobs_version` goes with it.
-
-        That is the newest version of a job's row that is known here. An entry tells of its jobs in
-        milliseconds; up to the feed's version, those of a second would be counted twice.
-        """
-        return self._scheduler.n_waiting()
+    def waiting(self):
+        """Return what waits, for the other instances."""
+        return Waiting(counts=self._scheduler.n_waiting(), version=self._intake.version)
 
     @property
     def term(self):
@@ -305,7 +294,7 @@
             follower.run(version).addErrback(self.fail_with)
 
     def _take_jobs(self, rows, _, version, asked_at):
-        self.jobs_version = max(self.jobs_version, version)
+        self._intake.known_up_to(version)
         for row in rows:
             self.act(self._intake.take(row))
         self._scheduler.jobs_read(asked_at)
@@ -325,7 +314,6 @@
 
     def add_job(self, value, version):
         """Take on a job that an entry has accepted."""
-        self.jobs_version = max(self.jobs_version, version)
         self._intake.add(value, version)
         self.changed()
 
--- a/anvilflow/cell/_home_voice.py
+++ b/anvilflow/cell/_home_voice.py
@@ -17,8 +17,8 @@
     context : CellContext
     log : Logger
     home : object
-        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``, ``loaded_at``,
-        ``n_waiting()`` and ``jobs_version``.
+        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``, ``loaded_at``
+        and ``waiting()``.
     """
 
     def __init__(self, *, context, log, home):
@@ -42,10 +42,11 @@
 
     def full_beat(self):
         """Return the same with what waits; kept here as well, for when another is the home."""
+        waiting = self.home.waiting()
+        self.context.waiting.told(waiting)
         beat = self.beat()
-        beat.waiting = self.home.n_waiting()
-        beat.jobs_version = self.home.jobs_version
-        self.context.waiting.told(beat.waiting, beat.jobs_version)
+        beat.waiting = waiting.counts
+        beat.jobs_version = waiting.version
         self._counted_at = self.context.clock.seconds()
         return beat
 
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -22,6 +22,16 @@
         self.log = log
         self.scheduler = scheduler
         self.janitor = janitor
+        self._version = 0
+
+    @property
+    def version(self):
+        """Newest version of the table of jobs that is known here."""
+        return self._version
+
+    def known_up_to(self, version):
+        """Note that the table is known up to a version."""
+        self._version = max(self._version, version)
 
     def _now(self):
         return self.context.clock.seconds()
@@ -33,6 +43,7 @@
         ----------
         state : StoredState
         """
+        self.known_up_to(state.jobs_version)
         progress = {row.key: decode(row.value, JobRecord) for row in state.progress}
         for row in state.ended:
             value = decode(row.value, EndedJob)
@@ -63,6 +74,7 @@
 
     def add(self, value, version, record=None):
         """Take on a job, once."""
+        self.known_up_to(version)
         added = self.scheduler.add_job(
             value.spec,
             value.queue,
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -12,6 +12,7 @@
 from ._outcome import Outcome
 from ._strength import is_fit
 from ._tables import HOME, HOME_KEY, PART, HomeRow, condition, write
+from ._waiting import Waiting
 
 #: Period of looking at the home. Unit: seconds.
 LOOK_S = 0.1
@@ -103,7 +104,8 @@
             self.log.info("home yields", home=source, term=beat.term)
         self._yielding = beat.yielding
         if beat.waiting is not None:
-            self.context.waiting.told(beat.waiting, beat.jobs_version or 0)
+            waiting = Waiting(counts=beat.waiting, version=beat.jobs_version or 0)
+            self.context.waiting.told(waiting)
         config = self.context.config
         if config is None or beat.config_version > config.version:
             self.context.config_part.hint(beat.config_version)
--- a/anvilflow/cell/_waiting.py
+++ b/anvilflow/cell/_waiting.py
@@ -2,24 +2,36 @@
 
 from collections import Counter
 
+from msgspec import Struct
 from twisted.internet.defer import DeferredLock, inlineCallbacks
 
 from ..exceptions import NotReadyError, PlatformError, RevisionGoneError
 from ..utils import decode
 from ._tables import CANCEL_MARK, JOBS, JobRow
 
-#: Period in which the home tells what waits. Unit: seconds.
-TELL_S = 0.5
+#: Period in which the home tells what waits, with a beat: after 0.6 s at the latest. Unit: seconds.
+TELL_S = 0.4
 
-#: Age up to which a count is good for an answer; with the period above it is at most the two
+#: Age up to which a count is good for an answer; with the period above it is less than the two
 #: seconds old that callers were promised. Unit: seconds.
-MAX_AGE_S = 1.5
+MAX_AGE_S = 1.3
 
 #: Time without a word of a home after which the counts are given up. One that is out of reach from
 #: here may live and begin jobs, which go on being counted as if they waited. Unit: seconds.
 MAX_SILENCE_S = 10.0
 
 
+class Waiting(Struct, kw_only=True):
+    """What a home tells: jobs of which nothing has begun, by queue; those of none are left out.
+
+    `version` is the newest of the table of jobs that the home knows. An entry tells it of a job in
+    milliseconds; up to the feed's version, those of the last second would be counted twice.
+    """
+
+    counts: dict[str, int]
+    version: int
+
+
 class WaitingJobs:
     """Counts of jobs of which nothing has begun, by queue.
 
@@ -51,10 +63,10 @@
         """Whether the counts are new enough for an answer."""
         return self.is_known and self.context.clock.seconds() - self._known_at <= MAX_AGE_S
 
-    def told(self, counts, version):
-        """Take the home's counts, and the version of the table of jobs up to which they hold."""
-        self._counts = Counter(counts)
-        self._version = version
+    def told(self, waiting):
+        """Take what a home tells."""
+        self._counts = Counter(waiting.counts)
+        self._version = waiting.version
         self._known_at = self._told_at = self.context.clock.seconds()
 
     def count(self, queue):
