--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,14 +17,18 @@
 FOLDER = Path("out/soak")
 
 
-def one(seed, folder=None, config=False, instances=5):
+def one(seed, folder=None, config=False, instances=5, series=0):
     """Play one seed; exit with 1 when a promise was broken.
 
     With `config`, only faults that leave most instances calm, and what they make of the operator's
-    changes is checked more often.
+    changes is checked more often. With `series`, so many faults besides that come several times.
     """
     verdict = run_seed(
-        seed, folder or FOLDER / str(seed), only_config=config, n_instances=instances
+        seed,
+        folder or FOLDER / str(seed),
+        only_config=config,
+        n_instances=instances,
+        n_series=series,
     )
     print(
         f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs, "
@@ -35,11 +39,11 @@
     sys.exit(1 if verdict.broken else 0)
 
 
-def many(first=None, seeds=8, jobs=4, config=False, instances=5):
+def many(first=None, seeds=8, jobs=4, config=False, instances=5, series=0):
     """Play several seeds side by side, fresh ones without `first`; keep the logs of bad ones."""
     first = random.SystemRandom().randrange(10**6) if first is None else first
     with ThreadPoolExecutor(max_workers=jobs) as pool:
-        options = [f"--config={config}", f"--instances={instances}"]
+        options = [f"--config={config}", f"--instances={instances}", f"--series={series}"]
         results = list(pool.map(lambda seed: _play(seed, *options), range(first, first + seeds)))
     bad = [seed for seed, is_good in results if not is_good]
     print(f"{seeds} seeds from {first}: {len(bad)} broken {bad}")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -61,6 +61,12 @@
     "worker crash": 1,
 }
 
+#: Faults that come several times, close together, so that they hit what recovers from the last one;
+#: how often, and how far apart. Unit: seconds.
+SERIES_KINDS = {"series: kill home": 2, "series: pause home": 1, "series: reload home": 1}
+SERIES_LENGTH = 4
+SERIES_PAUSES_S = (0.2, 0.4, 0.7)
+
 _CLOCK_SIGNALS = {"ahead": signal.SIGUSR1, "back": signal.SIGUSR2}
 
 
@@ -139,6 +145,8 @@
     def inject(self, fault):
         """Begin a fault and set the time of its end."""
         match fault.kind.split():
+            case ["series:", *what]:
+                self._begin_series(fault, " ".join(what))
             case ["kill", "all" | "half" as share]:
                 self._kill_many(fault, 1.0 if share == "all" else 0.5)
             case ["kill", *_]:
@@ -157,7 +165,7 @@
                 for name in names:
                     self.instances.send(name, _CLOCK_SIGNALS[way])
                     self._later(fault.for_s, self.instances.send, name, _CLOCK_SIGNALS[back])
-            case ["reload"]:
+            case ["reload", *_]:
                 self.instances.send(self._instance(fault), signal.SIGHUP)
             case ["config"]:
                 self.world.change_config()
@@ -173,6 +181,13 @@
             case _:
                 self._connections(fault, self._proxy(fault), fault.kind)
 
+    def _begin_series(self, fault, kind):
+        each = Fault(at=fault.at, for_s=fault.for_s, kind=kind, pick=fault.pick)
+        at = 0.0
+        for _ in range(SERIES_LENGTH):
+            self._later(at, self.inject, each)
+            at += self.random_state.choice(SERIES_PAUSES_S)
+
     def _kill(self, name, down_s):
         self.instances.send(name, signal.SIGKILL)
         self._later(down_s, self.instances.start, name)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from ._calm import Calm
 from ._config_watch import ConfigWatch
 from ._ending import Ending, LastFaults, make_ending
-from ._faults import CONFIG_KINDS, LATER_KINDS, Injector, make_faults
+from ._faults import CONFIG_KINDS, LATER_KINDS, SERIES_KINDS, Injector, make_faults
 from ._instances import Instances
 from ._judge import CANCEL_S, Judge
 from ._world import World
@@ -62,6 +62,8 @@
         Whether the configuration grows at the end; by default, as the seed says.
     only_config : bool, default=False
         Whether only faults are drawn that leave most instances calm.
+    n_series : int, default=0
+        Faults that come several times, close together, besides.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         n_workers=6,
         grows=None,
         only_config=False,
+        n_series=0,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -86,6 +89,7 @@
         self.n_workers = n_workers
         self.grows = grows
         self.only_config = only_config
+        self.n_series = n_series
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -131,7 +135,13 @@
             seconds=seconds,
             weights=CONFIG_KINDS,
         )
-        return (config if self.only_config else faults + config), later
+        series = make_faults(
+            Random(f"{self.seed} series"),
+            n_faults=self.n_series,
+            seconds=seconds,
+            weights=SERIES_KINDS,
+        )
+        return (config if self.only_config else faults + config) + series, later
 
     @inlineCallbacks
     def _play(self, rng, world, instances, calm, faults, ending):
