The count of a queue waits for the first home, and is not refused for one lost answer

A caller waits for the first word of a home for 1.5 s, half of its time. The store counts as away after 1.0 s without an answer, longer than one call; then the refusal comes at once. Three tests; the first and third fail before.

--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -306,23 +306,25 @@
         look like a queue that is not known.
         """
         waiting = self.context.waiting
-        if self.context.home is None and waiting.is_known:
-            yield waiting.refresh()
-            return waiting.count(queue.name)
-        n_jobs = yield self._pending_at_home(queue)
-        return n_jobs
+        if self.context.home is not None or not waiting.is_known:
+            n_jobs = yield self._pending_at_home(queue)
+            if n_jobs is not None:
+                return n_jobs
+        yield waiting.await_first()
+        yield waiting.refresh()
+        return waiting.count(queue.name)
 
     @inlineCallbacks
     def _pending_at_home(self, queue):
+        """Ask the home; return None where that does not tell.
+
+        A home of an earlier release does not tell by itself what waits.
+        """
         try:
             reply = yield self._ask("pending", "", queue.name)
-        except AnvilflowError as exc:
-            raise NotReadyError(
-                f"the home cannot be asked: {exc}", details={"retry_after_s": 1}
-            ) from exc
-        if reply.outcome != "ok":
-            raise NotReadyError("the home is changing", details={"retry_after_s": 1})
-        return reply.count
+        except AnvilflowError:
+            return None
+        return reply.count if reply.outcome == "ok" else None
 
     @inlineCallbacks
     def cancel(self, queue, job_id):
--- a/anvilflow/cell/_waiting.py
+++ b/anvilflow/cell/_waiting.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from msgspec import Struct
-from twisted.internet.defer import DeferredLock, inlineCallbacks
+from twisted.internet.defer import Deferred, DeferredLock, TimeoutError, inlineCallbacks
 
 from ..exceptions import NotReadyError, PlatformError, RevisionGoneError
 from ..utils import decode
@@ -20,6 +20,14 @@
 #: here may live and begin jobs, which go on being counted as if they waited. Unit: seconds.
 MAX_SILENCE_S = 10.0
 
+#: Time without an answer of the store after which it is not asked: one answer that was lost is over
+#: within 0.8 s, and says nothing about the store. Unit: seconds.
+STORE_AWAY_S = 1.0
+
+#: Longest wait of a caller for the first word of a home, as after the end of all instances. The
+#: first home begins some 2 s after its start; callers wait for 3 s. Unit: seconds.
+FIRST_WORD_S = 1.5
+
 
 class Waiting(Struct, kw_only=True):
     """What a home tells: jobs of which nothing has begun, by queue; those of none are left out.
@@ -52,6 +60,7 @@
         self._known_at = 0.0
         self._told_at = 0.0
         self._lock = DeferredLock()
+        self._waiters = []
 
     @property
     def is_known(self):
@@ -68,11 +77,35 @@
         self._counts = Counter(waiting.counts)
         self._version = waiting.version
         self._known_at = self._told_at = self.context.clock.seconds()
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
 
     def count(self, queue):
         """Return how many jobs of a queue wait."""
         return self._counts[queue]
 
+    @inlineCallbacks
+    def await_first(self):
+        """Wait until a home has told for the first time.
+
+        Raises
+        ------
+        NotReadyError
+            AF204, when none has in time, or none can begin since the store is away.
+        """
+        if self.is_known:
+            return
+        self._check_store()
+        waiter = Deferred()
+        self._waiters.append(waiter)
+        waiter.addTimeout(FIRST_WORD_S, self.context.clock)
+        try:
+            yield waiter
+        except TimeoutError as exc:
+            self._waiters.remove(waiter)
+            raise _not_known("no home has told yet") from exc
+
     @inlineCallbacks
     def refresh(self):
         """Count what was accepted since the home told; one reading for all who ask meanwhile.
@@ -91,8 +124,7 @@
         asked_at, version = self.context.clock.seconds(), self._version
         if asked_at - self._told_at > MAX_SILENCE_S:
             raise _not_known("no home has told for too long")
-        if self.context.store_health.is_bad:
-            raise _not_known("neither a home nor the store tells")
+        self._check_store()
         try:
             rows, newest = yield self.context.store.follow(JOBS, version, wait_s=0.0)
             accepted = _accepted(rows)
@@ -105,6 +137,10 @@
         self._version = newest
         self._known_at = asked_at
 
+    def _check_store(self):
+        if self.context.store_health.bad_for_s > STORE_AWAY_S:
+            raise _not_known("neither a home nor the store tells")
+
 
 def _accepted(rows):
     """Return the queue of each job among rows of the table of jobs."""
--- a/anvilflow/cell/tests/test_added_queue.py
+++ b/anvilflow/cell/tests/test_added_queue.py
@@ -131,6 +131,54 @@
     assert cell.errors == []
 
 
+def test_count_waits_for_the_first_home_after_the_end_of_all_instances():
+    """All instances end at once; the first caller is there before one of them is the home.
+
+    Refused at once, callers were told to come again by instances that knew the queue; the home
+    began within their time.
+    """
+    cell = make_cell(n_instances=3)
+    names = list(cell.daemons)
+    for name in names:
+        cell.kill(name)
+    cell.advance(1.0)
+    for name in names:
+        cell.start_instance(name)
+    cell.advance(0.05)
+    answers = [cell.call(name, "GET", "/urgent/") for name in names]
+    cell.advance(2.0)
+    assert [status for answer in answers for status, *_ in answer] == [200] * len(names)
+
+
+def test_count_is_refused_at_once_where_no_home_can_begin():
+    """The store is away, and no instance has heard a home since its start."""
+    cell = make_cell(n_instances=3)
+    name = cell.other()
+    cell.kill(cell.home())
+    cell.kill(name)
+    cell.start_instance(name)
+    cell.advance(0.02)
+    cell.store_faults.status = 503
+    cell.advance(_waiting.STORE_AWAY_S + 1.0)
+    answers = cell.call(name, "GET", "/urgent/")
+    cell.advance(0.05)
+    assert [status for status, *_ in answers] == [503]
+
+
+def test_one_lost_answer_of_the_store_does_not_refuse_the_count(monkeypatch):
+    """A reading over a silent connection had no answer; the store is there, the home is not.
+
+    Evidence. A soak's instance refused for 0.15 s as if the store were away, until a probe had
+    shown that it was there.
+    """
+    cell = make_cell(n_instances=3)
+    _without_successor(monkeypatch, cell)
+    cell.advance(2.0)
+    name = next(iter(cell.daemons))
+    cell.daemons[name].context.store_health.bad()
+    assert _n_waiting(cell, name) == 0
+
+
 @pytest.mark.parametrize("waited_s", [0.1, 0.5, 0.9, 1.3, 1.7, 2.1])
 @pytest.mark.parametrize("lead_s", [0.0, 0.6, 1.2])
 def test_change_is_in_force_in_time_after_connections_to_the_store_fell_silent(lead_s, waited_s):
