--- a/soak/_config_watch.py
+++ b/soak/_config_watch.py
@@ -10,10 +10,6 @@
 #: Time after an answer from which the same process may not go by an older version. Unit: seconds.
 DOWNGRADE_S = 0.25
 
-#: Time after which a question to an instance that is told to stop counts as cut off. Connections
-#: that come late are refused at once, and their callers go elsewhere. Unit: seconds.
-LOSS_SLACK_S = 0.2
-
 #: Pauses between two questions to one instance: at the least, and for each instance there is, since
 #: one process asks them all. Unit: seconds.
 ASK_EVERY_S = 0.1
@@ -147,9 +143,12 @@
             self.judge.config_not_in_force(question, status, age_s)
 
     def _is_refused(self, question):
-        """Whether an instance that is told to stop takes no more connections."""
-        is_quick = self.reactor.seconds() - question.at <= LOSS_SLACK_S
-        return is_quick and question.name in self.instances.leaving
+        """Whether an instance that is told to stop takes no more connections.
+
+        Its callers go elsewhere; one whose connection was taken must be answered.
+        """
+        refused_at = self.world.proxies[f"{question.name} front"].refused_at
+        return question.name in self.instances.leaving and refused_at >= question.at
 
 
 def _is_right(question, status):
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -24,7 +24,7 @@
     `delay_s` holds every piece back. `cut_to_target` and `cut_from_target` keep one direction back
     until :meth:`heal`, and `refuses` resets new connections. :meth:`silence` lets those that are
     open now say nothing for good, while new ones work; but not while `is_dark`, when the target has
-    no power: new ones are never answered.
+    no power: new ones are never answered. `refused_at` is when the target last refused one.
     """
 
     def __init__(self, *, reactor, host, target):
@@ -33,6 +33,7 @@
         self.target = target
         self.pairs = []
         self.is_dark = False
+        self.refused_at = float("-inf")
         self.lines = {True: Line(reactor=reactor), False: Line(reactor=reactor)}
         self.port = reactor.listenTCP(0, _make_factory(self), interface=host, backlog=256)
         self.heal()
@@ -90,7 +91,11 @@
         self.server = _Leg(pair=self, to_target=False)
         endpoint = TCP4ClientEndpoint(self.proxy.reactor, host, port, timeout=CONNECT_S)
         done = connectProtocol(endpoint, self.server)
-        done.addCallbacks(lambda _: self.flush(), lambda _: self.abort())
+        done.addCallbacks(lambda _: self.flush(), lambda _: self.refuse())
+
+    def refuse(self):
+        self.proxy.refused_at = self.proxy.reactor.seconds()
+        self.abort()
 
     def carry(self, data, to_target):
         if not self.silent:
