--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -74,7 +74,7 @@
         self._ended = OrderedDict()
         self._untold = {}
         self.front = None
-        self._port = None
+        self._front_port = None
 
     @property
     def n_in_progress(self):
@@ -83,7 +83,7 @@
 
     def stop_listening(self):
         """Take no new connections of clients; those that are open are served on."""
-        self._port.stopListening()
+        self._front_port.stopListening()
 
     @property
     def config(self):
@@ -98,20 +98,23 @@
     def start(self):
         """Listen to clients and to the balancer."""
         listen = self.context.settings.listen
-        network = self.context.network
         self.front = FrontResource(entry=self)
         front = Site(self.front, timeout=60)
         front.log = lambda request: None
         ready = Site(ReadyResource(is_ready=self._is_ready), timeout=60)
         ready.log = lambda request: None
-        for address, site in ((listen.ready, ready), (listen.front, front)):
-            self._port, _ = network.listen(address, site)
-            self._stack.callback(self._port.stopListening)
+        self._listen(listen.ready, ready)
+        self._front_port = self._listen(listen.front, front)
         self.on(HomeChanged, lambda *_: self._tell_again())
         # A home reads the rows of all jobs when it begins.
         self.on(Claimed, lambda *_: self._untold.clear())
         self.log.info("listening to clients", address=listen.front)
 
+    def _listen(self, address, site):
+        port, _ = self.context.network.listen(address, site)
+        self._stack.callback(port.stopListening)
+        return port
+
     def _is_ready(self):
         context = self.context
         if context.config is None or context.leaving:
