--- a/anvilflow/cell/_waiting.py
+++ b/anvilflow/cell/_waiting.py
@@ -20,12 +20,12 @@
 #: here may live and begin jobs, which go on being counted as if they waited. Unit: seconds.
 MAX_SILENCE_S = 10.0
 
-#: Time without an answer of the store after which it is not asked: one answer that was lost is over
-#: within 0.8 s, and says nothing about the store. Unit: seconds.
+#: Time without an answer of the store after which it is not asked: longer than the time limit of
+#: one call, since one answer that was lost says nothing about the store. Unit: seconds.
 STORE_AWAY_S = 1.0
 
-#: Longest wait of a caller for the first word of a home, as after the end of all instances. The
-#: first home begins some 2 s after its start; callers wait for 3 s. Unit: seconds.
+#: Longest wait of a caller for the first word of a home, as after the end of all instances: half of
+#: the time for which callers wait. Unit: seconds.
 FIRST_WORD_S = 1.5
 
 
@@ -44,9 +44,9 @@
     """Counts of jobs of which nothing has begun, by queue.
 
     The configuration alone says whether a queue is served; the home knows how many of its jobs
-    wait. When it was asked for each answer, its loss made all other instances refuse every queue
-    for half a second and more, as if they did not know it. Nothing begins without a home: what it
-    told last, and the jobs that were accepted since, are the count until there is another one.
+    wait. Asked for each answer, its loss would make all other instances refuse every queue until
+    there is another one, as if they did not know it. Nothing begins without a home: what it told
+    last, and the jobs that were accepted since, are the count until then.
 
     Parameters
     ----------
--- a/anvilflow/cell/tests/_helpers.py
+++ b/anvilflow/cell/tests/_helpers.py
@@ -21,7 +21,7 @@
     return cell
 
 
-def end_and_start_all(cell):
+def end_and_start_all(cell, *, settle_s=2.0):
     """Kill all instances at once and start them again: none knows who should be the home."""
     names = list(cell.daemons)
     for name in names:
@@ -29,7 +29,7 @@
     cell.advance(1.0)
     for name in names:
         cell.start_instance(name)
-    cell.advance(2.0)
+    cell.advance(settle_s)
 
 
 def cancel(cell, instance, job_id=JOB):
--- a/anvilflow/cell/tests/test_added_queue.py
+++ b/anvilflow/cell/tests/test_added_queue.py
@@ -11,7 +11,7 @@
 from anvilflow.cell._leadership import LeadershipPart
 from anvilflow.standins import make_platform_config
 
-from ._helpers import JOB, make_cell
+from ._helpers import JOB, end_and_start_all, make_cell
 
 #: Time in which a change must be in force, and the time after a disturbance from which that holds
 #: again. Unit: seconds.
@@ -138,16 +138,10 @@
     began within their time.
     """
     cell = make_cell(n_instances=3)
-    names = list(cell.daemons)
-    for name in names:
-        cell.kill(name)
-    cell.advance(1.0)
-    for name in names:
-        cell.start_instance(name)
-    cell.advance(0.05)
-    answers = [cell.call(name, "GET", "/urgent/") for name in names]
+    end_and_start_all(cell, settle_s=0.05)
+    answers = [cell.call(name, "GET", "/urgent/") for name in cell.daemons]
     cell.advance(2.0)
-    assert [status for answer in answers for status, *_ in answer] == [200] * len(names)
+    assert [status for answer in answers for status, *_ in answer] == [200] * len(answers)
 
 
 def test_count_is_refused_at_once_where_no_home_can_begin():
--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -155,9 +155,9 @@
     def _distrust(self, failure, place, due_at):
         """Close what was kept since before the answer to a call on a kept connection was due.
 
-        What lost track of one connection lost track of all that were open. Each further try took
-        the next of them, and waited for its time to be over: with three, a change of configuration
-        was late by twice that. A server that answers slowly costs a new connection.
+        What lost track of one connection lost track of all that were open. Each further try would
+        take the next of them and wait for its time to be over: a change of the configuration came
+        late by as many time limits. A server that answers slowly costs new connections.
         """
         if failure.check(TimeoutError):
             kept = self._idle.get(place, ())
--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -3,9 +3,8 @@
 #: Time without a disturbance after which bounds hold for an instance again. Unit: seconds.
 CONTACT_S = 3.0
 
-#: Longest time that a process may take until it answers for the first time. Several soaks side by
-#: side share the processors: their processes began to listen up to 5 s after their start. Unit:
-#: seconds.
+#: Longest time that a process may take until it answers for the first time: several soaks side by
+#: side share the processors. Unit: seconds.
 STARTING_S = 10.0
 
 
--- a/soak/_config_watch.py
+++ b/soak/_config_watch.py
@@ -11,7 +11,7 @@
 DOWNGRADE_S = 0.25
 
 #: Period of looking whether this process is late, and the lateness from which the machine counts as
-#: slow: a tenth of the time for a change. Unit: seconds.
+#: slow, so that its instances are late, too. Unit: seconds.
 LAG_PERIOD_S = 0.1
 SLOW_S = 0.2
 
@@ -101,10 +101,7 @@
 
     @inlineCallbacks
     def _watch_machine(self):
-        """Note when the machine is short of processor: bounds do not hold on one that is slow.
-
-        Beside four other plays the instances' own logs had lags of a second and more.
-        """
+        """Note when the machine is short of processor: bounds do not hold on one that is slow."""
         while not self._is_over:
             due_at = self.reactor.seconds() + LAG_PERIOD_S
             yield self._sleep(LAG_PERIOD_S)
