A feed whose answer begins late is waited for longer after each one that was given up

The stand-in of the store, late itself, began its answers after the shorter time limit, and was asked for them again and again.

The time for the answer's beginning doubles with each reading that failed, up to four times; the first one, which finds out a silent connection, stays short. The test fails without it.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -20,6 +20,10 @@
 MIN_WAIT_S = 0.2
 MAX_WAIT_S = 2.0
 
+#: Most times that it is granted after readings that failed one after the other: a store that is
+#: late with a large configuration would be asked for it again and again, and never be heard.
+MAX_PATIENCE = 4
+
 #: Wait after a reading that failed. Unit: seconds.
 AGAIN_S = 0.25
 
@@ -135,7 +139,7 @@
                     OPERATOR_TABLE,
                     self._version,
                     wait_s=feed_wait_s(self.context.settings.bounds.config_apply_s),
-                    answer_s=ANSWER_S,
+                    answer_s=ANSWER_S * min(MAX_PATIENCE, 2**self._n_failed),
                     on_begin=self._begin,
                 )
         finally:
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from anvilflow.cell import _config
 from anvilflow.cell._config import ConfigPart
 from anvilflow.platform import _store, decode_config
 from anvilflow.standins import StoreCall, make_platform_config
@@ -153,6 +154,26 @@
     assert {span.worker for span in cell.spans} == {"i-3"}
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_answer_that_begins_late_is_waited_for_after_it_was_given_up(monkeypatch, safeguard):
+    """The store takes 1.5 s to begin each answer, as where it is short of processor.
+
+    A reading that is given up in time for a silent connection is given up each time, and the
+    store makes each answer in vain: the change never comes into force.
+
+    Evidence. A soak beside other plays: instances gave up a configuration of 1 MB twice and had
+    not taken it 3.2 s after the change, whatever their link.
+    """
+    if not safeguard:
+        monkeypatch.setattr(_config, "MAX_PATIENCE", 1)
+    cell = make_cell(n_instances=3)
+    cell.store_faults.slow_s = 1.5
+    cell.advance(3.0)
+    cell.store.put("op", "config", make_platform_config(5))
+    cell.advance(6.0)
+    assert (_versions(cell) == {5}) is safeguard
+
+
 _MALFORMED = {"version": 7, "routes": 5}
 
 
