Starts wait for their turn on the link; time limits follow how long answers take

What callers saw: on a small cell whose instances have links of 2 Mbit/s and an eighth of a core, a burst of 4 s was never recovered from. 40 s later jobs still did not begin; at the end most had not run, some tasks had run twice.

Cause: a congestion collapse of our own. A start was given up after 0.12 s, sent up to four times, each time over a new connection, then stopped each 0.25 s until its worker took that, and placed anew. On a full link every answer is late, so that the load grew by its own retries, workers that were only late counted as silent, and what ran on them was started elsewhere.

Change, for each worker and for the home as a whole: * time limits from the smoothed round trip and its deviation, doubled without an answer; * a window of starts under way, by delay: it grows while answers come soon and shrinks when they queue; what waits for this process is taken out of the delay; * beyond it starts wait at the home, by urgency, gangs as a whole; they can be taken back, and are dropped when their worker takes no work any more. Holds, stops and leases do not wait; * no more starts are decided than can be sent: decided earlier they took room from others; * retries share one budget; a stop without an answer is sent again after longer and longer pauses; * a worker without an answer is not silent while all answers are late, for 1.5 s at the most; * calls to workers take two layers of deferred generators less: they were much of an eighth of a core.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -1,8 +1,10 @@
 """The home's sessions with all workers: what goes out to them and what comes back."""
 
+from ..decisions import RetryBudget, RoundTrip, RoundTripSettings
 from ..jobs import ORDER_S
 from ._registry import Registry
 from ._session import HOLD_WAIT_S, WorkerSession
+from ._start_queue import StartQueue
 
 #: Length of the leases that are sent. Renewals come each half second; a take-over from a home that
 #: fell silent takes about 1 s, a start of all instances after a loss of power 2 s. A longer lease
@@ -18,6 +20,25 @@
 #: store in which it lapsed. Unit: seconds.
 UNLISTED_S = 2.5
 
+#: How the round trip of all workers together is followed: each of them tells a small part of it.
+ALL_WORKERS = RoundTripSettings(mean_share=1 / 8, deviation_share=1 / 8)
+
+#: Time limit from which answers of all workers count as late: the one of orders on a calm link.
+#: Unit: seconds.
+LATE_S = 0.4
+
+#: Silence after which a worker gets no new work, also while answers of all workers are late. Unit:
+#: seconds.
+LATE_SILENT_S = 1.5
+
+#: Starts that may be sent again: a share of those that workers answer, and some at once.
+RETRY_RATIO = 0.5
+RETRY_BURST = 50.0
+
+#: Times its lag that a call and its answer may wait for the process itself: for its turn to be
+#: written, to be read, and to be taken.
+LAG_TIMES = 3
+
 
 class Fleet:
     """Sessions with the workers under one token.
@@ -45,6 +66,15 @@
         self._sessions = {}
         self._unlisted = {}
         self._heard_at = {}
+        self._round_trip = RoundTrip(settings=ALL_WORKERS)
+        self._retries = RetryBudget(ratio=RETRY_RATIO, burst=RETRY_BURST)
+        self.starts = StartQueue(
+            clock=context.clock,
+            scheduler=scheduler,
+            send=self._send_start,
+            drop=self._drop_start,
+            may_order=self.may_order,
+        )
 
     def close(self):
         """End all sessions."""
@@ -95,14 +125,39 @@
     # Orders
 
     def start(self, action):
-        """Start a task."""
+        """Start a task when its turn has come, see :meth:`send_starts`."""
+        self.starts.add(action)
+
+    def send_starts(self):
+        """Send the starts that the link carries now."""
+        self.starts.send_due()
+
+    def n_wanted_starts(self):
+        """Return how many more starts the link carries soon."""
+        return self.starts.n_open
+
+    def _send_start(self, action, waited_s):
+        self.context.meters.timed("start_wait", waited_s)
         self.log.info("start", task=action.task, run=action.run_id, worker=action.worker_id)
         session = self._sessions.get(action.worker_id)
-        if session is not None:
-            session.start(action).addErrback(self.events.fail_with)
+        if session is None:
+            self.starts.over(action)
+            return
+        session.start(action).addErrback(self.events.fail_with)
+
+    def _drop_start(self, action):
+        """Take back a start that was not sent: nothing runs by it."""
+        self.context.meters.count("starts", "withdrawn")
+        self.scheduler.start_answered(
+            action.worker_id, action.task, action.run_id, "unreached", self._now()
+        )
+        self.events.changed()
 
     def stop(self, action):
-        """Stop a run."""
+        """Stop a run, or take its start back where that has not been sent."""
+        if self.starts.withdraw(action):
+            self._drop_start(action)
+            return
         self.context.meters.count("stops", action.why)
         self.log.info(
             "stop", task=action.task, run=action.run_id, worker=action.worker_id, why=action.why
@@ -118,6 +173,42 @@
         if session is not None:
             session.set_pace(action).addErrback(self.events.fail_with)
 
+    # How long answers take
+
+    def limit_s(self):
+        """Return how long answers are waited for, by those of all workers."""
+        return self._round_trip.limit_s()
+
+    def call_answered(self, round_trip_s):
+        """Note how long an answer of a worker took."""
+        self._round_trip.answered(round_trip_s)
+        # What waited for this process says nothing of the link.
+        mean_s = max(0.0, self._round_trip.mean_s - LAG_TIMES * self.context.lag.lag_s)
+        self.starts.window.answered(round_trip_s, mean_s=mean_s, now=self._now())
+
+    def call_unanswered(self):
+        """Note a call to a worker that had no answer in time."""
+        self._round_trip.timed_out()
+
+    def may_retry(self):
+        """Whether a start without an answer may be sent again."""
+        return self._retries.spend()
+
+    def start_over(self, action):
+        """Note that a start is answered, or late."""
+        if not self.closed:
+            self.starts.over(action)
+
+    def _is_only_late(self, worker_id):
+        """Whether a worker without an answer is no more silent than all of them.
+
+        On a full link all answers are late. Workers that were taken for silent got no work, and
+        what ran on them was started again elsewhere.
+        """
+        if self.limit_s() < LATE_S:
+            return False
+        return self._now() - self._heard_at.get(worker_id, float("-inf")) < LATE_SILENT_S
+
     # Workers
 
     def take_entry(self, row):
@@ -243,9 +334,12 @@
     def worker_failed(self, worker_id, exc):
         """A call to a worker had no answer."""
         worker = self.scheduler.workers.get(worker_id)
+        nobody_listens = (exc.details or {}).get("nobody_listens", False)
+        if not nobody_listens and self._is_only_late(worker_id):
+            self.context.meters.count("late_workers")
+            return
         if worker is not None and not worker.silent:
             self.log.info("worker silent", worker=worker_id, error=str(exc))
-        nobody_listens = (exc.details or {}).get("nobody_listens", False)
         self.scheduler.worker_silent(worker_id, self._now(), nobody_listens=nobody_listens)
         unlisted_at = self._unlisted.get(worker_id)
         over = worker is None or self._now() >= worker.lease_over_at
@@ -274,6 +368,8 @@
     def start_answered(self, action, outcome):
         """Take the answer to a start."""
         self.context.meters.count("starts", outcome)
+        if outcome not in ("unknown", "unreached"):
+            self._retries.earn()
         if outcome != "started":
             self.log.info(
                 "start not taken",
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -337,7 +337,8 @@
         scheduler.policy = self.context.settings.scheduling
         for seconds in scheduler.take_first_starts():
             self.context.meters.timed("first_start", seconds)
-        self.act(scheduler.plan(self.now, self.context.wall_clock()))
+        n_wanted = self._fleet.n_wanted_starts()
+        self.act(scheduler.plan(self.now, self.context.wall_clock(), n_wanted=n_wanted))
 
     def _plan_due(self):
         if self._planned is None:
@@ -359,6 +360,7 @@
                     self._fleet.set_pace(action)
                 case NoteWait():
                     self.log.info("tasks wait", **to_builtins(action))
+        self._fleet.send_starts()
 
     def _ask_advice(self, action):
         done = self._advisers.ask(action.step, action.workers, action.length_s)
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -1,9 +1,9 @@
 """The home's conversation with one worker."""
 
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.task import deferLater
 
-from ..decisions import LeaseClock
+from ..decisions import LeaseClock, RoundTrip
 from ..exceptions import WorkerGoneError, WorkerRefusedError, WorkerUnreachableError
 
 #: Longest wait of a hold. It bounds the time between two renewals of the leases. Unit: seconds.
@@ -13,15 +13,17 @@
 #: still have to be renewed, and ends have to be heard. Unit: seconds.
 UNRECORDED_S = 0.1
 
-#: Waits for the answer to a start, one after the other. The same start may be sent again: a worker
-#: that has the run says so, and one that was lost on the way is made up for before the other
+#: Least waits for the answer to a start, one after the other. The same start may be sent again: a
+#: worker that has the run says so, and one that was lost on the way is made up for before the other
 #: members of a gang give up. Workers answer in some 3 ms, and a home's processor may stand still
 #: for a tenth of a second. The first wait is short: where 6 of 100 orders have no answer, two of
 #: three lookups of ten tasks lose one, and waited 0.3 s for it. Unit: seconds.
 START_TIMEOUTS_S = (0.12, 0.3, 0.3, 0.5)
 
-#: Wait before a call to a worker that failed is made again. Unit: seconds.
+#: Wait before a call to a worker that failed is made again; that of a stop doubles up to the
+#: longest one, so that many of them do not keep a full link full. Unit: seconds.
 AGAIN_S = 0.25
+MAX_AGAIN_S = 1.0
 
 
 class WorkerSession:
@@ -35,12 +37,15 @@
         Unit: seconds.
     home : object
         Hears of answers and failures: ``worker_reported``, ``worker_failed``, ``worker_gone``,
-        ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``; and of each lease before
-        it is sent, ``lease_sent``. ``seen(worker_id)`` gives the number of the last durable end,
+        ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``; of each lease before it
+        is sent, ``lease_sent``; of each answer's time, ``call_answered``, and of calls without one,
+        ``call_unanswered``; and, by ``start_over``, of starts that are answered or late.
+        ``seen(worker_id)`` gives the number of the last durable end,
         ``has_unseen(worker_id)`` tells whether there are later ones, ``is_silent(worker_id)``
         whether the last call to the worker had no answer, ``is_wanted(action)`` whether a run that
         is being started still has its place, ``may_order()`` whether starts and leases may be sent,
-        ``hold_wait()`` how long a hold may wait.
+        ``may_retry()`` whether a start may be sent again, ``hold_wait()`` how long a hold may wait,
+        ``limit_s()`` how long answers of all workers are waited for.
     """
 
     def __init__(self, *, clock, calls, lease_s, home):
@@ -51,6 +56,7 @@
         self.worker_clock = None
         self.stopped = False
         self._recorded = None
+        self._round_trip = RoundTrip()
 
     @property
     def worker_id(self):
@@ -111,11 +117,16 @@
         # end: renewed with each try, they waited until it came back.
         asks_only = first or self.home.is_silent(self.worker_id) or not self.home.may_order()
         until = None if asks_only else self._until(sent)
+        wait_s = 0.0 if asks_only else self.home.hold_wait()
         try:
-            report = yield self.calls.hold(
-                seen=self.home.seen(self.worker_id),
-                until_s=until,
-                wait_s=0.0 if asks_only else self.home.hold_wait(),
+            report = yield self._timed(
+                self.calls.hold(
+                    seen=self.home.seen(self.worker_id),
+                    until_s=until,
+                    wait_s=wait_s,
+                    timeout=self._limit_s(self.calls.timeout),
+                ),
+                held_s=wait_s,
             )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self._failed(exc)
@@ -127,6 +138,29 @@
         self.home.worker_reported(self.worker_id, report, sent)
         return True
 
+    def _timed(self, call, *, held_s=0.0):
+        """Note how long a call's answer takes beyond what it is held back; return the call."""
+        due_at = self.clock.seconds() + held_s
+        return call.addCallbacks(self._answered, self._unanswered, callbackArgs=(due_at,))
+
+    def _answered(self, answer, due_at):
+        round_trip_s = self.clock.seconds() - due_at
+        # One that came before its time was woken by an end: when that was is not known.
+        if round_trip_s >= 0:
+            self._round_trip.answered(round_trip_s)
+            self.home.call_answered(round_trip_s)
+        return answer
+
+    def _unanswered(self, failure):
+        if failure.check(WorkerUnreachableError):
+            self._round_trip.timed_out()
+            self.home.call_unanswered()
+        return failure
+
+    def _limit_s(self, least_s):
+        """Return how long an answer is waited for: longer while answers take longer."""
+        return max(least_s, self._round_trip.limit_s(), self.home.limit_s())
+
     def _until(self, now):
         self.home.lease_sent(self.worker_id, now)
         return self.worker_clock.until(now, self.lease_s)
@@ -150,51 +184,57 @@
     def start(self, action):
         """Start a run and tell the home how the worker answered."""
         if self.stopped or self.worker_clock is None:
+            self.home.start_over(action)
             self.home.start_answered(action, "unreached")
             return
+        try:
+            outcome = yield from self._start_surely(action)
+        except WorkerGoneError as exc:
+            self._failed(exc)
+            return
+        finally:
+            self.home.start_over(action)
+        if self.stopped:
+            return
+        if outcome == "fenced":
+            self.close()
+            self.home.fenced(self.worker_id)
+            return
+        self.home.start_answered(action, outcome)
+
+    def _start_surely(self, action):
+        """Send a start until it is answered; it may be sent again, and is known to the worker."""
         outcome = "unknown"
-        for number, timeout in enumerate(START_TIMEOUTS_S):
-            try:
-                outcome = yield self._start_once(action, timeout)
-            except WorkerGoneError as exc:
-                self._failed(exc)
-                return
+        for number, least_s in enumerate(START_TIMEOUTS_S):
+            if number > 0 and not self.home.may_retry():
+                break
+            outcome = yield self._start_once(action, self._limit_s(least_s))
             if number > 0:
                 outcome = outcome_after_silence(outcome)
             if outcome != "unknown" or self.stopped or self.home.is_silent(self.worker_id):
                 break
+            # One that is late tells nothing of the link any more, and must not keep others waiting.
+            self.home.start_over(action)
             # A try after the run's stop, which may have gone astray, would begin the task anew.
             if not self.home.is_wanted(action):
                 break
-        if self.stopped:
-            return
-        if outcome == "fenced":
-            self.close()
-            self.home.fenced(self.worker_id)
-            return
-        self.home.start_answered(action, outcome)
+        return outcome
 
-    @inlineCallbacks
     def _start_once(self, action, timeout):
         if not self.home.may_order():
-            return "unreached"
+            return succeed("unreached")
         until = self._until(self.clock.seconds())
-        try:
-            yield self.calls.start(action, until_s=until, timeout=timeout)
-        except WorkerGoneError:
-            raise
-        except WorkerRefusedError as exc:
-            return exc.details["reason"]
-        except WorkerUnreachableError:
-            return "unknown"
-        return "started"
+        call = self._timed(self.calls.start(action, until_s=until, timeout=timeout))
+        return call.addCallbacks(lambda _: "started", _start_outcome)
 
     @inlineCallbacks
     def stop(self, action):
         """Stop a run; the order is repeated until the worker takes it or its life is over."""
+        pause_s = AGAIN_S
         while not self.stopped:
             try:
-                yield self.calls.stop(action)
+                timeout = self._limit_s(self.calls.timeout)
+                yield self._timed(self.calls.stop(action, timeout=timeout))
             except WorkerGoneError as exc:
                 self._failed(exc)
                 return
@@ -202,7 +242,8 @@
                 if (exc.details or {}).get("reason") == "fenced":
                     self._failed(exc)
                     return
-                yield deferLater(self.clock, AGAIN_S, lambda: None)
+                yield deferLater(self.clock, pause_s, lambda: None)
+                pause_s = min(MAX_AGAIN_S, 2 * pause_s)
                 continue
             if not self.stopped:
                 self.home.stop_answered(action)
@@ -212,11 +253,23 @@
     def set_pace(self, action):
         """Change a run's pace; one that fails is decided anew after the next report."""
         try:
-            yield self.calls.set_pace(action)
+            yield self._timed(
+                self.calls.set_pace(action, timeout=self._limit_s(self.calls.timeout))
+            )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self.home.pace_failed(action, exc)
 
 
+def _start_outcome(failure):
+    """Return what a failed start says of its run; a worker whose life is over stays a failure."""
+    if failure.check(WorkerGoneError):
+        return failure
+    if failure.check(WorkerRefusedError):
+        return failure.value.details["reason"]
+    failure.trap(WorkerUnreachableError)
+    return "unknown"
+
+
 def outcome_after_silence(outcome):
     """Return what a worker's answer to a start says when an earlier try of it had no answer.
 
--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -12,6 +12,7 @@
 import pytest
 
 from anvilflow.cell import _entry, _recorder
+from anvilflow.decisions import _send_window
 from anvilflow.jobs._job import JobRun
 from anvilflow.standins import StoreCall
 from anvilflow.utils import decode_lenient
@@ -59,6 +60,8 @@
     if not safeguard:
         monkeypatch.setattr(_recorder, "BYTES_PER_COMMIT", 10_000_000)
     monkeypatch.setattr(JobRun, "to_record", _large(JobRun.to_record))
+    # All tasks begin, and so end, in the same moment.
+    monkeypatch.setattr(_send_window, "FIRST_LIMIT", 100)
     cell = make_cell(n_workers=8, sizes=_sizes)
     _limit_calls(monkeypatch, cell.store)
     for number in range(30):
--- /dev/null
+++ b/anvilflow/cell/tests/test_start_queue.py
@@ -0,0 +1,114 @@
+"""Starts that wait for their turn, without network."""
+
+from twisted.internet.task import Clock
+
+from anvilflow.cell._start_queue import StartQueue
+from anvilflow.decisions._send_window import FIRST_LIMIT
+from anvilflow.jobs import Queue, StepSpec, StopRun
+from anvilflow.jobs.tests.test_scheduler import add_job, make_scheduler
+
+URGENT = Queue(name="urgent", host="h", prefix="/u/", service="s", priority=0)
+USUAL = Queue(name="usual", host="h", prefix="/n/", service="s", priority=1)
+
+
+class _Home:
+    """A scheduler with a queue of starts, and what became of them."""
+
+    def __init__(self, *, n_workers=40):
+        self.clock = Clock()
+        self.scheduler = make_scheduler(n_workers)
+        self.sent = []
+        self.dropped = []
+        self.may_order = True
+        self.queue = StartQueue(
+            clock=self.clock,
+            scheduler=self.scheduler,
+            send=lambda action, waited_s: self.sent.append(action),
+            drop=self.dropped.append,
+            may_order=lambda: self.may_order,
+        )
+
+    def submit(self, number, *, n_tasks, queue=USUAL, **values):
+        """Decide the starts of a job; return them."""
+        step = StepSpec(n_tasks=n_tasks, cpu_milli=100, estimate_s=1.0, **values)
+        starts = add_job(self.scheduler, step, job_id=f"{number:016x}")
+        self.scheduler.jobs[f"{number:016x}"].queue = queue
+        for start in starts:
+            self.queue.add(start)
+        return starts
+
+
+def test_no_more_starts_are_sent_than_the_window_allows():
+    """What is sent beyond it waits on the link, where it can be neither ordered nor taken back."""
+    home = _Home()
+    starts = home.submit(1, n_tasks=FIRST_LIMIT + 5)
+    home.queue.send_due()
+    assert home.sent == starts[:FIRST_LIMIT]
+    home.queue.over(starts[0])
+    assert home.sent == starts[: FIRST_LIMIT + 1]
+    home.queue.over(starts[0])
+    assert len(home.sent) == FIRST_LIMIT + 1
+
+
+def test_more_urgent_start_overtakes_those_that_wait():
+    """Behind a burst of long jobs a quick one waited until the link had carried them all."""
+    home = _Home()
+    home.submit(1, n_tasks=FIRST_LIMIT + 5)
+    home.queue.send_due()
+    [urgent] = home.submit(2, n_tasks=1, queue=URGENT)
+    home.queue.over(home.sent[0])
+    assert home.sent[-1] == urgent
+
+
+def test_gang_is_sent_as_a_whole():
+    """Members that were sent alone waited at work for the others, and ended without them."""
+    home = _Home()
+    starts = home.submit(1, n_tasks=FIRST_LIMIT + 5, gang=True)
+    home.queue.send_due()
+    assert home.sent == starts
+
+
+def test_gang_with_a_member_whose_worker_fell_silent_is_not_sent():
+    """Its other members would wait at work for one that does not come."""
+    home = _Home()
+    starts = home.submit(1, n_tasks=3, gang=True)
+    home.scheduler.worker_silent(starts[1].worker_id, 0.0)
+    home.queue.send_due()
+    assert home.sent == []
+    assert home.dropped == starts
+
+
+def test_start_whose_worker_drains_meanwhile_is_not_sent():
+    """A start that waited must not go to a worker that takes no work any more."""
+    home = _Home()
+    [start] = home.submit(1, n_tasks=1)
+    worker = home.scheduler.workers[start.worker_id]
+    worker.listed = False
+    home.queue.send_due()
+    assert home.sent == []
+    assert home.dropped == [start]
+
+
+def test_start_of_a_cancelled_job_is_taken_back():
+    """Sent and stopped again, it would load a full link twice for nothing."""
+    home = _Home()
+    home.submit(1, n_tasks=1)
+    [stop] = home.scheduler.cancel_job(f"{1:016x}", 0.0)
+    assert isinstance(stop, StopRun)
+    assert home.queue.withdraw(stop)
+    assert not home.queue.withdraw(stop)
+    home.queue.send_due()
+    assert home.sent == []
+    assert len(home.queue) == 0
+
+
+def test_starts_wait_while_nothing_may_be_ordered():
+    """A home that may have lost its place must neither send starts nor lose them."""
+    home = _Home()
+    starts = home.submit(1, n_tasks=2)
+    home.may_order = False
+    home.queue.send_due()
+    assert home.sent == []
+    home.may_order = True
+    home.queue.send_due()
+    assert home.sent == starts
--- a/anvilflow/decisions/__init__.py
+++ b/anvilflow/decisions/__init__.py
@@ -30,6 +30,8 @@
 from ._ownership import choose_owner, rendezvous_order, score
 from ._retries import RetryBudget
 from ._rooms import Room, Rooms
+from ._round_trip import RoundTrip, RoundTripSettings
+from ._send_window import SendWindow
 
 __all__ = [
     "AckTask",
@@ -56,6 +58,9 @@
     "RetryBudget",
     "Room",
     "Rooms",
+    "RoundTrip",
+    "RoundTripSettings",
+    "SendWindow",
     "StartTask",
     "StopTask",
     "TaskState",
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -15,14 +15,19 @@
 WHOLE_PLAN_S = 0.1
 
 
-def plan_starts(scheduler, now):
+def plan_starts(scheduler, now, n_wanted=None):
     """Return the starts and asks that are due, in the order of urgency.
 
     A waiting step that found no place finds one only on a worker whose room has grown, or once
     something of the step itself has changed. What changes by time alone, as the end of a ticket or
     of a worker's rest, is seen by the next whole plan.
+
+    After `n_wanted` starts the rest is left to a later plan. A start that is decided before it can
+    be sent takes room from others, and can no longer go to where there is more.
     """
     drop_old_asks(scheduler, now)
+    if n_wanted is not None and n_wanted <= 0:
+        return ask_held(scheduler, now)
     is_whole = scheduler.needs_whole_plan or now >= scheduler.planned_whole_at + WHOLE_PLAN_S
     if is_whole:
         scheduler.needs_whole_plan = False
@@ -30,11 +35,18 @@
         scheduler.reservations = Reservations(scheduler.policy)
     freed, scheduler.freed = scheduler.freed, set()
     actions = []
+    n_starts = 0
     for job in sorted(_waiting_jobs(scheduler, is_whole or freed), key=_urgency):
+        if n_wanted is not None and n_starts >= n_wanted:
+            scheduler.needs_whole_plan = scheduler.needs_whole_plan or is_whole
+            scheduler.freed |= freed
+            break
         if is_whole or job.is_changed:
-            actions += _plan_job(scheduler, job, now)
+            planned = _plan_job(scheduler, job, now)
         else:
-            actions += _plan_freed(scheduler, job, freed, now)
+            planned = _plan_freed(scheduler, job, freed, now)
+        n_starts += sum(isinstance(action, StartRun) for action in planned)
+        actions += planned
     return actions + ask_held(scheduler, now)
 
 
@@ -47,10 +59,6 @@
     ]
 
 
-def _urgency(job):
-    return job.urgency
-
-
 def _plan_job(scheduler, job, now):
     actions = []
     job.is_changed = False
@@ -105,6 +113,10 @@
     return step.copies
 
 
+def _urgency(job):
+    return job.urgency
+
+
 # Candidates
 
 
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -1,6 +1,7 @@
 """How runs begin and end, by what workers report; what a job makes of it is the scheduler's."""
 
 from ._actions import StopRun
+from ._advice import has_ticket
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
 from ._sickness import note_duration
@@ -320,6 +321,16 @@
         run = self._find_run(worker_id, task, run_id)
         return run is not None and run.state in ("starting", "running")
 
+    def may_be_sent(self, worker_id, task, run_id, now):
+        """Whether a start that waited for its turn may still go to its worker."""
+        run = self._find_run(worker_id, task, run_id)
+        if run is None or run.state != "starting" or not run.worker.accepts(now):
+            return False
+        step, _ = self.find_task(task)
+        return step is not None and (
+            step.job.queue.advice is None or has_ticket(step, worker_id, now)
+        )
+
     def stop_answered(self, worker_id, task, run_id, now):
         """The worker took the stop: the run ends within its time, or never begins."""
         run = self._find_run(worker_id, task, run_id)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -198,13 +198,21 @@
 
     # Plans
 
-    def plan(self, now, wall_now):
-        """Return the starts, stops and asks that are due now."""
+    def plan(self, now, wall_now, *, n_wanted=None):
+        """Return the starts, stops and asks that are due now.
+
+        Parameters
+        ----------
+        now, wall_now : float
+            Steady time and time of day. Unit: seconds.
+        n_wanted : int, default=None
+            Starts after which no more are decided; None: no limit.
+        """
         actions = []
         if now >= self._looked_at + LOOK_S:
             self._looked_at = now
             actions = self._look_round(now, wall_now)
-        return actions + plan_starts(self, now)
+        return actions + plan_starts(self, now, n_wanted)
 
     def _look_round(self, now, wall_now):
         """See what falls due by time alone, on any worker and for any job."""
--- a/anvilflow/jobs/tests/test_plans.py
+++ b/anvilflow/jobs/tests/test_plans.py
@@ -5,7 +5,7 @@
 from anvilflow.jobs import JobSpec, RunEnd, StartRun, StepSpec, _placement
 
 from .test_reservations import FIRST, LAST, make_cell, submit
-from .test_scheduler import answer_started, item, make_report
+from .test_scheduler import QUEUE, answer_started, item, make_report, make_scheduler
 
 #: A worker of ten cores holds one of these.
 LARGE = StepSpec(n_tasks=1, cpu_milli=6_000, estimate_s=5.0)
@@ -119,3 +119,20 @@
     scheduler.add_job(spec, FIRST, version=1, now=0.0, wall_now=0.0)
     assert len(plan_starts(scheduler, 0.0)) == 1
     assert len(plan_starts(scheduler, 1.1)) == 1
+
+
+def _starts_wanted(scheduler, now, n_wanted):
+    actions = scheduler.plan(now, now, n_wanted=n_wanted)
+    return [action for action in actions if isinstance(action, StartRun)]
+
+
+def test_no_more_starts_are_decided_than_are_wanted():
+    """A start that is decided long before it can be sent takes room that others could use."""
+    scheduler = make_scheduler(4)
+    for number in range(3):
+        step = StepSpec(n_tasks=1, cpu_milli=100)
+        spec = JobSpec(job_id=f"{number:016x}", queue="q", payload="", steps=(step,))
+        scheduler.add_job(spec, QUEUE, version=1, now=1.0, wall_now=1.0)
+    assert len(_starts_wanted(scheduler, 1.0, 2)) == 2
+    assert _starts_wanted(scheduler, 1.2, 0) == []
+    assert len(_starts_wanted(scheduler, 1.6, 9)) == 1
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -18,6 +18,7 @@
     "starts": ("Orders to start a task, by the worker's answer.", ("answer",)),
     "ends": ("Ends of tasks that workers told, by how they ended.", ("how",)),
     "stops": ("Orders to stop a run, by reason.", ("why",)),
+    "late_workers": ("Calls to workers without an answer while answers of all were late.", ()),
     "short_of_processor": ("Times that the instance began to be late with its own timers.", ()),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "store_calls": ("Calls to the store.", ("kind",)),
@@ -27,6 +28,7 @@
 TIMES = {
     "accept": "From a client's job to its row being durable.",
     "first_start": "From the acceptance of a job to its first task at work, at the home.",
+    "start_wait": "From the decision to start a task to the order's turn on the link.",
     "record": "From the first change of a job that is not durable to its record.",
     "advice": "From an ask for advice to its answer.",
     "load": "From the claim of the home's place to the first decision.",
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -1,6 +1,5 @@
 """Orders to one life of a worker."""
 
-from twisted.internet.defer import inlineCallbacks
 from twisted.internet.error import ConnectionRefusedError
 
 from ..clients import NOT_SENT
@@ -45,9 +44,8 @@
             b"x-expect-instance": [worker_id.encode()],
         }
 
-    @inlineCallbacks
-    def hold(self, *, seen, until_s, wait_s):
-        """Renew the lease of all that runs; return a :class:`WorkerReport`.
+    def hold(self, *, seen, until_s, wait_s, timeout=None):
+        """Renew the lease of all that runs; the Deferred fires with a :class:`WorkerReport`.
 
         Parameters
         ----------
@@ -57,22 +55,19 @@
             End of the lease on the worker's clock; None leaves it as it is. Unit: seconds.
         wait_s : float
             The worker answers at the next end, or after this time. Unit: seconds.
+        timeout : float, default=None
+            Wait for the answer beyond that time, in place of the client's own. Unit: seconds.
         """
         body = {"fencing-token": self.token, "last-seen": seen}
         if until_s is not None:
             body["until-ms"] = int(until_s * 1000)
         if wait_s:
             body["wait-ms"] = int(wait_s * 1000)
-        report = yield self._order("hold", body, self.timeout + wait_s, held_s=wait_s)
-        return WorkerReport(
-            clock_s=report.clock_ms / 1000,
-            active=tuple(_run(row) for row in report.active),
-            ended=tuple(_end(row) for row in report.finished),
-        )
+        call = self._order("hold", body, self._wait(timeout) + wait_s, held_s=wait_s)
+        return call.addCallback(_report)
 
-    @inlineCallbacks
     def start(self, action, *, until_s, timeout=None):
-        """Start a run; return the worker's clock. Unit: seconds.
+        """Start a run; the Deferred fires with the worker's clock. Unit: seconds.
 
         It may be called again: a worker that has the run already says so.
         """
@@ -87,16 +82,15 @@
             body["checkpoint"] = action.checkpoint
         if action.ticket:
             body["ticket"] = action.ticket
-        wait = self.timeout if timeout is None else timeout
-        report = yield self._order("run-start", body, wait)
-        return report.clock_ms / 1000
+        call = self._order("run-start", body, self._wait(timeout))
+        return call.addCallback(lambda answer: answer.clock_ms / 1000)
 
-    def stop(self, action):
+    def stop(self, action, *, timeout=None):
         """Stop a run, or bar it from starting later."""
         body = {"task": action.task, "run-id": action.run_id, "fencing-token": self.token}
-        return self._order("run-stop", body, self.timeout)
+        return self._order("run-stop", body, self._wait(timeout))
 
-    def set_pace(self, action):
+    def set_pace(self, action, *, timeout=None):
         """Let a run work at a share of its speed."""
         body = {
             "task": action.task,
@@ -104,28 +98,20 @@
             "percent": action.percent,
             "fencing-token": self.token,
         }
-        return self._order("pace", body, self.timeout)
+        return self._order("pace", body, self._wait(timeout))
+
+    def _wait(self, timeout):
+        return self.timeout if timeout is None else timeout
 
-    @inlineCallbacks
     def _order(self, verb, body, timeout, held_s=0.0):
-        try:
-            status, answer = yield self.http.post(
-                self._base + verb,
-                encode(body),
-                timeout=timeout,
-                held_s=held_s,
-                headers=self._headers,
-            )
-        except NOT_SENT as exc:
-            raise WorkerRefusedError(
-                f"the worker was not reached: {exc!r}",
-                details={
-                    "reason": "unreached",
-                    "nobody_listens": isinstance(exc, ConnectionRefusedError),
-                },
-            ) from exc
-        except Exception as exc:
-            raise WorkerUnreachableError(f"no answer: {exc!r}") from exc
+        call = self.http.post(
+            self._base + verb, encode(body), timeout=timeout, held_s=held_s, headers=self._headers
+        )
+        call.addCallbacks(self._answered, _unanswered, callbackArgs=(verb,))
+        return call
+
+    def _answered(self, result, verb):
+        status, answer = result
         match status:
             case 200:
                 return decode(answer, _WireReport, error=WorkerUnreachableError)
@@ -145,6 +131,27 @@
                 raise WorkerUnreachableError(f"the worker answered {status} to {verb}")
 
 
+def _unanswered(failure):
+    error = failure.value
+    if failure.check(*NOT_SENT):
+        raise WorkerRefusedError(
+            f"the worker was not reached: {error!r}",
+            details={
+                "reason": "unreached",
+                "nobody_listens": isinstance(error, ConnectionRefusedError),
+            },
+        ) from error
+    raise WorkerUnreachableError(f"no answer: {error!r}") from error
+
+
+def _report(answer):
+    return WorkerReport(
+        clock_s=answer.clock_ms / 1000,
+        active=tuple(_run(row) for row in answer.active),
+        ended=tuple(_end(row) for row in answer.finished),
+    )
+
+
 def _run(row):
     task, run_id, checkpoint, percent, *rest = row
     return RunReport(
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -15,6 +15,9 @@
 #: One way between any two places. Unit: seconds.
 WAY_S = 0.001
 
+#: Head of a request or an answer on a link that is limited both ways. Unit: bytes.
+HEAD_BYTES = 200
+
 
 class WireFaults:
     """Switches of one server.
@@ -64,7 +67,8 @@
 
     Notes
     -----
-    `calls` counts calls by caller and address; `links` are the slow ones, by process.
+    `calls` counts calls by caller and address; `links` are the slow ones that answers come over and
+    `send_links` those that calls go out over, by process.
     """
 
     def __init__(self, *, clock):
@@ -72,6 +76,7 @@
         self.servers = {}
         self.faults = {}
         self.links = {}
+        self.send_links = {}
         self.calls = Counter()
         self._under_way = defaultdict(set)
         self._silent = set()
@@ -88,6 +93,12 @@
         self.links[name] = SlowLink(clock=self.clock, bytes_per_s=bytes_per_s)
         return self.links[name]
 
+    def narrow_link(self, name, bytes_per_s):
+        """Limit the link of the process `name` both ways; return the one that it sends over."""
+        self.slow_link(name, bytes_per_s)
+        self.send_links[name] = SlowLink(clock=self.clock, bytes_per_s=bytes_per_s)
+        return self.send_links[name]
+
     def serve(self, address, server):
         """Answer calls to `address` with ``server.handle(verb, path, query, body, headers)``."""
         self.servers[address] = server
@@ -111,7 +122,17 @@
             return done
         headers = {**(headers or {}), CALLER: [caller.encode()]}
         call = (method, parts.path, dict(parse_qsl(parts.query)), body, headers)
-        self.clock.callLater(WAY_S, self._arrive, server, faults, caller, clock, call, done)
+        arrive = (WAY_S, self._arrive, server, faults, caller, clock, call, done)
+        link = self.send_links.get(caller)
+        if link is None:
+            self.clock.callLater(*arrive)
+            return done
+        # What is on the link arrives, also when its sender has given the call up.
+        link.receive(
+            len(body) + HEAD_BYTES,
+            on_data=lambda: None,
+            on_end=lambda: self.clock.callLater(*arrive),
+        )
         return done
 
     def _over(self, result, caller, done):
