Jobs that would begin too late are refused at once; a lasting task is not down behind a burst

What callers saw: beyond what the home of a small cell can start, each job was accepted and waited; half of the quick jobs began after 5 to 11 s where they should be done in 2, those of before and after a burst alike, and some tasks that were to last stayed down for 9 s behind quick jobs.

Cause: nothing told the entries that starts wait, and the most urgent jobs went before all others for as long as there were any.

Change: a home that has had more starts than it could send at each plan for a second tells, by priority, how long a new job waits: the tasks ahead of it by the rate at which starts go out. One whose row is in the store is not refused: that it has not run would not be true. Jobs that last or are due later are always accepted. A task that is to last and has been down for 2 s comes first.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -6,6 +6,7 @@
 
 from ..metrics import Meters
 from ._lag import LagMeter
+from ._start_waits import StartWaits
 from ._waiting import WaitingJobs
 
 #: Period in which each instance measures how late it is: that of a home's beats. Unit: seconds.
@@ -99,6 +100,7 @@
         self.store_health = StoreHealth(clock=clock)
         self.lag = LagMeter(period=LAG_PERIOD_S)
         self.waiting = WaitingJobs(context=self)
+        self.start_waits = StartWaits(clock=clock)
         self.meters = Meters()
         self.dump = dict
         self.links = None
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -9,6 +9,7 @@
     AnvilflowError,
     JobGoneError,
     NotReadyError,
+    OverloadedError,
     PlatformError,
     PlatformRefusedError,
     RequestError,
@@ -16,7 +17,7 @@
     TooLargeError,
     UnknownOutcomeError,
 )
-from ..jobs import ENDED_STATES, JobState
+from ..jobs import ENDED_STATES, JobState, longest_chain_s
 from ..platform import FrontResource, ReadyResource
 from ..runtime import Part
 from ..utils import encode
@@ -162,6 +163,7 @@
             # was told to send it again, and the instance took the store for away each time.
             raise TooLargeError(f"the job's row is over {MAX_ROW_BYTES} bytes")
         job_id = spec.job_id
+        yield self._refuse_if_late(spec, queue)
         unsure = False
         # A write without an answer leaves its client in doubt, and in an outage every one would be
         # such. That the store answers again is seen within 0.15 s, without a client's request:
@@ -194,6 +196,26 @@
             details={"retry_after_s": self._retry_after()},
         )
 
+    @inlineCallbacks
+    def _refuse_if_late(self, spec, queue):
+        """Refuse a job that would begin so late that it cannot be done when it should be.
+
+        Accepted, it would be done too late itself and make others late. One that may have been
+        accepted already is not refused: that it has not run would not be true.
+        """
+        wait_s = self.context.start_waits.wait_s(queue.priority)
+        if wait_s <= _objective_s(spec, queue) or self.context.store_health.is_bad:
+            return
+        try:
+            state, _ = yield read_stored_job(self.context.store, spec.job_id)
+        except PlatformError:
+            return
+        if state is None:
+            raise OverloadedError(
+                "the job was not accepted: it would begin too late",
+                details={"retry_after_s": min(MAX_RETRY_AFTER_S, wait_s)},
+            )
+
     @inlineCallbacks
     def _store(self, value):
         health = self.context.store_health
@@ -348,3 +370,13 @@
         self.log.info("job cancelled without its home", job=job_id, found=found)
         if not found:
             raise JobGoneError(f"there is no job {job_id}")
+
+
+def _objective_s(spec, queue):
+    """Return when a job should be done; one that lasts or is due later has no such time.
+
+    Unit: seconds from its acceptance.
+    """
+    if spec.n_occurrences or any(step.long_running for step in spec.steps):
+        return float("inf")
+    return queue.stretch * longest_chain_s(spec.steps) + queue.target_latency_s
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -37,6 +37,10 @@
 #: Unit: seconds.
 STORE_BAD_S = 0.1
 
+#: Time for which there have to be more starts than can be sent, at each plan, before entries are
+#: told of it: a burst that is over sooner makes nobody late. Unit: seconds.
+HELD_S = 1.0
+
 #: Wait before a home that could not read its tables reads them again. Unit: seconds.
 _AGAIN_S = 0.3
 
@@ -244,6 +248,14 @@
         """Return what waits, for the other instances."""
         return Waiting(counts=self._scheduler.n_waiting(), version=self._intake.version)
 
+    def start_waits(self):
+        """Return how long new jobs wait until their tasks can be sent, by priority."""
+        scheduler = self._scheduler
+        if scheduler.starts_held_s(self.now) < HELD_S:
+            return {}
+        rate = self._fleet.starts.rate
+        return {priority: n / rate for priority, n in scheduler.n_tasks_ahead().items()}
+
     @property
     def term(self):
         """How many homes there were, this one included; 0 where this is none."""
--- a/anvilflow/cell/_home_voice.py
+++ b/anvilflow/cell/_home_voice.py
@@ -17,8 +17,8 @@
     context : CellContext
     log : Logger
     home : object
-        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``, ``loaded_at``
-        and ``waiting()``.
+        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``, ``loaded_at``,
+        ``waiting()`` and ``start_waits()``.
     """
 
     def __init__(self, *, context, log, home):
@@ -44,7 +44,10 @@
         """Return the same with what waits; kept here as well, for when another is the home."""
         waiting = self.home.waiting()
         self.context.waiting.told(waiting)
+        waits = self.home.start_waits()
+        self.context.start_waits.told(waits)
         beat = self.beat()
+        beat.start_waits = {key: round(1000 * wait_s) for key, wait_s in waits.items()} or None
         beat.waiting = waiting.counts
         beat.jobs_version = waiting.version
         self._counted_at = self.context.clock.seconds()
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -106,6 +106,8 @@
         if beat.waiting is not None:
             waiting = Waiting(counts=beat.waiting, version=beat.jobs_version or 0)
             self.context.waiting.told(waiting)
+            waits = beat.start_waits or {}
+            self.context.start_waits.told({key: ms / 1000 for key, ms in waits.items()})
         config = self.context.config
         if config is None or beat.config_version > config.version:
             self.context.config_part.hint(beat.config_version)
--- a/anvilflow/cell/_start_queue.py
+++ b/anvilflow/cell/_start_queue.py
@@ -1,6 +1,7 @@
 """Starts that wait for their turn on the home's link."""
 
 import heapq
+from collections import deque
 from itertools import count
 
 from msgspec import Struct
@@ -8,6 +9,9 @@
 from ..decisions import SendWindow
 from ..jobs import StartRun
 
+#: Time over which the rate of starts is counted. Unit: seconds.
+RATE_S = 2.0
+
 
 class _Group(Struct, kw_only=True):
     """Starts that are sent together: one, or all members of a gang."""
@@ -54,10 +58,19 @@
         self._n_waiting = 0
         self._under_way = set()
         self._is_sending = False
+        self._sent_at = deque()
 
     def __len__(self):
         return self._n_waiting
 
+    @property
+    def rate(self):
+        """Starts that are sent in a second, by those of the last two; at least one."""
+        since = self.clock.seconds() - RATE_S
+        while self._sent_at and self._sent_at[0] < since:
+            self._sent_at.popleft()
+        return max(1.0, len(self._sent_at) / RATE_S)
+
     @property
     def n_open(self):
         """Starts that are wanted beyond those that wait: as many as may be under way."""
@@ -72,7 +85,7 @@
         if group is None:
             now = self.clock.seconds()
             group = self._groups[key] = _Group(starts={}, added_at=now)
-            urgency = step.job.urgency if step is not None else ()
+            urgency = step.job.urgency(now) if step is not None else ()
             heapq.heappush(self._heap, (urgency, next(self._numbers), key))
         group.starts[action.task] = action
         self._n_waiting += 1
@@ -121,4 +134,5 @@
                 continue
             self._under_way.add((start.task, start.run_id))
             self.window.n_under_way += 1
+            self._sent_at.append(now)
             self._send(start, now - group.added_at)
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -13,6 +13,7 @@
     "JobGoneError",
     "NotFoundError",
     "NotReadyError",
+    "OverloadedError",
     "PartError",
     "PeerSilentError",
     "PlatformError",
@@ -141,6 +142,12 @@
     exit_status = 9
 
 
+class OverloadedError(RequestError):
+    """A job was not accepted: it would begin too late to be done when it should be."""
+
+    code = "AF306"
+
+
 class TooLargeError(AnvilflowError):
     """A body is over the stated limit."""
 
--- a/anvilflow/jobs/_advice.py
+++ b/anvilflow/jobs/_advice.py
@@ -91,7 +91,7 @@
 
 def ask_held(scheduler, now):
     """Make the asks that waited for an instance, the most urgent first."""
-    held = sorted(scheduler.held_asks.values(), key=lambda step: step.job.urgency)
+    held = sorted(scheduler.held_asks.values(), key=lambda step: step.job.urgency(now))
     actions = []
     for step in held:
         if step.job.is_ended or step.job.job_id not in scheduler.jobs or not step.waiting():
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -4,6 +4,9 @@
 
 from ._record import JobRecord
 
+#: Time for which a task that is to last waits behind more urgent jobs. Unit: seconds.
+MAX_DOWN_S = 2.0
+
 
 class TaskState(StrEnum):
     """Where a task stands."""
@@ -139,6 +142,7 @@
         "inherited",
         "is_changed",
         "is_idle",
+        "lasts",
         "next_occurrence",
         "queue",
         "recorded_change",
@@ -154,6 +158,7 @@
         self.version = version
         self.accepted_at = now
         self.inherited = inherited
+        self.lasts = any(step.long_running for step in spec.steps)
         self.is_idle = False
         self.is_changed = True
         self.state = JobState.QUEUED
@@ -178,10 +183,24 @@
         """The client's name of the job."""
         return self.spec.job_id
 
-    @property
-    def urgency(self):
-        """Key by which jobs are planned: the queue's priority, then when the job should be done."""
-        return (self.queue.priority, self.due_by)
+    def urgency(self, now):
+        """Return the key by which jobs are planned: the priority, then when it should be done.
+
+        A task that is to last and has been down for long comes before all others: behind a burst
+        of more urgent jobs that did not end, its users waited as long.
+        """
+        is_overdue = self.lasts and self._down_s(now) > MAX_DOWN_S
+        return (float("-inf") if is_overdue else self.queue.priority, self.due_by)
+
+    def _down_s(self, now):
+        """Return for how long a task that could run has had no run. Unit: seconds."""
+        waiting_since = [
+            task.waiting_since
+            for step in self.steps.values()
+            if step.ready_at is not None
+            for task in step.waiting()
+        ]
+        return now - min(waiting_since, default=now)
 
     def wake(self):
         """Have the job planned anew: something of it has changed."""
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -27,6 +27,7 @@
     """
     drop_old_asks(scheduler, now)
     if n_wanted is not None and n_wanted <= 0:
+        scheduler.hold_starts(now)
         return ask_held(scheduler, now)
     is_whole = scheduler.needs_whole_plan or now >= scheduler.planned_whole_at + WHOLE_PLAN_S
     if is_whole:
@@ -36,10 +37,13 @@
     freed, scheduler.freed = scheduler.freed, set()
     actions = []
     n_starts = 0
-    for job in sorted(_waiting_jobs(scheduler, is_whole or freed), key=_urgency):
+    for job in sorted(
+        _waiting_jobs(scheduler, is_whole or freed), key=lambda job: job.urgency(now)
+    ):
         if n_wanted is not None and n_starts >= n_wanted:
             scheduler.needs_whole_plan = scheduler.needs_whole_plan or is_whole
             scheduler.freed |= freed
+            scheduler.hold_starts(now)
             break
         if is_whole or job.is_changed:
             planned = _plan_job(scheduler, job, now)
@@ -47,6 +51,8 @@
             planned = _plan_freed(scheduler, job, freed, now)
         n_starts += sum(isinstance(action, StartRun) for action in planned)
         actions += planned
+    else:
+        scheduler.starts_held_since = None
     return actions + ask_held(scheduler, now)
 
 
@@ -113,10 +119,6 @@
     return step.copies
 
 
-def _urgency(job):
-    return job.urgency
-
-
 # Candidates
 
 
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -56,6 +56,7 @@
         self.reservations = Reservations(self.policy)
         self.config = None
         self._looked_at = now - LOOK_S
+        self.starts_held_since = None
         self._jobs_known_at = float("-inf")
 
     # Configuration and jobs
@@ -255,6 +256,30 @@
                 actions += self._stop(run, now, why)
         return actions
 
+    def hold_starts(self, now):
+        """Note that tasks wait though they may have room: no more starts are wanted now."""
+        if self.starts_held_since is None:
+            self.starts_held_since = now
+
+    def starts_held_s(self, now):
+        """Return for how long each plan has had more starts than were wanted. Unit: seconds."""
+        return 0.0 if self.starts_held_since is None else now - self.starts_held_since
+
+    def n_tasks_ahead(self):
+        """Count the tasks that could start and come before those of a new job, by priority."""
+        counts = Counter()
+        for job in self.jobs.values():
+            if job.is_idle or job.is_ended:
+                continue
+            counts[job.queue.priority] += sum(
+                len(step.waiting()) for step in job.steps.values() if step.ready_at is not None
+            )
+        n_ahead = 0
+        for priority in sorted(counts):
+            n_ahead += counts[priority]
+            counts[priority] = n_ahead
+        return counts
+
     def preempt(self, run, now):
         """Stop a run for a more urgent task; it resumes from its checkpoint."""
         return self._stop(run, now, "preempted")
--- a/anvilflow/jobs/tests/test_plans.py
+++ b/anvilflow/jobs/tests/test_plans.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anvilflow.jobs import JobSpec, RunEnd, StartRun, StepSpec, _placement
+from anvilflow.jobs import JobSpec, Queue, RunEnd, StartRun, StepSpec, _placement
 
 from .test_reservations import FIRST, LAST, make_cell, submit
 from .test_scheduler import QUEUE, answer_started, item, make_report, make_scheduler
@@ -135,4 +135,23 @@
         scheduler.add_job(spec, QUEUE, version=1, now=1.0, wall_now=1.0)
     assert len(_starts_wanted(scheduler, 1.0, 2)) == 2
     assert _starts_wanted(scheduler, 1.2, 0) == []
+    assert scheduler.starts_held_s(1.5) == 0.5
     assert len(_starts_wanted(scheduler, 1.6, 9)) == 1
+    assert scheduler.starts_held_s(1.6) == 0.0
+
+
+def test_task_that_is_to_last_does_not_wait_behind_urgent_jobs_for_long():
+    """Its users had nobody for as long as a burst of more urgent jobs went on."""
+    scheduler = make_scheduler(1)
+    lasting = StepSpec(n_tasks=1, cpu_milli=1_000, long_running=True)
+    usual = Queue(name="u", host="h", prefix="/u/", service="s", priority=1)
+    spec = JobSpec(job_id="00000000000000f1", queue="u", payload="", steps=(lasting,))
+    scheduler.add_job(spec, usual, version=1, now=0.0, wall_now=0.0)
+    for number in range(2):
+        urgent = StepSpec(n_tasks=1, cpu_milli=1_000)
+        spec = JobSpec(job_id=f"{number:016x}", queue="q", payload="", steps=(urgent,))
+        scheduler.add_job(spec, QUEUE, version=1, now=0.0, wall_now=0.0)
+    [first] = _starts_wanted(scheduler, 1.0, 1)
+    assert first.task.startswith(f"{0:016x}")
+    [second] = _starts_wanted(scheduler, 2.5, 1)
+    assert second.task.startswith("00000000000000f1")
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -1749,6 +1749,7 @@
      - lag_ms
      - waiting
      - jobs_version
+     - start_waits
 
     """
 
@@ -1761,10 +1762,11 @@
         'lag_ms',
         'waiting',
         'jobs_version',
+        'start_waits',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
@@ -1773,6 +1775,7 @@
         self.lag_ms = lag_ms
         self.waiting = waiting
         self.jobs_version = jobs_version
+        self.start_waits = start_waits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1839,6 +1842,17 @@
                     self.jobs_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.MAP:
+                    self.start_waits = {}
+                    (_ktype41, _vtype42, _size40) = iprot.readMapBegin()
+                    for _i44 in range(_size40):
+                        _key45 = iprot.readI32()
+                        _val46 = iprot.readI32()
+                        self.start_waits[_key45] = _val46
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1864,15 +1878,15 @@
         if self.successors is not None:
             oprot.writeFieldBegin('successors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.successors))
-            for iter40 in self.successors:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter47 in self.successors:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter41 in self.addresses:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.addresses:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lag_ms is not None:
@@ -1882,15 +1896,23 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting))
-            for kiter42, viter43 in self.waiting.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeI32(viter43)
+            for kiter49, viter50 in self.waiting.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeI32(viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.jobs_version is not None:
             oprot.writeFieldBegin('jobs_version', TType.I64, 8)
             oprot.writeI64(self.jobs_version)
             oprot.writeFieldEnd()
+        if self.start_waits is not None:
+            oprot.writeFieldBegin('start_waits', TType.MAP, 9)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.start_waits))
+            for kiter51, viter52 in self.start_waits.items():
+                oprot.writeI32(kiter51)
+                oprot.writeI32(viter52)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2179,10 +2201,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem49)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2207,8 +2229,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter50 in self.workers:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter59 in self.workers:
+                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2280,20 +2302,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem56)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tickets.append(_elem62)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tickets.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2324,15 +2346,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter63 in self.workers:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter72 in self.workers:
+                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.tickets))
-            for iter64 in self.tickets:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter73 in self.tickets:
+                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_s is not None:
@@ -2711,11 +2733,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Message()
-                        _elem70.read(iprot)
-                        self.messages.append(_elem70)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = Message()
+                        _elem79.read(iprot)
+                        self.messages.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2732,8 +2754,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter71 in self.messages:
-                iter71.write(oprot)
+            for iter80 in self.messages:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2900,6 +2922,7 @@
     (6, TType.I32, 'lag_ms', None, None, ),  # 6
     (7, TType.MAP, 'waiting', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
     (8, TType.I64, 'jobs_version', None, None, ),  # 8
+    (9, TType.MAP, 'start_waits', (TType.I32, None, TType.I32, None, False), None, ),  # 9
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -129,6 +129,9 @@
   // to which they are known. Not in every beat.
   7: optional map<string, i32> waiting,
   8: optional i64 jobs_version,
+  // By priority, how long a new job's tasks wait before the home can start them. Unit: milliseconds.
+  // Only of a home that is short of what it sends starts with, and in beats that tell what waits.
+  9: optional map<i32, i32> start_waits,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
