A reading of the configuration that was made in an outage is given up when the store answers

What callers saw: after an outage of the store of 4 s a queue that the operator had just added was refused with 404 by most instances, 2.1 s and more after the change was acknowledged.

Change: the return of the store after an outage of 0.6 s or more is told in the process; a reading of the configuration that was made in it, and does not arrive yet, is made anew at once.

Test: test_change_after_an_outage_is_in_force_in_time, eleven lengths of an outage; fails without.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -7,7 +7,7 @@
 from ..platform import CONFIG_KEY, OPERATOR_TABLE, decode_config
 from ..runtime import Part
 from ..utils import jitter
-from ._context import ConfigChanged
+from ._context import ConfigChanged, StoreAnswers
 
 #: Part of the time in which a change must be in force after which a reading of the feed without an
 #: answer is given up: its connection may have gone silent just as the reading began. What is left
@@ -24,6 +24,10 @@
 #: late with a large configuration would be asked for it again and again, and never be heard.
 MAX_PATIENCE = 4
 
+#: Outage of the store after which a reading that was made in it is given up. A store that is only
+#: late may still answer it, and answers other calls sooner than this. Unit: seconds.
+OUTAGE_S = 0.6
+
 #: Wait after a reading that failed. Unit: seconds.
 AGAIN_S = 0.25
 
@@ -59,12 +63,29 @@
         self._not_understood = False
         self._away_since = None
         self._n_failed = 0
+        self._reading = None
+        self._read_at = 0.0
+        self._is_read_anew = False
 
     def start(self):
         """Read the configuration, and follow its changes."""
         self.context.config_part = self
+        self.on(StoreAnswers, self._store_answers)
         self.every(0.0, self._follow)
 
+    def _store_answers(self, _, answers):
+        """Read anew: what was asked in an outage has no answer, however long it is waited for.
+
+        After a few failures that is for 3.8 s, in which callers were refused by what had changed.
+        """
+        # An outage is noticed by a call that was out for its whole time limit.
+        was_asked_in_it = self._read_at >= self.now - answers.away_s - ANSWER_S
+        if answers.away_s < OUTAGE_S or not was_asked_in_it or self._arriving:
+            return
+        if self._reading is not None:
+            self._is_read_anew = True
+            self._reading.cancel()
+
     def hint(self, version):
         """Another instance has this version: read at once if ours is older, and not on its way.
 
@@ -93,13 +114,17 @@
 
     @inlineCallbacks
     def _follow(self):
+        self._read_at = self.now
+        self._reading = self._changes()
         try:
-            rows, version = yield self._changes()
+            rows, version = yield self._reading
         except RevisionGoneError:
             self.log.info("configuration history gone, reading anew", after=self._version)
             self._version = None
             return
         except PlatformError as exc:
+            if self._is_read_anew:
+                return
             is_first = self._away_since is None
             self._note_failed(exc)
             self.context.store_health.bad()
@@ -108,6 +133,9 @@
             if not (is_first and isinstance(exc, PlatformUnavailableError)):
                 yield self._pause()
             return
+        finally:
+            self._reading = None
+            self._is_read_anew = False
         self._note_read()
         self.context.store_health.good()
         self._take_rows(rows, "read" if self._version is None else "feed")
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -48,6 +48,12 @@
     """Another instance has become the home."""
 
 
+class StoreAnswers(Struct, kw_only=True):
+    """The store answers this instance again, after `away_s` in which calls had no answer."""
+
+    away_s: float
+
+
 class Leaving(Struct, kw_only=True):
     """This instance is about to stop."""
 
@@ -97,7 +103,9 @@
         self.config = None
         self.config_at = clock.seconds()
         self.leaving = False
-        self.store_health = StoreHealth(clock=clock)
+        self.store_health = StoreHealth(
+            clock=clock, on_answers=lambda away_s: bus.post(StoreAnswers(away_s=away_s))
+        )
         self.lag = LagMeter(period=LAG_PERIOD_S)
         self.waiting = WaitingJobs(context=self)
         self.start_waits = StartWaits(clock=clock)
@@ -119,17 +127,22 @@
     Parameters
     ----------
     clock : IReactorTime
+    on_answers : callable, default=None
+        Called with the length of an outage when it is over. Unit: seconds.
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, on_answers=None):
         self.clock = clock
+        self._on_answers = on_answers
         self.bad_since = None
         self.bad_at = None
         self.answer_s = 0.0
 
     def good(self):
         """Note an answer."""
-        self.bad_since = None
+        away_s, self.bad_since = self.bad_for_s, None
+        if away_s > 0 and self._on_answers is not None:
+            self._on_answers(away_s)
 
     def bad(self):
         """Note a call without one."""
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -30,6 +30,9 @@
 #: Time within which a change must be in force on the larger deployments. Unit: seconds.
 APPLY_S = 3.0
 
+#: The same in the smallest deployments. Unit: seconds.
+SMALL_APPLY_S = 2.0
+
 
 def _big_config(version, n_routes=4200):
     """Return a configuration of 1.3 MB on the wire, which takes 2.0 s over a slow link."""
@@ -174,6 +177,25 @@
     assert (_versions(cell) == {5}) is safeguard
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_change_after_an_outage_is_in_force_in_time(monkeypatch, safeguard):
+    """A reading that was made in the outage was waited for long after the store had returned."""
+    if not safeguard:
+        monkeypatch.setattr(ConfigPart, "_store_answers", lambda *_: None)
+    late = []
+    for tenths in range(22, 66, 4):
+        cell = make_cell(n_instances=3)
+        cell.store_faults.silent = True
+        cell.advance(tenths / 10)
+        cell.store_faults.clear()
+        cell.advance(0.3)
+        cell.store.put("op", "config", make_platform_config(5))
+        cell.advance(SMALL_APPLY_S)
+        if _versions(cell) != {5}:
+            late.append(tenths)
+    assert (not late) is safeguard
+
+
 _MALFORMED = {"version": 7, "routes": 5}
 
 
