A task waits for a run of it that is being stopped elsewhere

What callers may see: a task runs in two places for some tenths of a second across a change of home.

Cause: a home's row names what runs on workers that do not answer. Refused by the store, the home cannot write that such a run is over, and starts the task again on a second worker. Its successor takes the run of the row for the task's, has the newer one stopped as one without a place, hears from the first worker that its run is over, and starts a third while the second is still being stopped: a run without a place kept its worker from getting work, and not its task.

Change: when the last known run of a task is over, a run of it that some worker lists, or is asked to stop, counts as the task's own: its end, its worker's end or the end of its lease is waited for; one that was done first counts.

Before, a start came at once.

--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -187,6 +187,22 @@
         run.worker.remove_run(run)
         self.freed.add(run.worker.info.worker_id)
 
+    def _take_stray(self, step, task, now):
+        """Count a run that had no place here as the task's own, now that no other is left.
+
+        It works, or is being stopped: a second one must not begin before it is over. Returns
+        whether there is such a run.
+        """
+        for worker in self.workers.values():
+            for name, run_id in list(worker.strays):
+                if name != task.name:
+                    continue
+                stray = worker.strays.pop((name, run_id))
+                run = self._make_run(worker, step, task, run_id, now)
+                run.state = "barred" if stray.stopped else "running"
+                return True
+        return False
+
     def _drop_run(self, run, now):
         """Forget a run that has certainly ended without a listed end."""
         self._free(run)
@@ -199,6 +215,8 @@
 
     def _wait_again(self, step, task, now):
         if task.state is not TaskState.DONE and not task.runs:
+            if self._take_stray(step, task, now):
+                return
             if task.state is TaskState.RUNNING:
                 task.waiting_since = now
             task.state = TaskState.WAITING
