The count of a queue is told without a home where the store has dropped its history

What callers saw: an added queue was refused with 503 by two of five instances 4.9 s after the change, until they had found another home.

Cause: without a home what waits is counted from the store's feed. Where the store has dropped its history the feed answers that the version is gone, and the count was given up; the rows themselves, with their versions, were there.

Tests: test_count_is_told_without_a_home_where_the_store_has_dropped_its_history fails before with a refusal. test_history_that_is_gone_costs_one_answer_not_the_part asked for that refusal; it now asks for the count, which is stricter, and is named so.

--- a/anvilflow/cell/_waiting.py
+++ b/anvilflow/cell/_waiting.py
@@ -7,6 +7,7 @@
 
 from ..exceptions import NotReadyError, PlatformError, RevisionGoneError
 from ..utils import decode
+from ._job_store import read_jobs
 from ._tables import CANCEL_MARK, JOBS, JobRow
 
 #: Period in which the home tells what waits, with a beat: after 0.6 s at the latest. Unit: seconds.
@@ -24,6 +25,9 @@
 #: one call, since one answer that was lost says nothing about the store. Unit: seconds.
 STORE_AWAY_S = 1.0
 
+#: Parts of the table of jobs that are read at the same time where its history is gone.
+READINGS_AT_ONCE = 8
+
 #: Longest wait of a caller for the first word of a home, as after the end of all instances: half of
 #: the time for which callers wait. Unit: seconds.
 FIRST_WORD_S = 1.5
@@ -126,9 +130,9 @@
             raise _not_known("no home has told for too long")
         self._check_store()
         try:
-            rows, newest = yield self.context.store.follow(JOBS, version, wait_s=0.0)
+            rows, newest = yield self._read_since(version)
             accepted = _accepted(rows)
-        except (PlatformError, RevisionGoneError) as exc:
+        except PlatformError as exc:
             raise _not_known(str(exc)) from exc
         if self._version != version:
             # A home has told meanwhile, and knows of these jobs.
@@ -137,6 +141,20 @@
         self._version = newest
         self._known_at = asked_at
 
+    @inlineCallbacks
+    def _read_since(self, version):
+        """Return the rows of jobs that came after a version, and the version of the reading.
+
+        Where the store has dropped its history it still has the rows themselves.
+        """
+        store = self.context.store
+        try:
+            found = yield store.follow(JOBS, version, wait_s=0.0)
+        except RevisionGoneError:
+            rows, newest = yield read_jobs(store, READINGS_AT_ONCE)
+            found = [row for row in rows if row.version > version], newest
+        return found
+
     def _check_store(self):
         if self.context.store_health.bad_for_s > STORE_AWAY_S:
             raise _not_known("neither a home nor the store tells")
--- a/anvilflow/cell/tests/test_added_queue.py
+++ b/anvilflow/cell/tests/test_added_queue.py
@@ -119,15 +119,15 @@
     assert int(headers[b"retry-after"]) >= 1
 
 
-def test_history_that_is_gone_costs_one_answer_not_the_part(monkeypatch):
-    """The store has dropped the history that the count would be made from."""
+def test_history_that_is_gone_costs_neither_the_answer_nor_the_part(monkeypatch):
+    """The store has dropped the history that the count would be made from; it has the rows."""
     cell = make_cell(n_instances=3)
     cell.submit("a0", JOB, {"count": 1, "cpu": 64_000})
     cell.advance(1.0)
     _without_successor(monkeypatch, cell)
     cell.advance(3.0)
     cell.store.forget_history()
-    assert _n_waiting(cell, next(iter(cell.daemons))) == 503
+    assert _n_waiting(cell, next(iter(cell.daemons))) == 1
     assert cell.errors == []
 
 
@@ -173,6 +173,21 @@
     assert _n_waiting(cell, name) == 0
 
 
+def test_count_is_told_without_a_home_where_the_store_has_dropped_its_history(monkeypatch):
+    """Instances that lost their home refused each queue until there was another one."""
+    cell = make_cell(n_instances=3)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 500}, spec="0.1 done 500")
+    cell.advance(2.0)
+    _without_successor(monkeypatch, cell)
+    cell.advance(2.0)
+    name = next(iter(cell.daemons))
+    cell.submit(name, f"{1:016x}", {"count": 1, "cpu": 500}, spec="0.1 done 500")
+    cell.advance(0.5)
+    cell.store.forget_history()
+    cell.advance(1.0)
+    assert _n_waiting(cell, name) == 1
+
+
 @pytest.mark.parametrize("waited_s", [0.1, 0.5, 0.9, 1.3, 1.7, 2.1])
 @pytest.mark.parametrize("lead_s", [0.0, 0.6, 1.2])
 def test_change_is_in_force_in_time_after_connections_to_the_store_fell_silent(lead_s, waited_s):
