All workers count as late by the share of calls without an answer, too

Cause: the first workers whose holds had no answer on a link that had just become full were taken for silent: the common time limit had not grown yet. What is known by then is that half of the last thirty calls had no answer. Patience is 2 s since a worker was heard: a hold that is answered usually was sent half a second before, and the next one is given up 0.9 s later.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -27,9 +27,14 @@
 #: Unit: seconds.
 LATE_S = 0.4
 
+#: Share of calls to workers without an answer in time from which all count as late, and the weight
+#: of the newest call in it: a worker that is lost with some starts under way is one of many.
+LATE_SHARE = 0.5
+LATE_WEIGHT = 1 / 32
+
 #: Silence after which a worker gets no new work, also while answers of all workers are late. Unit:
 #: seconds.
-LATE_SILENT_S = 1.5
+LATE_SILENT_S = 2.0
 
 #: Starts that may be sent again: a share of those that workers answer, and some at once.
 RETRY_RATIO = 0.5
@@ -67,6 +72,7 @@
         self._unlisted = {}
         self._heard_at = {}
         self._round_trip = RoundTrip(settings=ALL_WORKERS)
+        self._unanswered_share = 0.0
         self._retries = RetryBudget(ratio=RETRY_RATIO, burst=RETRY_BURST)
         self.starts = StartQueue(
             clock=context.clock,
@@ -182,6 +188,7 @@
     def call_answered(self, round_trip_s):
         """Note how long an answer of a worker took."""
         self._round_trip.answered(round_trip_s)
+        self._unanswered_share -= LATE_WEIGHT * self._unanswered_share
         # What waited for this process says nothing of the link.
         mean_s = max(0.0, self._round_trip.mean_s - LAG_TIMES * self.context.lag.lag_s)
         self.starts.window.answered(round_trip_s, mean_s=mean_s, now=self._now())
@@ -189,6 +196,7 @@
     def call_unanswered(self):
         """Note a call to a worker that had no answer in time."""
         self._round_trip.timed_out()
+        self._unanswered_share += LATE_WEIGHT * (1.0 - self._unanswered_share)
 
     def may_retry(self):
         """Whether a start without an answer may be sent again."""
@@ -205,7 +213,7 @@
         On a full link all answers are late. Workers that were taken for silent got no work, and
         what ran on them was started again elsewhere.
         """
-        if self.limit_s() < LATE_S:
+        if self.limit_s() < LATE_S and self._unanswered_share < LATE_SHARE:
             return False
         return self._now() - self._heard_at.get(worker_id, float("-inf")) < LATE_SILENT_S
 
