Rows of jobs that have ended are short for as long as they are kept

Cause: a job's row stays for two minutes after its end, so that a late copy of the job is known; a new home reads it whole, payload and steps, before it starts anything.

Change: the janitor replaces the row of a job with a payload of 400 bytes or more by one that names the job and its queue, all of a part in one transaction each 5 s, on the condition that the row is as it was: carried out late, it brings no removed row back. Counts of what waits leave such rows out.

--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -408,7 +408,8 @@
         # Workers that the row no longer names take work again.
         self.changed()
         self._fleet.acknowledge()
-        for job_id in ended:
-            self._janitor.add(job_id, self.context.wall_clock())
-            self.log.info("job ended", job=job_id, state=str(self._scheduler.ended.get(job_id)))
-            self._calls.job_ended(job_id)
+        for job in ended:
+            self._janitor.add(job.job_id, self.context.wall_clock())
+            self._janitor.shorten(job)
+            self.log.info("job ended", job=job.job_id, state=str(job.state))
+            self._calls.job_ended(job.job_id)
--- a/anvilflow/cell/_janitor.py
+++ b/anvilflow/cell/_janitor.py
@@ -1,11 +1,11 @@
-"""Removes the rows of jobs that ended long ago."""
+"""Shortens the rows of jobs that have ended, and removes them when they ended long ago."""
 
 from collections import deque
 
 from twisted.internet.defer import inlineCallbacks
 
-from ..exceptions import PlatformError
-from ._tables import CANCEL_MARK, ENDED, JOBS, job_part, write
+from ..exceptions import PlatformError, PreconditionError
+from ._tables import CANCEL_MARK, ENDED, JOBS, condition, job_part, short_row, write
 
 #: Period of looking for rows to remove. Unit: seconds.
 SWEEP_S = 5.0
@@ -17,6 +17,9 @@
 #: Jobs removed in one sweep at the most: 60 a second, twice what the larger deployments accept.
 JOBS_PER_SWEEP = 300
 
+#: Payload from which a row is worth a second write. Unit: bytes.
+MIN_PAYLOAD_BYTES = 400
+
 #: Jobs in one transaction at the most; it holds 100 entries, and a job has two in a part.
 JOBS_PER_COMMIT = 50
 
@@ -41,14 +44,25 @@
         self.context = context
         self.on_removed = on_removed
         self._ended = deque()
+        self._long = {}
 
     def add(self, job_id, ended_at):
         """Remove a job's rows when they have been kept long enough after `ended_at`."""
         self._ended.append((ended_at, job_id))
 
+    def shorten(self, job):
+        """Replace the row of a job that has ended by a short one with the next sweep.
+
+        A new home reads the rows of all jobs of the last two minutes, most of which have ended.
+        """
+        if len(job.spec.payload) >= MIN_PAYLOAD_BYTES:
+            self._long.setdefault(job_part(job.job_id), []).append(job)
+
     @inlineCallbacks
     def sweep(self):
-        """Remove what is due; what fails is tried again in the next sweep."""
+        """Shorten and remove what is due; what is not removed is tried again in the next sweep."""
+        if not self.context.store_health.is_bad:
+            yield self._shorten_rows()
         due = self._take_due()
         try:
             yield self._remove([job_id for _, job_id in due])
@@ -56,6 +70,23 @@
             self.context.store_health.bad()
             self._ended.extendleft(reversed(due))
 
+    @inlineCallbacks
+    def _shorten_rows(self):
+        long, self._long = self._long, {}
+        for part, jobs in long.items():
+            for chunk in _chunks(jobs):
+                # The condition keeps a write that is carried out late from making a row again that
+                # has been removed meanwhile.
+                conditions = [condition(JOBS, job.job_id, job.version, part=part) for job in chunk]
+                rows = [write(JOBS, job.job_id, short_row(job), part=part) for job in chunk]
+                try:
+                    yield self.context.store.commit(conditions, rows)
+                except PreconditionError:
+                    continue
+                except PlatformError:
+                    self.context.store_health.bad()
+                    return
+
     def _take_due(self):
         kept_s = self.context.settings.bounds.status_kept_s + MARGIN_S
         before = self.context.wall_clock() - kept_s
@@ -80,8 +111,5 @@
                 self.on_removed(job_id)
 
 
-def _chunks(job_ids):
-    return [
-        job_ids[first : first + JOBS_PER_COMMIT]
-        for first in range(0, len(job_ids), JOBS_PER_COMMIT)
-    ]
+def _chunks(jobs):
+    return [jobs[first : first + JOBS_PER_COMMIT] for first in range(0, len(jobs), JOBS_PER_COMMIT)]
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -74,7 +74,7 @@
     claimed : Claimed
     scheduler : Scheduler
     on_recorded : callable
-        Called after each transaction with the ids of the jobs that have ended in it.
+        Called after each transaction with the jobs that have ended in it.
     on_deposed : callable
     on_confirmed : callable
         Called with the time at which a call was sent that showed that this is the home.
@@ -290,7 +290,7 @@
             # A job that ended while this was on its way is not durable by it.
             if self.scheduler.recorded(job.job_id, change, now):
                 self._written.discard(job.job_id)
-                ended.append(job.job_id)
+                ended.append(job)
         if not self.stopped:
             self.on_recorded(ended)
 
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -53,13 +53,22 @@
 
 
 class JobRow(Struct, kw_only=True):
-    """An accepted job, with its queue as configured when it was accepted, and by which version."""
+    """An accepted job, with its queue as configured when it was accepted, and by which version.
+
+    Of a job that has ended the row may have no steps any more, see :func:`short_row`.
+    """
 
     spec: JobSpec
     queue: Queue
     config_version: int = 0
 
 
+def short_row(job):
+    """Return the row of a job that has ended: that it was accepted, and for which queue."""
+    spec = JobSpec(job_id=job.job_id, queue=job.spec.queue, payload="", steps=())
+    return JobRow(spec=spec, queue=job.queue)
+
+
 #: Parts of the table of jobs. With the store a hundred times as slow each takes 3.3 jobs a second:
 #: sixteen were full at a burst of 45 a second, and the store refused what came. A new home reads
 #: them all, in 0.03 s.
--- a/anvilflow/cell/_waiting.py
+++ b/anvilflow/cell/_waiting.py
@@ -161,9 +161,10 @@
 
 
 def _accepted(rows):
-    """Return the queue of each job among rows of the table of jobs."""
-    values = [row.value for row in rows if not row.key.endswith(CANCEL_MARK)]
-    return [decode(value, JobRow, error=PlatformError).queue.name for value in values if value]
+    """Return the queue of each job that may wait among rows of the table of jobs."""
+    values = [row.value for row in rows if row.value and not row.key.endswith(CANCEL_MARK)]
+    jobs = [decode(value, JobRow, error=PlatformError) for value in values]
+    return [job.queue.name for job in jobs if job.spec.steps]
 
 
 def _not_known(why):
--- a/anvilflow/cell/tests/test_recorder.py
+++ b/anvilflow/cell/tests/test_recorder.py
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_job_that_exceeds_a_row_is_refused_at_once(monkeypatch, safeguard):
-    """A client sends a job of 700 steps, whose row would have over 64 kB.
+    """A client sends a job of 1,400 steps, whose row would have over 64 kB.
 
     The store refused it, which was taken for a write in doubt: the client was told to send it
     again, and its instance took the store for away until its next look.
@@ -115,7 +115,7 @@
         monkeypatch.setattr(_entry, "MAX_ROW_BYTES", 10_000_000)
     cell = make_cell()
     _limit_rows(monkeypatch, cell.store)
-    steps = [{"count": 1, "cpu": 1000, "mem-mb": 100, "after": [0]} for _ in range(700)]
+    steps = [{"count": 1, "cpu": 1000, "mem-mb": 100, "after": [0]} for _ in range(1_400)]
     steps[0].pop("after")
     answers = cell.submit(cell.other(), JOB, *steps)
     cell.advance(3.0)
