A dark worker is asked again as soon as before

Cause: with limits that double for each worker, one that comes back was heard up to 0.8 s later: its run lapsed before the next home could stop it. test_task_on_a_dark_worker_is_stopped_by_the_next_home found it. What one worker does says nothing of the link: only the limit of all of them doubles.

Two scenes of test_slow_links.py need links of 2 Mbit/s in place of 5, since rows are a quarter shorter now and those of ended jobs are short: without their safeguards they broke nothing any more. Their checks are as they were.

--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -152,8 +152,9 @@
         return answer
 
     def _unanswered(self, failure):
+        # One worker without an answer may be dark, and is asked again as soon as before: only what
+        # all of them do tells of the link.
         if failure.check(WorkerUnreachableError):
-            self._round_trip.timed_out()
             self.home.call_unanswered()
         return failure
 
--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -23,8 +23,8 @@
 
 from ._helpers import end_and_start_all, make_cell
 
-#: A link of 5 Mbit/s. Unit: bytes a second.
-SLOW = 625_000
+#: A link of 2 Mbit/s. Unit: bytes a second.
+SLOW = 250_000
 
 #: Jobs whose rows take 1.2 s over such a link.
 N_JOBS = 800
