--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -76,7 +76,8 @@
     def _store_answers(self, _, answers):
         """Read anew: what was asked in an outage has no answer, however long it is waited for.
 
-        After a few failures that is for 3.8 s, in which callers were refused by what had changed.
+        Each failure has made the wait longer. Until it was over, callers were refused by a
+        configuration that had changed since the store returned.
         """
         # An outage is noticed by a call that was out for its whole time limit.
         was_asked_in_it = self._read_at >= self.now - answers.away_s - ANSWER_S
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -20,7 +20,8 @@
 #: store in which it lapsed. Unit: seconds.
 UNLISTED_S = 2.5
 
-#: How the round trip of all workers together is followed: each of them tells a small part of it.
+#: How the round trip of all workers together is followed. Single slow workers make it vary, which
+#: must not make the time limits of all long.
 ALL_WORKERS = RoundTripSettings(mean_share=1 / 8, deviation_share=1 / 8)
 
 #: Time limit from which answers of all workers count as late: the one of orders on a calm link.
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -37,9 +37,9 @@
 #: Unit: seconds.
 STORE_BAD_S = 0.1
 
-#: Time for which there have to be more starts than can be sent, at each plan, before entries are
-#: told of it: a burst that is over sooner makes nobody late. Unit: seconds.
-HELD_S = 1.0
+#: Time for which each plan has to leave starts to a later one before entries are told how long new
+#: jobs wait: a burst that is over sooner makes nobody late. Unit: seconds.
+DEFERRED_S = 1.0
 
 #: Wait before a home that could not read its tables reads them again. Unit: seconds.
 _AGAIN_S = 0.3
@@ -251,7 +251,7 @@
     def start_waits(self):
         """Return how long new jobs wait until their tasks can be sent, by priority."""
         scheduler = self._scheduler
-        if scheduler.starts_held_s(self.now) < HELD_S:
+        if scheduler.starts_deferred_s(self.now) < DEFERRED_S:
             return {}
         rate = self._fleet.starts.rate
         return {priority: n / rate for priority, n in scheduler.n_tasks_ahead().items()}
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -204,7 +204,7 @@
         self.home.start_answered(action, outcome)
 
     def _start_surely(self, action):
-        """Send a start until it is answered; it may be sent again, and is known to the worker."""
+        """Send a start, again while it has no answer; return how the worker answered."""
         outcome = "unknown"
         for number, least_s in enumerate(START_TIMEOUTS_S):
             if number > 0 and not self.home.may_retry():
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -27,7 +27,7 @@
     """
     drop_old_asks(scheduler, now)
     if n_wanted is not None and n_wanted <= 0:
-        scheduler.hold_starts(now)
+        scheduler.note_starts_deferred(now)
         return ask_held(scheduler, now)
     is_whole = scheduler.needs_whole_plan or now >= scheduler.planned_whole_at + WHOLE_PLAN_S
     if is_whole:
@@ -43,7 +43,7 @@
         if n_wanted is not None and n_starts >= n_wanted:
             scheduler.needs_whole_plan = scheduler.needs_whole_plan or is_whole
             scheduler.freed |= freed
-            scheduler.hold_starts(now)
+            scheduler.note_starts_deferred(now)
             break
         if is_whole or job.is_changed:
             planned = _plan_job(scheduler, job, now)
@@ -52,7 +52,7 @@
         n_starts += sum(isinstance(action, StartRun) for action in planned)
         actions += planned
     else:
-        scheduler.starts_held_since = None
+        scheduler.starts_deferred_since = None
     return actions + ask_held(scheduler, now)
 
 
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -56,7 +56,7 @@
         self.reservations = Reservations(self.policy)
         self.config = None
         self._looked_at = now - LOOK_S
-        self.starts_held_since = None
+        self.starts_deferred_since = None
         self._jobs_known_at = float("-inf")
 
     # Configuration and jobs
@@ -256,14 +256,14 @@
                 actions += self._stop(run, now, why)
         return actions
 
-    def hold_starts(self, now):
-        """Note that tasks wait though they may have room: no more starts are wanted now."""
-        if self.starts_held_since is None:
-            self.starts_held_since = now
+    def note_starts_deferred(self, now):
+        """Note that a plan left tasks waiting since no more starts are wanted now."""
+        if self.starts_deferred_since is None:
+            self.starts_deferred_since = now
 
-    def starts_held_s(self, now):
-        """Return for how long each plan has had more starts than were wanted. Unit: seconds."""
-        return 0.0 if self.starts_held_since is None else now - self.starts_held_since
+    def starts_deferred_s(self, now):
+        """Return for how long each plan has left tasks waiting so. Unit: seconds."""
+        return 0.0 if self.starts_deferred_since is None else now - self.starts_deferred_since
 
     def n_tasks_ahead(self):
         """Count the tasks that could start and come before those of a new job, by priority."""
--- a/anvilflow/jobs/tests/test_plans.py
+++ b/anvilflow/jobs/tests/test_plans.py
@@ -135,9 +135,9 @@
         scheduler.add_job(spec, QUEUE, version=1, now=1.0, wall_now=1.0)
     assert len(_starts_wanted(scheduler, 1.0, 2)) == 2
     assert _starts_wanted(scheduler, 1.2, 0) == []
-    assert scheduler.starts_held_s(1.5) == 0.5
+    assert scheduler.starts_deferred_s(1.5) == 0.5
     assert len(_starts_wanted(scheduler, 1.6, 9)) == 1
-    assert scheduler.starts_held_s(1.6) == 0.0
+    assert scheduler.starts_deferred_s(1.6) == 0.0
 
 
 def test_task_that_is_to_last_does_not_wait_behind_urgent_jobs_for_long():
