The rest of a gang is stopped at once when one member is not started

What callers saw: a gang whose member was not started held its other places for gang-ms and ended alone; the job began anew 4 s later.

Cause: the start of one member had no answer, or was refused, on a home that was late; it was stopped or dropped, and nothing told the others, which waited at work.

Change: what was started of the gang under that run number is stopped with the answer that shows that it cannot be whole; the gang begins anew when these stops are told.

Test: test_rest_of_a_gang_is_stopped_when_one_member_is_not_started, three kinds of answer; before, no stop was given.

--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -305,7 +305,10 @@
         if outcome == "unknown":
             # It may be carried out seconds later. Stopping it bars it, and its place stays taken
             # until the worker confirms that.
-            return self._stop(run, now, "start unanswered") if run.state == "starting" else []
+            if run.state != "starting":
+                return []
+            actions = self._stop(run, now, "start unanswered")
+            return actions + self._stop_rest_of_gang(task, run_id, now)
         if outcome == "ticket":
             step, _ = self.find_task(task)
             if step is not None:
@@ -314,7 +317,20 @@
             self._worker_did_badly(run.worker, now)
             run.worker.retry_at = max(run.worker.retry_at, now + FIRST_REST_S)
         self._drop_run(run, now)
-        return []
+        return self._stop_rest_of_gang(task, run_id, now)
+
+    def _stop_rest_of_gang(self, task, run_id, now):
+        """Stop the other members of a gang of which one was not started.
+
+        They would wait for it at work until they end alone, and the gang begins anew only then.
+        """
+        step, _ = self.find_task(task)
+        if step is None or not step.spec.gang:
+            return []
+        runs = [run for each in step.tasks for run in each.runs.values() if run.run_id == run_id]
+        return [
+            action for run in runs for action in self._stop(run, now, "gang not started as a whole")
+        ]
 
     def is_wanted(self, worker_id, task, run_id):
         """Whether a run that was to be started still has its place, and is not being stopped."""
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -399,3 +399,25 @@
     assert scheduler.acknowledged(worker) == 0
     scheduler.recorded(job_id, scheduler.jobs[job_id].change, 0.7)
     assert scheduler.acknowledged(worker) == 1
+
+
+@pytest.mark.parametrize("outcome", ["unknown", "room", "unreached"])
+def test_rest_of_a_gang_is_stopped_when_one_member_is_not_started(outcome):
+    """The others waited at work for the missing one until they ended alone."""
+    scheduler = make_scheduler(3)
+    starts = add_job(scheduler, StepSpec(n_tasks=3, cpu_milli=6_000, gang=True))
+    answer_started(scheduler, starts[:2], 0.1)
+    last = starts[2]
+    actions = scheduler.start_answered(last.worker_id, last.task, last.run_id, outcome, 0.2)
+    stopped = {action.task for action in actions if isinstance(action, StopRun)}
+    assert stopped >= {start.task for start in starts[:2]}
+    ends = [
+        RunEnd(number=1, task=start.task, run_id=start.run_id, how="stopped", checkpoint="")
+        for start in starts
+    ]
+    for start, end in zip(starts, ends, strict=True):
+        report = make_report((), (end,) if start is not last or outcome == "unknown" else ())
+        scheduler.report(start.worker_id, report, asked_at=0.5, now=0.5)
+    again = [each for each in scheduler.plan(9.0, 9.0) if isinstance(each, StartRun)]
+    assert {start.task for start in again} == {start.task for start in starts}
+    assert {start.run_id for start in again} == {2}
