Apply capacity changes of registered workers

Workers reduced to 1,000 or 6,000 thousandths of a core were still filled to 16,000, and only 2 of 12 tasks ran on a worker that had grown from 2,000 to 16,000.

Cause: the free amounts of a worker were set only once, from its first entry. Later entries replaced the entry but did not update the free amounts.

Change: a newer entry adjusts the free amounts by the difference in capacity. A start that is queued for the link is not sent if the worker's runs exceed its capacity by then; its task is placed again. While a free amount is negative, no task fits until enough runs have ended (tasks of steps with `fills` are not checked against CPU, as before).

Other code was checked for the same fault: reservations, advice and gangs use the free amounts, and the home's row contains the whole entry.

--- a/anvilflow/cell/tests/test_crashing_tasks.py
+++ b/anvilflow/cell/tests/test_crashing_tasks.py
@@ -1,4 +1,4 @@
-"""Tasks that crash the workers that start them are given up; innocent ones beside them are not."""
+"""Tasks that crash their workers fail; other tasks on the same workers do not."""
 
 import pytest
 
@@ -8,17 +8,17 @@
 
 OTHER_JOB = "00000000000000b2"
 
-#: Starts that are allowed after the third crash under a task.
+#: Maximum number of starts of a task after it has crashed three workers.
 MAX_STARTS_AFTER = 2
 
-#: A task that crashes its worker 10 ms after its start, and one that does after 1.5 s.
+#: Payloads of tasks that crash their worker 10 ms and 1.5 s after the start.
 CRASH = "0.01 crash 1000"
 LATE_CRASH = "1.5 crash 1000"
 
 
 def _make_cell(*, n_instances=3, n_workers=8, refuses=False):
     cell = PlatformCell(n_instances=n_instances, n_workers=n_workers)
-    cell.crashes_refuse = refuses
+    cell.refuses_after_crash = refuses
     cell.start()
     return cell
 
@@ -32,7 +32,7 @@
 
 
 def _starts_after_third_crash(cell):
-    """Return the most starts of one task after three workers have crashed under it."""
+    """Return the highest number of starts of any task after its third crash."""
     most = 0
     for task in {span.task for span in cell.spans}:
         runs = cell.runs_of(task)
@@ -44,7 +44,7 @@
 
 @pytest.mark.parametrize("refuses", [False, True])
 def test_task_that_crashes_two_workers_is_not_started_a_third_time(refuses):
-    """Guards against a task that takes down one worker after the other for as long as it waits."""
+    """Guards against restarting a crashing task without limit."""
     cell = _make_cell(refuses=refuses)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec=CRASH)
     cell.advance(40.0)
@@ -53,7 +53,7 @@
 
 
 def test_task_that_crashes_its_worker_a_while_after_the_start_is_given_up():
-    """Guards against counting only crashes that come at once."""
+    """Guards against counting only crashes right after the start."""
     cell = _make_cell()
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec=LATE_CRASH)
     cell.advance(40.0)
@@ -63,7 +63,7 @@
 
 @pytest.mark.parametrize("seconds", [5.0, 8.0])
 def test_task_that_always_crashes_its_worker_late_is_given_up(seconds):
-    """Guards against a task whose crashes come too late to look like its own doing."""
+    """Guards against never attributing late crashes to their task."""
     cell = _make_cell()
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec=f"{seconds} crash 1000")
     cell.advance(150.0)
@@ -71,9 +71,9 @@
     assert cell.state("a0", JOB) == "failed"
 
 
-@pytest.mark.parametrize("kill_s", [0.05, 1.0])
-def test_crashes_are_counted_across_homes(kill_s):
-    """Guards against a home that dies with each crash and takes the count with it."""
+@pytest.mark.parametrize("kill_delay_s", [0.05, 1.0])
+def test_crashes_are_counted_across_homes(kill_delay_s):
+    """Guards against losing the crash count when the home fails after each crash."""
     cell = _make_cell(n_instances=5)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec=CRASH)
     kill_at = None
@@ -83,7 +83,7 @@
         now = cell.clock.seconds()
         if len(_crashes(cell)) > n_seen:
             n_seen = len(_crashes(cell))
-            kill_at = now + kill_s
+            kill_at = now + kill_delay_s
         if kill_at is not None and now >= kill_at:
             kill_at = None
             home = cell.home()
@@ -96,7 +96,7 @@
 
 @pytest.mark.parametrize("step", [{"gang": True}, {"long-running": True}])
 def test_member_that_crashes_its_worker_ends_its_job(step):
-    """Guards against counting crashes of single tasks that end, and of no others."""
+    """Guards against ignoring crashes of gang and long-running tasks."""
     cell = PlatformCell(
         n_workers=8,
         sizes=lambda task, _: (
@@ -111,44 +111,44 @@
 
 
 def test_suspect_is_not_started_while_the_store_is_away():
-    """Guards against starts whose crash the next home could not count."""
+    """Guards against starts whose crashes cannot be recorded in the store."""
     cell = _make_cell()
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec=CRASH)
     cell.advance(1.0)
     cell.store_faults.silent = True
     cell.advance(9.0)
-    n_while_away = len(_crashes(cell))
+    n_during_outage = len(_crashes(cell))
     cell.store_faults.clear()
     cell.advance(30.0)
-    assert n_while_away == 1
+    assert n_during_outage == 1
     assert len(_crashes(cell)) == 2
     assert cell.state("a0", JOB) == "failed"
 
 
 def test_good_jobs_beside_crashing_ones_are_done():
-    """Guards against crashing tasks that take the same good ones down with them each time."""
+    """Guards against failing jobs whose tasks share workers with crashing tasks."""
     cell = _make_cell(n_workers=6)
-    good = [f"{number:016x}" for number in range(16, 28)]
+    good_jobs = [f"{number:016x}" for number in range(16, 28)]
     for job_id in (JOB, OTHER_JOB):
         cell.submit("a0", job_id, {"count": 1, "cpu": 1000}, spec=CRASH)
-    for job_id in good:
+    for job_id in good_jobs:
         cell.submit("a0", job_id, {"count": 2, "cpu": 2000}, spec="4.0 done 2000")
     cell.advance(60.0)
-    assert [cell.state("a0", job_id) for job_id in good] == ["completed"] * 12
+    assert [cell.state("a0", job_id) for job_id in good_jobs] == ["completed"] * 12
     assert len(_crashes(cell)) == len(_crashes(cell, OTHER_JOB)) == 2
     assert cell.state("a0", JOB) == cell.state("a0", OTHER_JOB) == "failed"
     assert cell.check() == []
 
 
-@pytest.mark.parametrize("every_s", [3.0, 4.0, 6.0])
-def test_jobs_on_workers_that_crash_by_themselves_are_done(every_s):
-    """Guards against blaming tasks for workers that would have crashed anyway."""
+@pytest.mark.parametrize("interval_s", [3.0, 4.0, 6.0])
+def test_jobs_on_workers_that_crash_by_themselves_are_done(interval_s):
+    """Guards against failing tasks for worker crashes that they did not cause."""
     cell = _make_cell(n_workers=6)
     jobs = [f"{number:016x}" for number in range(16, 22)]
     for job_id in jobs:
         cell.submit("a0", job_id, {"count": 1, "cpu": 8000}, spec="12.0 done 8000")
     for _ in range(3):
-        cell.advance(every_s)
+        cell.advance(interval_s)
         for worker_id in {span.worker for span in cell.spans if span.ended_at is None}:
             cell.crash_worker(worker_id)
     cell.advance(60.0)
@@ -157,7 +157,7 @@
 
 
 def test_worker_that_is_cut_off_is_no_crash():
-    """Guards against failing a job whose workers were dark for a while and ran on."""
+    """Guards against counting a temporary loss of connection as a crash."""
     cell = _make_cell(n_workers=4)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="20.0 done 1000")
     for _ in range(3):
@@ -174,7 +174,7 @@
 
 
 def test_worker_that_drains_and_leaves_is_no_crash():
-    """Guards against blaming a task for workers that an operator takes away."""
+    """Guards against counting the removal of a drained worker as a crash."""
     cell = _make_cell(n_workers=4)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000, "long-running": True}, spec="99.0 done 1000")
     for _ in range(3):
@@ -189,7 +189,7 @@
 
 @pytest.mark.parametrize("shrunk", [6000, 1000])
 def test_capacity_that_shrinks_binds_the_next_start(shrunk):
-    """Guards against starts by the capacity that a worker had when it registered."""
+    """Guards against scheduling by the capacity that a worker had when it registered."""
     config = make_platform_config()
     cell = PlatformCell(n_workers=1, config=config)
     cell.start()
@@ -204,7 +204,7 @@
 
 
 def test_capacity_that_grows_is_used_at_once():
-    """Guards against tasks that wait for room that a worker has had for long."""
+    """Guards against tasks that wait although a worker's capacity was increased."""
     cell = PlatformCell(n_workers=1, cpu=2000)
     cell.start()
     cell.submit("a0", JOB, {"count": 12, "cpu": 1000}, spec="9.0 done 1000")
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -342,6 +342,9 @@
         run = self._find_run(worker_id, task, run_id)
         if run is None or run.state != "starting" or not run.worker.accepts(now):
             return False
+        # The worker's capacity may have been reduced since the start was decided.
+        if run.worker.is_over_capacity(run.step):
+            return False
         step, _ = self.find_task(task)
         return step is not None and (
             step.job.queue.advice is None or has_ticket(step, worker_id, now)
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -212,6 +212,24 @@
         self.memory_free = info.memory_mb
         self.gpu_free = info.accelerators
 
+    def update_info(self, info):
+        """Replace the worker's entry and adjust the free amounts to its capacity.
+
+        A free amount is negative while the runs exceed a reduced capacity.
+        """
+        self.cpu_free += info.cpu_milli - self.info.cpu_milli
+        self.memory_free += info.memory_mb - self.info.memory_mb
+        self.gpu_free += info.accelerators - self.info.accelerators
+        self.info = info
+
+    def is_over_capacity(self, step):
+        """Whether the runs exceed the capacity of any resource that a task of `step` needs."""
+        return (
+            (not step.fills and step.cpu_milli > 0 and self.cpu_free < 0)
+            or (step.memory_mb > 0 and self.memory_free < 0)
+            or (step.accelerators > 0 and self.gpu_free < 0)
+        )
+
     def note_leaving(self, now):
         """Note until when a draining worker stays, as its entry says."""
         if self.info.draining and self.info.leaves_in_s is not None:
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -62,7 +62,7 @@
             self.grace_period.worker_found(info.worker_id)
             worker.in_handover = info.worker_id in self.nameless
             self.nameless.discard(info.worker_id)
-        worker.info = info
+        worker.update_info(info)
         worker.listed = True
         self.needs_whole_plan = True
         worker.note_leaving(now)
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -57,8 +57,8 @@
 
     Notes
     -----
-    It does not guard its capacity: that it is never exceeded is the system's promise. A run that
-    ends by `crash` takes the worker with it; `on_crash` is called then. Faults of
+    It does not guard its capacity: that it is never exceeded is the system's promise. A run whose
+    outcome is `crash` also crashes the worker and calls `on_crash`, if set. Faults of
     single calls are attributes: the next `n_lost_starts` starts are carried out and not answered,
     the next `n_late_starts` and `n_late_stops` are carried out `late_s` later and not answered, and
     holds that come within `deaf_between` (seconds of true time) get no answer. `draw_delay` is
@@ -115,14 +115,14 @@
         }
 
     def set_capacity(self, cpu):
-        """Change what the worker has to give, while it runs."""
+        """Change the worker's capacity at run time. Unit: thousandths of a core."""
         self.cpu = cpu
         self._capacities.append((self.clock.seconds(), cpu))
 
-    def capacity_at(self, at, news_s):
-        """Return the most that was there within `news_s` before a moment."""
-        changes = [capacity for since, capacity in self._capacities if at - news_s < since <= at]
-        before = [capacity for since, capacity in self._capacities if since <= at - news_s]
+    def max_capacity(self, at, window_s):
+        """Return the highest capacity in effect during the `window_s` seconds up to `at`."""
+        changes = [capacity for since, capacity in self._capacities if at - window_s < since <= at]
+        before = [capacity for since, capacity in self._capacities if since <= at - window_s]
         return max([*changes, *before[-1:]])
 
     def clock_s(self):
@@ -135,8 +135,8 @@
         for task in list(self.active):
             self._end(task, "crashed", listed=False)
 
-    def _crash_under(self, task):
-        """Crash by a task's own doing."""
+    def _crash_by_task(self, task):
+        """Crash the worker because of a task that runs on it."""
         self._end(task, "crash", listed=False)
         self.crash()
         if self.on_crash is not None:
@@ -223,7 +223,7 @@
         if not self.alive or span is None or span.run_id != run_id:
             return
         if how == "crash":
-            self._crash_under(task)
+            self._crash_by_task(task)
         else:
             self._end(task, how)
 
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -29,13 +29,13 @@
 FAST_LINK_MBPS = 1000
 BYTES_PER_MBIT = 125_000
 
-#: Time after which a crashed worker's entry is gone, and that after which a new life of it is
-#: there. Unit: seconds.
-ENTRY_GONE_S = 1.0
-BACK_S = 3.0
+#: Delays from a worker's crash to the removal of its entry and to its restart. Unit: seconds.
+ENTRY_REMOVAL_DELAY_S = 1.0
+RESTART_DELAY_S = 3.0
 
-#: Time for which starts by a capacity that has shrunk meanwhile are allowed. Unit: seconds.
-NEWS_S = 0.1
+#: Time after a capacity reduction during which starts may still use the old capacity. Unit:
+#: seconds.
+CAPACITY_CHANGE_DELAY_S = 0.1
 
 #: Share of a core that instances with little processor have.
 WEAK_SHARE = 0.12
@@ -130,8 +130,8 @@
         self.store = MetadataStore(clock=self.clock)
         self.store_faults = self.wire.serve(STORE, self.store)
         self.spans = []
-        self.crashes_refuse = False
-        self._n_lives = 0
+        self.refuses_after_crash = False
+        self._n_restarts = 0
         self.workers = {}
         self.worker_faults = {}
         self.daemons = {}
@@ -217,30 +217,31 @@
     # Faults
 
     def crash_worker(self, worker_id, **values):
-        """Let a worker crash by itself; see :meth:`worker_crashed`."""
+        """Crash a worker independently of its tasks; see :meth:`worker_crashed`."""
         self.workers[worker_id].crash()
         self.worker_crashed(worker_id, **values)
 
-    def worker_crashed(self, worker_id, *, back_s=BACK_S):
-        """Leave a crashed worker's address dark, or refusing, until a new life is there.
+    def worker_crashed(self, worker_id, *, restart_delay_s=RESTART_DELAY_S):
+        """Make a crashed worker unreachable, remove its entry and restart it under a new id.
 
-        Its entry is removed meanwhile, unless the store is away. `back_s` None: for good.
+        Connections to its address are refused with `refuses_after_crash`, else get no answer. With
+        `restart_delay_s` None the worker is not restarted.
         """
         faults = self.worker_faults[worker_id]
-        faults.silent = not self.crashes_refuse
-        faults.refuses = self.crashes_refuse
-        self.clock.callLater(ENTRY_GONE_S, self.store.remove, "servers", worker_id)
-        if back_s is not None:
-            self.clock.callLater(back_s, self._start_again, self.workers[worker_id])
+        faults.silent = not self.refuses_after_crash
+        faults.refuses = self.refuses_after_crash
+        self.clock.callLater(ENTRY_REMOVAL_DELAY_S, self.store.remove, "servers", worker_id)
+        if restart_delay_s is not None:
+            self.clock.callLater(restart_delay_s, self._restart_worker, self.workers[worker_id])
 
-    def _start_again(self, crashed):
+    def _restart_worker(self, crashed):
         self.worker_faults[crashed.worker_id].clear()
-        self._n_lives += 1
-        worker_id = f"{crashed.worker_id.partition('.')[0]}.{self._n_lives}"
+        self._n_restarts += 1
+        worker_id = f"{crashed.worker_id.partition('.')[0]}.{self._n_restarts}"
         self.add_worker(worker_id, crashed.address, cpu=crashed.cpu, rack=crashed.rack)
 
     def set_capacity(self, worker_id, cpu):
-        """Let a worker's capacity shrink or grow while it runs; its entry says so."""
+        """Change a worker's capacity at run time and update its entry."""
         worker = self.workers[worker_id]
         worker.set_capacity(cpu)
         self.store.put("servers", worker_id, worker.entry())
@@ -364,7 +365,7 @@
         used = 0
         for at, _, cpu in sorted(moments):
             used += cpu
-            allowed = worker.capacity_at(at, NEWS_S)
+            allowed = worker.max_capacity(at, CAPACITY_CHANGE_DELAY_S)
             if cpu > 0 and used > allowed:
                 broken.append(f"{worker_id} has {used} of {allowed} in use at {at:.3f}")
     return broken
