Stop restarting a task after it has crashed two workers

Callers saw a job run forever while its task crashed a worker every 3.25 s. Cause: only ends that a worker reports as failed counted as attempts. A run that was lost with its worker was dropped, and its task was queued again. The general class is work that makes its host fail without reporting an end.

A crash is confirmed when another incarnation answers at the worker's address. A worker that is silent, partitioned or draining proves nothing. Two crashes on different machines soon after the start fail the job immediately with AF307. Where no crash can be confirmed, five lost workers of any kind limit the starts. After a loss the task is a suspect: it is run apart from other jobs' tasks, one task of a step or image at a time, after a growing backoff, on the worker where the least work would be lost, and not while the store is unavailable. Once a loss counts against a task, its next start is made durable before it is sent, so that a new home counts a crash that coincides with the failure of the previous home. The home's row lists which runs on unreachable workers had just begun. A run that lasts long enough clears the task. There is one log line per lost worker and one per failed job, both shown by explain, and three counters.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -146,6 +146,7 @@
     def _send_start(self, action, waited_s):
         self.context.meters.timed("start_wait", waited_s)
         self.log.info("start", task=action.task, run=action.run_id, worker=action.worker_id)
+        self.scheduler.start_sent(action.worker_id, action.task, action.run_id)
         session = self._sessions.get(action.worker_id)
         if session is None:
             self.starts.over(action)
@@ -247,6 +248,8 @@
             self.entry_gone(info.worker_id)
         if handover.runs is not None:
             self.scheduler.take_on_unheard(info.worker_id, handover.runs, self._now())
+            fresh = [handover.runs[index] for index in handover.fresh]
+            self.scheduler.note_fresh_runs(info.worker_id, fresh)
         self.log.info(
             "worker taken on",
             worker=info.worker_id,
@@ -353,18 +356,20 @@
         unlisted_at = self._unlisted.get(worker_id)
         over = worker is None or self._now() >= worker.lease_over_at
         if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_S and over:
-            self.worker_gone(worker_id)
+            self.worker_gone(worker_id, is_replaced=False)
         self.events.changed()
 
-    def worker_gone(self, worker_id):
-        """The worker's life is over."""
-        self.log.info("worker gone", worker=worker_id)
+    def worker_gone(self, worker_id, *, is_replaced=True):
+        """The worker is lost: another incarnation answers, or its entry remains absent."""
+        self.log.info("worker gone", worker=worker_id, replaced=is_replaced)
         session = self._sessions.pop(worker_id, None)
         if session is not None:
             session.close()
         self._unlisted.pop(worker_id, None)
         self._heard_at.pop(worker_id, None)
-        self.scheduler.worker_ended(worker_id, self._now())
+        self.events.act(
+            self.scheduler.worker_ended(worker_id, self._now(), is_replaced=is_replaced)
+        )
         self.events.changed()
 
     def fenced(self, worker_id):
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -2,8 +2,16 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from ..exceptions import PlatformError
-from ..jobs import AskAdvice, NoteWait, SetPace, StartRun, StopRun
+from ..exceptions import PlatformError, TaskCrashesWorkersError
+from ..jobs import (
+    AskAdvice,
+    NoteCrashingTask,
+    NoteLostWorker,
+    NoteWait,
+    SetPace,
+    StartRun,
+    StopRun,
+)
 from ..platform import REGISTRY_TABLE
 from ..runtime import Part
 from ..utils import jitter, to_builtins
@@ -345,6 +353,7 @@
         scheduler = self._scheduler
         if scheduler is None or not self._loaded or not self._fleet.may_order():
             return
+        scheduler.is_store_away = self.is_store_away
         scheduler.n_advisers = self._advisers.n_advisers
         scheduler.policy = self.context.settings.scheduling
         for seconds in scheduler.take_first_starts():
@@ -372,8 +381,24 @@
                     self._fleet.set_pace(action)
                 case NoteWait():
                     self.log.info("tasks wait", **to_builtins(action))
+                case NoteLostWorker():
+                    self._note_lost_worker(action)
+                case NoteCrashingTask():
+                    self._note_crashing_task(action)
         self._fleet.send_starts()
 
+    def _note_lost_worker(self, note):
+        self.context.meters.count("worker_crashes", note.known_by)
+        self.context.meters.count("crash_suspects", n=len(note.runs_and_losses))
+        self.log.warning("worker lost", **to_builtins(note))
+
+    def _note_crashing_task(self, note):
+        self.context.meters.count("crash_verdicts")
+        cause = TaskCrashesWorkersError(
+            f"{len(note.workers)} workers crashed while running the task; it will not be restarted"
+        )
+        self.log.warning("job failed", **to_builtins(note), error=str(cause))
+
     def _ask_advice(self, action):
         done = self._advisers.ask(action.step, action.workers, action.length_s)
         done.addCallback(self._advised, action, self._scheduler, self.now)
--- a/anvilflow/cell/tests/test_crashing_tasks.py
+++ b/anvilflow/cell/tests/test_crashing_tasks.py
@@ -31,6 +31,15 @@
     ]
 
 
+def _lost_runs(cell, job_id):
+    """Return the runs of a job that were active on a worker when it crashed."""
+    return [
+        span
+        for span in cell.spans
+        if span.how in ("crash", "crashed") and span.task.startswith(f"{job_id}.")
+    ]
+
+
 def _starts_after_third_crash(cell):
     """Return the highest number of starts of any task after its third crash."""
     most = 0
@@ -104,7 +113,7 @@
         ),
     )
     cell.start()
-    cell.submit("a0", JOB, {"count": 4, "cpu": 9000, **step})
+    cell.submit("a0", JOB, {"count": 4, "cpu": 1000, **step})
     cell.advance(40.0)
     assert len(_crashes(cell)) == 2
     assert cell.state("a0", JOB) == "failed"
@@ -135,7 +144,7 @@
         cell.submit("a0", job_id, {"count": 2, "cpu": 2000}, spec="4.0 done 2000")
     cell.advance(60.0)
     assert [cell.state("a0", job_id) for job_id in good_jobs] == ["completed"] * 12
-    assert len(_crashes(cell)) == len(_crashes(cell, OTHER_JOB)) == 2
+    assert len(_lost_runs(cell, JOB)) == len(_lost_runs(cell, OTHER_JOB)) == 2
     assert cell.state("a0", JOB) == cell.state("a0", OTHER_JOB) == "failed"
     assert cell.check() == []
 
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -24,6 +24,7 @@
     "RevisionGoneError",
     "SettingsError",
     "SlowWriteError",
+    "TaskCrashesWorkersError",
     "TooLargeError",
     "UnknownOutcomeError",
     "WorkerGoneError",
@@ -148,6 +149,14 @@
     code = "AF306"
 
 
+class TaskCrashesWorkersError(AnvilflowError):
+    """A job failed: one of its tasks repeatedly crashes the workers that run it."""
+
+    code = "AF307"
+    http_status = 409
+    exit_status = 9
+
+
 class TooLargeError(AnvilflowError):
     """A body is over the stated limit."""
 
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -1,6 +1,15 @@
 """Jobs of a cell: what clients submit and what is decided next, without input or output."""
 
-from ._actions import AskAdvice, NoteWait, SetPace, StartRun, StopRun
+from ._actions import (
+    AskAdvice,
+    NoteCrashingTask,
+    NoteLostWorker,
+    NoteWait,
+    SetPace,
+    StartRun,
+    StopRun,
+)
+from ._crash_history import CrashHistory, Fate, LostRun
 from ._grace_period import ORDER_S, GracePeriod
 from ._handover import HandoverWorker, make_handover
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
@@ -16,7 +25,9 @@
     "AdviceRules",
     "AskAdvice",
     "CellConfig",
+    "CrashHistory",
     "EndedJob",
+    "Fate",
     "GracePeriod",
     "HandoverWorker",
     "JobRecord",
@@ -24,6 +35,9 @@
     "JobSpec",
     "JobState",
     "Limits",
+    "LostRun",
+    "NoteCrashingTask",
+    "NoteLostWorker",
     "NoteWait",
     "Queue",
     "RunEnd",
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -40,6 +40,46 @@
     length_s: float
 
 
+class NoteLostWorker(Struct, kw_only=True):
+    """Report that a worker was lost, and which tasks were running on it.
+
+    Parameters
+    ----------
+    worker_id, address : str
+    known_by : str
+        ``replaced``: another incarnation answers at its address. ``unlisted``: it did not answer
+        and its entry remained absent; it may be partitioned rather than dead.
+    tasks : list of str
+        Tasks that were running there.
+    runs_and_losses : dict of str to list of int
+        By suspect task: its run there, and the number of workers lost while running the task.
+    """
+
+    worker_id: str
+    address: str
+    known_by: str
+    tasks: list[str]
+    runs_and_losses: dict[str, list[int]]
+
+
+class NoteCrashingTask(Struct, kw_only=True):
+    """Report that a job was failed because one of its tasks crashes workers.
+
+    Parameters
+    ----------
+    job, task : str
+    workers : list of str
+        Workers that crashed while running the task.
+    runs : list of int
+        The task's runs on these workers.
+    """
+
+    job: str
+    task: str
+    workers: list[str]
+    runs: list[int]
+
+
 class NoteWait(Struct, kw_only=True):
     """Say why tasks of a step wait.
 
--- /dev/null
+++ b/anvilflow/jobs/_crash_book.py
@@ -0,0 +1,197 @@
+"""Lost workers, and the jobs that are failed because a task crashes workers."""
+
+from msgspec import structs
+
+from ._actions import NoteCrashingTask, NoteLostWorker
+from ._crash_history import Fate
+from ._job import JobState, TaskState
+from ._trial_book import TrialBook
+
+
+class CrashBook(TrialBook):
+    """Counts the workers lost while running each task, and fails jobs whose tasks crash workers.
+
+    Base of :class:`RunBook`. A crash is confirmed only when another incarnation answers at the
+    worker's address: until then a crashed worker cannot be told from one that is partitioned and
+    still running.
+    """
+
+    # Lost workers
+
+    def worker_ended(self, worker_id, now, *, is_replaced=False):
+        """Remove a worker that has ended: nothing runs there any more.
+
+        Parameters
+        ----------
+        worker_id : str
+        now : float
+            Unit: seconds.
+        is_replaced : bool, default=False
+            Whether another incarnation answers at its address. Otherwise the worker may be
+            partitioned.
+
+        Returns
+        -------
+        actions : list
+            Notes on the loss, and the stops of jobs that are failed because of it.
+        """
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return []
+        self.needs_whole_plan = True
+        self._has_lost_unheard_worker = self._has_lost_unheard_worker or not worker.confirmed
+        fate = Fate.CRASHED if is_replaced else Fate.GONE
+        tasks = sorted(worker.runs)
+        for run in list(worker.runs.values()):
+            if worker.is_leaving:
+                self._drop_run(run, now)
+            else:
+                self._lose_run(run, fate, now)
+        if worker.is_leaving:
+            self._forget_worker(worker_id)
+            return []
+        return self._set_fate(worker_id, fate, worker.info.address, tasks, now)
+
+    def take_on_unheard(self, worker_id, runs, now):
+        """Take on what an earlier home named as running on a worker that it could not reach.
+
+        The tasks stay there until the worker answers or its lease has surely ended; all others need
+        not wait for it.
+        """
+        worker = self.workers[worker_id]
+        worker.runs_known = worker.in_handover = True
+        for name, run_id in runs:
+            step, task = self.find_task(name)
+            if task is None or step.job.is_ended or task.state is TaskState.DONE:
+                continue
+            run = self._make_run(worker, step, task, run_id, now)
+            run.state = "running"
+            run.is_adopted = True
+
+    def note_fresh_runs(self, worker_id, runs):
+        """Note which runs began shortly before the worker fell silent; they may be trial runs."""
+        for name, run_id in runs:
+            run = self._find_run(worker_id, name, run_id)
+            if run is not None:
+                run.has_begun = True
+                run.is_adopted = False
+                _, task = self.find_task(name)
+                self.begin_trial(task, run)
+
+    def lost_leases(self, now):
+        """Forget the runs of silent workers whose leases have surely ended.
+
+        The workers stay until their sessions end, see `worker_ended`: one that answers again must
+        be heard, or what it still begins would run on under leases that nobody watches.
+        """
+        if self.grace_period.waited(now):
+            self._bound_unheard_leases()
+        for worker in list(self.workers.values()):
+            has_left = worker.has_left(now)
+            if not (has_left or worker.is_lapsed(now)):
+                continue
+            for run in list(worker.runs.values()):
+                if has_left or worker.is_leaving:
+                    self._drop_run(run, now)
+                else:
+                    self._lose_run(run, Fate.UNKNOWN, now)
+
+    def _lose_run(self, run, fate, now):
+        """Remove a run whose worker was lost, and add the loss to its task's history."""
+        step, task = self.find_task(run.task)
+        if task is not None and run.may_have_begun:
+            suspect = self._add_suspect(step, task)
+            if suspect is not None:
+                suspect.history.add_loss(run, fate, now)
+                step.job.touch(now)
+        self._drop_run(run, now)
+
+    def _set_fate(self, worker_id, fate, address, tasks, now):
+        """Set the fate of a worker in the histories of all tasks that were running there."""
+        runs_and_losses = {}
+        for suspect in self.suspects.values():
+            lost = suspect.history.lost_runs.get(worker_id)
+            if lost is None:
+                continue
+            if lost.fate is not fate:
+                suspect.history.lost_runs[worker_id] = structs.replace(lost, fate=fate)
+                suspect.step.job.touch(now)
+                suspect.step.job.wake()
+            runs_and_losses[suspect.task.name] = [lost.run_id, len(suspect.history.losses)]
+        note = NoteLostWorker(
+            worker_id=worker_id,
+            address=address,
+            known_by="replaced" if fate is Fate.CRASHED else "unlisted",
+            tasks=tasks or sorted(runs_and_losses),
+            runs_and_losses=runs_and_losses,
+        )
+        return [note, *self._fail_crashing_jobs(now)]
+
+    def _forget_worker(self, worker_id):
+        for suspect in self.suspects.values():
+            suspect.history.forget(worker_id)
+
+    def _fail_crashing_jobs(self, now):
+        """Fail the jobs of tasks that crash workers."""
+        actions = []
+        for name, suspect in list(self.suspects.items()):
+            job = suspect.step.job
+            if job.is_ended or not suspect.history.crashes_workers:
+                continue
+            crashed = [each for each in suspect.history.losses if each.fate is Fate.CRASHED]
+            actions.append(
+                NoteCrashingTask(
+                    job=job.job_id,
+                    task=name,
+                    workers=[each.worker_id for each in crashed],
+                    runs=[each.run_id for each in crashed],
+                )
+            )
+            actions += self._finish(job, JobState.FAILED, now)
+        return actions
+
+    def review_suspects(self, now):
+        """Update the fates of lost workers and drop resolved suspects; return the actions."""
+        actions = []
+        if not self.suspects:
+            return actions
+        by_address = {worker.info.address: worker for worker in self.workers.values()}
+        for name, suspect in list(self.suspects.items()):
+            for lost in list(suspect.history.lost_runs.values()):
+                actions += self._review_loss(suspect, lost, by_address, now)
+            if suspect.is_resolved and not suspect.awaits_record:
+                suspect.task.crash_history = None
+                del self.suspects[name]
+        return actions + self._fail_crashing_jobs(now)
+
+    def _review_loss(self, suspect, lost, by_address, now):
+        worker = self.workers.get(lost.worker_id)
+        if worker is None:
+            if lost.fate is not Fate.CRASHED and lost.address in by_address:
+                return self._set_fate(lost.worker_id, Fate.CRASHED, lost.address, [], now)
+            if lost.fate is Fate.PLACED:
+                self._mark_unknown(suspect, lost, now)
+            return []
+        if suspect.task.name in worker.runs or lost.fate is Fate.CRASHED:
+            return []
+        if worker.confirmed and not worker.silent:
+            suspect.history.forget(lost.worker_id)
+            suspect.step.job.touch(now)
+            suspect.step.job.wake()
+        elif lost.fate is Fate.PLACED and worker.is_lapsed(now):
+            self._mark_unknown(suspect, lost, now)
+        return []
+
+    def _mark_unknown(self, suspect, lost, now):
+        """Count a recorded start as lost: its worker is missing or its lease has expired."""
+        suspect.history.lost_runs[lost.worker_id] = structs.replace(lost, fate=Fate.UNKNOWN)
+        suspect.history.last_lost_at = now
+        suspect.step.job.touch(now)
+        suspect.step.job.wake()
+
+    def restore_suspects(self, job):
+        """Restore the suspects of a job from the histories recorded by an earlier home."""
+        for step in job.steps.values():
+            for task in step.tasks:
+                if task.crash_history is not None:
+                    self._add_suspect(step, task)
--- /dev/null
+++ b/anvilflow/jobs/_crash_history.py
@@ -0,0 +1,197 @@
+"""History of the workers lost while running a task, and the limits applied to it."""
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+#: A crash counts as early when its run was last listed below this age. Unit: seconds.
+EARLY_CRASH_S = 2.0
+
+#: Early crashes on different machines after which a task is taken as the cause.
+MAX_EARLY_CRASHES = 2
+
+#: Workers lost while running a task, at any age of the run, after which it is not restarted.
+MAX_LOST_WORKERS = 5
+
+#: A trial run passes at this age plus :data:`TRIAL_TIMES` the longest age that a lost run reached.
+#: Unit: seconds.
+TRIAL_S = 1.0
+TRIAL_TIMES = 2.0
+
+#: A run clears the task's history at this age or at :data:`CLEARED_TIMES` the longest age that a
+#: lost run reached, whichever is greater. Unit: seconds.
+CLEARED_S = 4.0
+CLEARED_TIMES = 3.0
+
+#: Upper bound of the age at which a run clears the history. Unit: seconds.
+MAX_CLEARED_S = 60.0
+
+#: Longest delay of the next start while the fate of a lost worker is unknown. Unit: seconds.
+MAX_UNKNOWN_WAIT_S = 8.0
+
+#: Backoff before the start that follows a second loss; doubles with each loss. Unit: seconds.
+FIRST_BACKOFF_S = 1.0
+
+
+class Fate(StrEnum):
+    """State of a worker on which a task was started.
+
+    `PLACED`: not known to be lost, the run may be active. `UNKNOWN`: the worker is unreachable and
+    its lease has expired. `GONE`: it remained unreachable and its entry was removed; it may be
+    partitioned rather than dead. `CRASHED`: another incarnation answers at its address.
+    """
+
+    PLACED = "placed"
+    UNKNOWN = "unknown"
+    GONE = "gone"
+    CRASHED = "crashed"
+
+
+class LostRun(Struct, kw_only=True, omit_defaults=True):
+    """A run of a task and the fate of the worker it was started on.
+
+    Parameters
+    ----------
+    worker_id, address : str
+    run_id : int
+    fate : Fate
+    survived_s : float
+        Age at which the run was last listed. Unit: seconds.
+    is_soon : bool
+        Whether the worker was lost early in the run, or during a trial run.
+    has_begun : bool
+        Whether the worker has confirmed that the run began.
+    """
+
+    worker_id: str
+    address: str
+    run_id: int
+    fate: Fate = Fate.PLACED
+    survived_s: float = 0.0
+    is_soon: bool = True
+    has_begun: bool = True
+
+
+class CrashHistory:
+    """Runs of one task whose workers were lost.
+
+    Attributes
+    ----------
+    lost_runs : dict of str to LostRun
+        By worker. Includes a recorded start (`Fate.PLACED`) whose worker may still be lost.
+    last_lost_at : float
+        Time of the latest loss. Unit: seconds.
+    is_trial_exempt : bool
+        Whether a trial run of the same step or image has passed, so that this task needs none.
+    unrecorded_change : int
+        Change of the job that must be durable before the next start.
+    """
+
+    __slots__ = ("is_trial_exempt", "last_lost_at", "lost_runs", "unrecorded_change")
+
+    def __init__(self, *, lost_runs=(), now=0.0):
+        self.lost_runs = {each.worker_id: each for each in lost_runs}
+        self.last_lost_at = now
+        self.is_trial_exempt = False
+        self.unrecorded_change = 0
+
+    @property
+    def losses(self):
+        """Entries whose workers were lost, without recorded starts."""
+        return [each for each in self.lost_runs.values() if each.fate is not Fate.PLACED]
+
+    @property
+    def lost_addresses(self):
+        """Addresses of the lost workers."""
+        return {each.address for each in self.losses}
+
+    @property
+    def is_suspect(self):
+        """Whether the task may crash the next worker as well."""
+        losses = self.losses
+        return len(losses) > 1 or any(each.is_soon for each in losses)
+
+    @property
+    def must_be_recorded(self):
+        """Whether the next start must be durable before it is sent."""
+        losses = self.losses
+        return len(losses) > 1 or any(
+            each.is_soon and each.fate is not Fate.UNKNOWN for each in losses
+        )
+
+    @property
+    def crashes_workers(self):
+        """Whether the task is taken as the cause of the crashes, rather than its workers."""
+        early_crash_addresses = {
+            each.address
+            for each in self.lost_runs.values()
+            if each.fate is Fate.CRASHED and each.has_begun and each.is_soon
+        }
+        if len(early_crash_addresses) >= MAX_EARLY_CRASHES:
+            return True
+        n_crashed = sum(each.fate is Fate.CRASHED for each in self.losses)
+        return len(self.losses) >= MAX_LOST_WORKERS and n_crashed >= MAX_EARLY_CRASHES
+
+    @property
+    def trial_s(self):
+        """Age at which a trial run passes. Unit: seconds."""
+        return TRIAL_S + TRIAL_TIMES * self._longest_survival_s()
+
+    @property
+    def cleared_s(self):
+        """Age at which a run clears the history. Unit: seconds."""
+        cleared_s = max(CLEARED_S, CLEARED_TIMES * self._longest_survival_s())
+        return min(MAX_CLEARED_S, cleared_s)
+
+    def _longest_survival_s(self):
+        return max((each.survived_s for each in self.losses), default=0.0)
+
+    def may_start(self, now):
+        """Whether the task may be started again at this time."""
+        losses = self.losses
+        if len(losses) >= MAX_LOST_WORKERS or len(losses) < len(self.lost_runs):
+            return False
+        if len(losses) < 2:
+            return True
+        waited_s = now - self.last_lost_at
+        if waited_s < FIRST_BACKOFF_S * 2 ** (len(losses) - 2):
+            return False
+        is_unknown = any(each.fate is Fate.UNKNOWN for each in losses)
+        return not is_unknown or waited_s >= MAX_UNKNOWN_WAIT_S
+
+    def add_start(self, *, worker_id, address, run_id):
+        """Add a start that is being recorded."""
+        self.lost_runs[worker_id] = LostRun(worker_id=worker_id, address=address, run_id=run_id)
+
+    def add_loss(self, run, fate, now):
+        """Add the loss of a run's worker."""
+        info = run.worker.info
+        if run.is_adopted:
+            # The age of the run is unknown. A start that is still recorded has not been cleared by
+            # a surviving run, so its crash counts as early.
+            is_soon = has_begun = self._is_placed(info.worker_id)
+        else:
+            is_soon = run.is_trial if self.losses else run.survived_s < EARLY_CRASH_S
+            has_begun = run.has_begun
+        self.lost_runs[info.worker_id] = LostRun(
+            worker_id=info.worker_id,
+            address=info.address,
+            run_id=run.run_id,
+            fate=fate,
+            survived_s=round(run.survived_s, 2),
+            is_soon=is_soon,
+            has_begun=has_begun,
+        )
+        self.last_lost_at = now
+
+    def _is_placed(self, worker_id):
+        lost = self.lost_runs.get(worker_id)
+        return lost is not None and lost.fate is Fate.PLACED
+
+    def forget(self, worker_id):
+        """Remove the entry of a worker that is alive or whose run ended normally."""
+        return self.lost_runs.pop(worker_id, None) is not None
+
+    def forget_placed(self, worker_id):
+        """Remove the entry of a worker unless the worker was lost."""
+        return self._is_placed(worker_id) and self.forget(worker_id)
--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -24,10 +24,13 @@
     info : WorkerInfo
     runs : list of (str, int) or None
         Task and run of all that may run there; None when the worker answers and can be asked.
+    fresh : list of int
+        Indices into `runs` of those that had begun shortly before the worker fell silent.
     """
 
     info: WorkerInfo
     runs: list[tuple[str, int]] | None = None
+    fresh: list[int] = []
 
 
 def make_handover(scheduler, now):
@@ -40,7 +43,10 @@
     for worker in scheduler.workers.values():
         if _is_dark(worker, now):
             runs = [(run.task, run.run_id) for run in worker.runs.values()]
-            handover.append(HandoverWorker(info=worker.info, runs=runs + list(worker.strays)))
+            fresh = [index for index, run in enumerate(worker.runs.values()) if run.is_fresh]
+            handover.append(
+                HandoverWorker(info=worker.info, runs=runs + list(worker.strays), fresh=fresh)
+            )
         elif _is_hidden(worker):
             handover.append(HandoverWorker(info=worker.info))
     return _bounded(handover)
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from ._crash_history import CrashHistory
 from ._record import JobRecord
 
 #: Time for which a task that is to last waits behind more urgent jobs. Unit: seconds.
@@ -36,6 +37,7 @@
     __slots__ = (
         "avoid",
         "checkpoint",
+        "crash_history",
         "failed_runs",
         "index",
         "n_given_up",
@@ -55,6 +57,7 @@
         self.failed_runs = set()
         self.checkpoint = ""
         self.avoid = set()
+        self.crash_history = None
         self.n_given_up = 0
         self.runs = {}
         self.waiting_since = now
@@ -292,7 +295,12 @@
     def to_record(self):
         """Return the job's progress for the store."""
         record = JobRecord(
-            begun=self.begun, done_steps=[], done_tasks={}, failures={}, checkpoints={}
+            begun=self.begun,
+            done_steps=[],
+            done_tasks={},
+            failures={},
+            checkpoints={},
+            lost_runs={},
         )
         for (occurrence, number), step in self.steps.items():
             key = f"{occurrence}.{number}"
@@ -307,6 +315,9 @@
                     record.failures[f"{key}.{task.index}"] = sorted(task.failed_runs)
                 if task.checkpoint and task.state is not TaskState.DONE:
                     record.checkpoints[f"{key}.{task.index}"] = task.checkpoint
+                history = task.crash_history
+                if history is not None and history.lost_runs and task.state is not TaskState.DONE:
+                    record.lost_runs[f"{key}.{task.index}"] = list(history.lost_runs.values())
         return record
 
     def _restore(self, record):
@@ -324,6 +335,10 @@
                 name = f"{key}.{task.index}"
                 task.failed_runs = set(record.failures.get(name, ()))
                 task.checkpoint = record.checkpoints.get(name, "")
+                if name in record.lost_runs:
+                    task.crash_history = CrashHistory(
+                        lost_runs=record.lost_runs[name], now=self.accepted_at
+                    )
         for step in self.steps.values():
             step.ready_at = None
         self.mark_ready(self.accepted_at)
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -74,7 +74,7 @@
         if step.ready_at is None:
             actions += ask_ahead(scheduler, step, now)
             continue
-        waiting = step.waiting() + _copies(step)
+        waiting = scheduler.startable(step, step.waiting(), now) + _copies(step)
         if not waiting:
             continue
         if not scheduler.may_start(job, now):
@@ -99,7 +99,7 @@
         workers = [scheduler.workers[name] for name in freed if name in scheduler.workers]
         workers = [worker for worker in workers if _is_open(scheduler, step, worker, now)]
         workers = [worker for worker in workers if worker.fits(step.spec)]
-        waiting = step.waiting() if workers else ()
+        waiting = scheduler.startable(step, step.waiting(), now) if workers else ()
         if not waiting or not scheduler.may_start(job, now):
             continue
         if step.spec.gang:
@@ -136,6 +136,8 @@
         return False
     if step.spec.label and step.spec.label not in info.labels:
         return False
+    if scheduler.has_other_trial(worker, step.job):
+        return False
     return step.job.queue.advice is None or has_ticket(step, info.worker_id, now)
 
 
@@ -211,7 +213,22 @@
     far = bool(spec.data_rack) and worker.info.rack != spec.data_rack
     failed_here = worker.info.worker_id in task.avoid
     slow = scheduler.policy.avoids_slow and is_slow(worker, scheduler.policy)
-    return (failed_here, far, worker.n_bad, slow, _disturbs(spec, worker), worker.cpu_free)
+    risk = _work_at_risk(task, worker)
+    return (risk, failed_here, far, worker.n_bad, slow, _disturbs(spec, worker), worker.cpu_free)
+
+
+def _work_at_risk(task, worker):
+    """Return the cost of losing a worker to a suspect task, as a sort key; empty for others."""
+    history = task.crash_history
+    if history is None or not history.is_suspect:
+        return ()
+    runs = worker.runs.values()
+    return (
+        worker.info.address in history.lost_addresses,
+        sum(run.step.long_running or run.step.gang for run in runs),
+        sum(not run.step.checkpointing for run in runs),
+        len(runs),
+    )
 
 
 def _disturbs(spec, worker):
@@ -241,8 +258,9 @@
             for task in waiting:
                 task.run_id = run_id
                 task.checkpoint = checkpoint
+            recorded = any(scheduler.must_be_recorded(step, task) for task in waiting)
             return [
-                _start(scheduler, worker, step, task, now)
+                _start(scheduler, worker, step, task, now, recorded=recorded)
                 for task, worker in zip(waiting, chosen, strict=True)
             ]
     return ask(scheduler, step, now)
@@ -278,8 +296,12 @@
     return max(0, min(limits))
 
 
-def _start(scheduler, worker, step, task, now):
+def _start(scheduler, worker, step, task, now, *, recorded=False):
+    recorded = recorded or scheduler.must_be_recorded(step, task)
     run = scheduler.new_run(worker, step, task, now)
+    scheduler.begin_trial(task, run)
+    if recorded:
+        scheduler.add_recorded_start(step, task, run, now)
     ticket = step.tickets.get(worker.info.worker_id, ("", 0.0))[0]
     return StartRun(
         worker_id=worker.info.worker_id,
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from ._crash_history import LostRun
+
 
 class JobRecord(Struct, kw_only=True, omit_defaults=True):
     """Progress of a job that has not ended.
@@ -18,6 +20,8 @@
         By ``OCCURRENCE.STEP.INDEX``: the runs whose ends count as attempts. An end that is listed
         again after a take-over, or later than that of a newer run, is known by its run.
     checkpoints : dict of str to str
+    lost_runs : dict of str to list of LostRun
+        By task as above: the runs whose workers were lost, and the latest recorded start.
     """
 
     begun: bool = False
@@ -25,6 +29,7 @@
     done_tasks: dict[str, list[int]] = {}
     failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
+    lost_runs: dict[str, list[LostRun]] = {}
 
 
 class EndedJob(Struct, kw_only=True):
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -2,11 +2,11 @@
 
 from ._actions import StopRun
 from ._advice import has_ticket
+from ._crash_book import CrashBook
 from ._job import JobState, TaskState
 from ._pacing import pace_fillers
 from ._sickness import note_duration
 from ._worker import PendingEnd, Stray
-from ._worker_book import WorkerBook
 
 #: Runs that one home may start of a task before another home's numbers begin. A new home does not
 #: know how many its predecessor started, and a worker refuses a number that is not higher.
@@ -32,7 +32,7 @@
 UNKNOWN_JOB_S = 1.5
 
 
-class RunBook(WorkerBook):
+class RunBook(CrashBook):
     """What runs where: reports, ends, and answers to orders.
 
     Base of :class:`Scheduler`, which adds the jobs: a run is started for a job's task, and its end
@@ -73,6 +73,7 @@
             answered = run.state in ("running", "barred")
             if answered and run.sent_at < asked_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, now)
+        self.note_survivals(worker, now)
         self._hear(worker, now)
         if worker.silent:
             self.needs_whole_plan = True
@@ -103,6 +104,7 @@
         )
         if wanted:
             run = self._make_run(worker, step, task, item.run_id, now)
+            run.is_adopted = True
             run.percent = run.first_percent = item.percent
             run.load = item.load
             run.checkpoint = item.checkpoint
@@ -165,6 +167,7 @@
                     continue
                 del worker.strays[key]
                 run = self._make_run(worker, step, task, stray.item.run_id, now)
+                run.is_adopted = True
                 self._began(run, now)
                 if stray.stopped:
                     run.state = "barred"
@@ -179,6 +182,7 @@
 
     def _began(self, run, now):
         run.state = "running"
+        run.has_begun = True
         run.began_at = run.reported_at = now
         job = run.job
         if not job.begun:
@@ -207,6 +211,7 @@
             return []
         if run is not None:
             task.runs.pop(worker.info.worker_id, None)
+            self.forget_placed(run, now)
         actions = self._settle_end(worker, step, task, end, run, now)
         # Also of a job that has ended, until that is durable: a home that takes over before knows
         # neither of the job's end nor of this one, and would run the task again.
@@ -287,11 +292,6 @@
 
     # Answers to calls
 
-    def _find_run(self, worker_id, task, run_id):
-        worker = self.workers.get(worker_id)
-        run = worker.runs.get(task) if worker is not None else None
-        return run if run is not None and run.run_id == run_id else None
-
     def start_answered(self, worker_id, task, run_id, outcome, now):
         """Take a worker's answer to a start: started, unknown, or the reason of a refusal."""
         run = self._find_run(worker_id, task, run_id)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -85,6 +85,7 @@
         )
         # Nothing of the job runs here yet, so that its ends cannot have anything stopped.
         self._take_up(self.jobs[spec.job_id], now)
+        self.restore_suspects(self.jobs[spec.job_id])
         return True
 
     def _newer_queue(self, queue, config_version):
@@ -213,7 +214,8 @@
         if now >= self._looked_at + LOOK_S:
             self._looked_at = now
             actions = self._look_round(now, wall_now)
-        return actions + plan_starts(self, now, n_wanted)
+        actions += self.take_recorded_starts(now)
+        return actions + self.hold_unrecorded_starts(plan_starts(self, now, n_wanted), now)
 
     def _look_round(self, now, wall_now):
         """See what falls due by time alone, on any worker and for any job."""
@@ -223,6 +225,7 @@
             if is_timed and job.open_occurrences(now, wall_now):
                 actions += self._take_up(job, now)
         self.lost_leases(now)
+        actions += self.review_suspects(now)
         return actions + self._move_leaving_runs(now) + self._give_up_sick_runs(now)
 
     def _move_leaving_runs(self, now):
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from ._crash_history import EARLY_CRASH_S
+
 #: Part by which a worker's clock may run slow, as the contract of the workers states it.
 CLOCK_DRIFT = 0.02
 
@@ -109,13 +111,19 @@
     `percent_clock` and `reported_clock` are the worker's time of the last progress and of the last
     report, None before the first one; `reported_at` is our time of the last report, and
     `first_percent` the progress that the run began with. `is_whole` says that this home
-    started it, from nothing: only then its length is that of the task.
+    started it, from nothing: only then its length is that of the task. `is_sent` says that the
+    start was sent, `has_begun` that the worker has confirmed the run, `is_adopted` that another
+    home started it, `is_trial` that it is a trial run, see :class:`TrialBook`.
     """
 
     __slots__ = (
         "began_at",
         "checkpoint",
         "first_percent",
+        "has_begun",
+        "is_adopted",
+        "is_sent",
+        "is_trial",
         "is_whole",
         "job",
         "load",
@@ -149,10 +157,29 @@
         self.reported_clock = None
         self.resumes = False
         self.is_whole = False
+        self.is_sent = False
+        self.has_begun = False
+        self.is_adopted = False
+        self.is_trial = False
         self.checkpoint = ""
         self.load = 0.0
         self.pace = 100
 
+    @property
+    def may_have_begun(self):
+        """Whether the run may have begun on its worker."""
+        return self.is_sent or self.has_begun or self.is_adopted
+
+    @property
+    def is_fresh(self):
+        """Whether the run had begun, under this home, shortly before it was last listed."""
+        return self.has_begun and not self.is_adopted and self.survived_s < EARLY_CRASH_S
+
+    @property
+    def survived_s(self):
+        """Age at which the run was last listed. Unit: seconds."""
+        return max(0.0, self.reported_at - self.began_at) if self.has_begun else 0.0
+
 
 class Worker:
     """What the scheduler knows of one life of a worker.
@@ -245,6 +272,15 @@
         is_time_over = self.leaves_at is not None and now > self.leaves_at
         return is_time_over and self.nobody_listens and not self.listed
 
+    @property
+    def is_leaving(self):
+        """Whether the worker has announced that it will leave."""
+        return self.info.draining or self.leaves_at is not None
+
+    def is_lapsed(self, now):
+        """Whether the worker is unreachable and all leases that it was sent have expired."""
+        return now >= self.lease_over_at and (self.silent or not self.listed)
+
     def add_run(self, run):
         """Count a run's room."""
         self.runs[run.task] = run
--- a/anvilflow/jobs/_worker_book.py
+++ b/anvilflow/jobs/_worker_book.py
@@ -12,7 +12,7 @@
 class WorkerBook:
     """The workers and the runs that take their room.
 
-    Base of :class:`RunBook`, which says how runs begin and end.
+    Base of :class:`TrialBook`, which isolates tasks that may crash workers.
 
     Parameters
     ----------
@@ -96,15 +96,6 @@
         if worker is not None:
             worker.listed = False
 
-    def worker_ended(self, worker_id, now):
-        """The worker's life is certainly over: nothing runs there any more."""
-        worker = self.workers.pop(worker_id, None)
-        if worker is None:
-            return
-        self.needs_whole_plan = True
-        for run in list(worker.runs.values()):
-            self._drop_run(run, now)
-
     def worker_silent(self, worker_id, now, *, nobody_listens=False):
         """Calls to a worker fail: it gets no new work until it answers."""
         worker = self.workers.get(worker_id)
@@ -115,21 +106,6 @@
             worker.silent = True
             worker.silent_at = now
 
-    def take_on_unheard(self, worker_id, runs, now):
-        """Take on what an earlier home named as running on a worker that it could not reach.
-
-        The tasks stay there until the worker answers or its lease has surely ended; all others need
-        not wait for it.
-        """
-        worker = self.workers[worker_id]
-        worker.runs_known = worker.in_handover = True
-        for name, run_id in runs:
-            step, task = self.find_task(name)
-            if task is None or step.job.is_ended or task.state is TaskState.DONE:
-                continue
-            run = self._make_run(worker, step, task, run_id, now)
-            run.state = "running"
-
     def note_handover(self, worker_ids):
         """Note which workers the home's row names, now that it is durable."""
         for worker_id, worker in self.workers.items():
@@ -137,21 +113,6 @@
                 self.needs_whole_plan = True
             worker.in_handover = worker_id in worker_ids
 
-    def lost_leases(self, now):
-        """Forget the runs of silent workers whose leases have surely ended.
-
-        The workers stay until their sessions end, see `worker_ended`: one that answers again must
-        be heard, or what it still begins would run on under leases that nobody watches.
-        """
-        if self.grace_period.waited(now):
-            self._bound_unheard_leases()
-        for worker in list(self.workers.values()):
-            lapsed = now >= worker.lease_over_at and (worker.silent or not worker.listed)
-            if not (lapsed or worker.has_left(now)):
-                continue
-            for run in list(worker.runs.values()):
-                self._drop_run(run, now)
-
     # Runs
 
     def knows_job(self, job_id):
@@ -176,6 +137,9 @@
     def _stop(self, run, now, why):
         if run.state == "stopping":
             return []
+        if run.state == "recording":
+            self._drop_run(run, now)
+            return []
         run.state = "stopping"
         run.sent_at = now
         return [
@@ -199,6 +163,7 @@
                     continue
                 stray = worker.strays.pop((name, run_id))
                 run = self._make_run(worker, step, task, run_id, now)
+                run.is_adopted = True
                 run.state = "barred" if stray.stopped else "running"
                 return True
         return False
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -36,6 +36,8 @@
         "{n_with_room} have room"
     ),
     "task ended": "{task}, run {run}, ended on {worker}: {how}",
+    "worker lost": "{worker_id} was lost ({known_by}) while running {tasks}",
+    "job failed": "failed, {error}: {task} on {workers}",
     "job ended": "its end is durable: {state}",
 }
 
@@ -76,9 +78,8 @@
 
 def _is_of_job(line, job_id):
     values = line.values
-    return job_id == values.get("job") or any(
-        str(values.get(field, "")).startswith(f"{job_id}.") for field in ("task", "step")
-    )
+    names = [values.get("task", ""), values.get("step", ""), *(values.get("tasks") or ())]
+    return job_id == values.get("job") or any(str(name).startswith(f"{job_id}.") for name in names)
 
 
 def explain_job(job_id, lines):
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -130,7 +130,7 @@
         return self.clock.seconds() + self.offset_s
 
     def crash(self):
-        """Lose everything."""
+        """Lose all state; pending calls get no answer."""
         self.alive = False
         for task in list(self.active):
             self._end(task, "crashed", listed=False)
@@ -268,7 +268,7 @@
         done = Deferred()
 
         def wake():
-            if not done.called:
+            if self.alive and not done.called:
                 self.holds.remove(wake)
                 if late.active():
                     late.cancel()
