--- a/anvilflow/cell/tests/_helpers.py
+++ b/anvilflow/cell/tests/_helpers.py
@@ -63,3 +63,14 @@
         if ended_at > stopping_by + STOP_S:
             broken.append(f"{span.task} ends {ended_at - acked_at:.2f} s after it")
     return broken
+
+
+def max_starts_after_third_crash(cell):
+    """Return the maximum over all tasks of the number of starts after the third crash."""
+    most = 0
+    for task in {span.task for span in cell.spans}:
+        runs = cell.runs_of(task)
+        crashed_at = [span.ended_at for span in runs if span.how == "crash"]
+        if len(crashed_at) >= 3:
+            most = max(most, sum(span.began_at > crashed_at[2] for span in runs))
+    return most
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -202,6 +202,7 @@
         and _leaves(worker, spec, reserve)
         and not (spec.max_per_worker and step.n_on(worker.info.worker_id) >= spec.max_per_worker)
         and task.name not in worker.runs
+        and not scheduler.has_other_suspect(worker, task)
     ]
     if not fitting:
         return None
@@ -248,6 +249,7 @@
         worker
         for worker in _candidates(scheduler, step, now)
         if not scheduler.reservations.is_reserved_from(worker, step.job.queue)
+        and not any(scheduler.has_other_suspect(worker, task) for task in waiting)
     ]
     racks = _racks(workers) if step.spec.rack_sensitive else []
     for group in [*racks, workers]:
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -180,6 +180,11 @@
         """Age at which the run was last listed. Unit: seconds."""
         return max(0.0, self.reported_at - self.began_at) if self.has_begun else 0.0
 
+    def max_age_s(self, now):
+        """Upper bound of the run's age when its worker was lost. Unit: seconds."""
+        lost_at = self.worker.silent_at if self.worker.silent else now
+        return max(0.0, lost_at - self.began_at)
+
 
 class Worker:
     """What the scheduler knows of one life of a worker.
--- a/anvilflow/standins/_order_worker.py
+++ b/anvilflow/standins/_order_worker.py
@@ -99,6 +99,7 @@
         self.deaf_between = (0.0, 0.0)
         self.serving_tail_ms = 0
         self.on_crash = None
+        self.untold_ends = set()
 
     def entry(self, *, state="ready"):
         """Return the worker's entry in the registry."""
@@ -132,9 +133,14 @@
     def crash(self):
         """Lose all state; pending calls get no answer."""
         self.alive = False
+        self._record_untold_ends()
         for task in list(self.active):
             self._end(task, "crashed", listed=False)
 
+    def _record_untold_ends(self):
+        """Record the ends not acknowledged before the lease expired or the worker crashed."""
+        self.untold_ends |= {(task, run_id) for _, task, run_id, _, _ in self.finished}
+
     def _crash_by_task(self, task):
         """Crash the worker because of a task that runs on it."""
         self._end(task, "crash", listed=False)
@@ -243,6 +249,7 @@
         self.lapse = self.clock.callLater(max(0.0, self.until - self.clock_s()), self._lapse)
 
     def _lapse(self):
+        self._record_untold_ends()
         for task in list(self.active):
             self._end(task, "lapsed")
 
