Soak: add jobs that crash workers, and capacity changes of running workers

Three of a hundred jobs crash the worker that starts them, 0.01 to 1.5 s after the start; the worker restarts after 2 s under a new id. Capacities change while workers run.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -17,6 +17,12 @@
 #: Pause between looks at a job's state. Unit: seconds.
 LOOK_S = 0.4
 
+#: Share of the jobs that crash their workers.
+CRASH_SHARE = 0.03
+
+#: Delays from the start of a task to the crash of its worker. Unit: seconds.
+CRASH_DELAYS_S = (0.01, 0.01, 0.5, 1.5)
+
 #: States that a job never leaves.
 ENDS = frozenset({"completed", "failed", "cancelled"})
 
@@ -48,6 +54,8 @@
         Where each instance takes calls.
     random_state : random.Random
     judge : Judge
+    crash_random_state : random.Random
+        Draws which jobs crash their workers, and after which delay.
 
     Notes
     -----
@@ -55,11 +63,12 @@
     caller is told so.
     """
 
-    def __init__(self, *, reactor, fronts, random_state, judge):
+    def __init__(self, *, reactor, fronts, random_state, judge, crash_random_state):
         self.reactor = reactor
         self.fronts = fronts
         self.random_state = random_state
         self.judge = judge
+        self.crash_random_state = crash_random_state
         self.calls = []
         self.acknowledged = lambda what: None
         self._http = HttpClient(clock=reactor, connections=4)
@@ -82,6 +91,9 @@
             if number:
                 step["after"] = [number - 1]
             steps.append(step)
+        if self.crash_random_state.random() < CRASH_SHARE:
+            how = "crash"
+            steps = [{"count": 1, "cpu": 1000, "estimate-ms": 600}]
         return Call(
             job_id=job_id,
             path=f"/{queue}/{job_id}",
@@ -97,6 +109,8 @@
         self.calls.append(call)
         cancels = self.random_state.random() < 0.16
         seconds = round(self.random_state.uniform(0.2, 1.6), 2)
+        if call.how == "crash":
+            seconds = self.crash_random_state.choice(CRASH_DELAYS_S)
         body = make_job_body(*call.steps, spec=f"{seconds} {call.how} 1000")
         yield self._submit(call, body)
         if call.accepted_at is None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -38,6 +38,12 @@
 #: Kinds that are drawn by themselves, so that the seeds that failed once keep their faults.
 LATER_KINDS = {"clock ahead": 1, "clock back": 1, "clocks ahead": 1, "clocks back": 1}
 
+#: Changes of a worker's capacity; drawn separately, so that existing seeds keep their faults.
+CAPACITY_KINDS = {"worker resized": 1}
+
+#: Capacities that a worker can be changed to. Unit: thousandths of a core.
+CAPACITIES = (1000, 3000, 8000, 12_000)
+
 #: What leaves most instances calm, so that what they make of the configuration is checked: drawn by
 #: themselves in every soak, and alone in those that watch the configuration above all.
 CONFIG_KINDS = {
@@ -233,6 +239,9 @@
             case "drains":
                 self.world.drain(place)
                 self._later(for_s, self._leave, place)
+            case "resized":
+                if place.worker.alive:
+                    self.world.set_capacity(place, self.random_state.choice(CAPACITIES))
             case "unregistered":
                 worker_id = place.worker.worker_id
                 self.world.store.remove("servers", worker_id)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from ._calm import Calm
 from ._config_watch import ConfigWatch
 from ._ending import Ending, LastFaults, make_ending
-from ._faults import CONFIG_KINDS, LATER_KINDS, SERIES_KINDS, Injector, make_faults
+from ._faults import CAPACITY_KINDS, CONFIG_KINDS, LATER_KINDS, SERIES_KINDS, Injector, make_faults
 from ._instances import Instances
 from ._judge import CANCEL_S, Judge
 from ._world import World
@@ -141,7 +141,14 @@
             seconds=seconds,
             weights=SERIES_KINDS,
         )
-        return (config if self.only_config else faults + config) + series, later
+        capacity = make_faults(
+            Random(f"{self.seed} capacity"),
+            n_faults=n_faults // 5,
+            seconds=seconds,
+            weights=CAPACITY_KINDS,
+        )
+        faults = config if self.only_config else faults + config
+        return faults + series + capacity, later
 
     @inlineCallbacks
     def _play(self, rng, world, instances, calm, faults, ending):
@@ -150,7 +157,11 @@
         yield self._sleep(START_S + START_EACH_S * len(instances.names))
         judge = Judge(world=world)
         callers = Callers(
-            reactor=self.reactor, fronts=instances.fronts, random_state=rng, judge=judge
+            reactor=self.reactor,
+            fronts=instances.fronts,
+            random_state=rng,
+            judge=judge,
+            crash_random_state=Random(f"{self.seed} crashes"),
         )
         injector = Injector(
             reactor=self.reactor, world=world, instances=instances, random_state=rng, calm=calm
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -19,6 +19,9 @@
 #: How long the advice on a step takes. Unit: seconds.
 ADVICE_S = 0.03
 
+#: Delay from the crash of a worker by a task to its restart. Unit: seconds.
+RESTART_DELAY_S = 2.0
+
 _CALLER = b"x-caller"
 
 
@@ -167,6 +170,7 @@
             sizes=_sizes,
         )
         place.worker = worker
+        worker.on_crash = lambda: self._worker_crashed(place)
         self.workers[worker.worker_id] = worker
         self.advice.allowed.add(worker.worker_id)
         self.store.put("servers", worker.worker_id, worker.entry())
@@ -179,6 +183,17 @@
         worker.crash()
         self.store.remove("servers", worker.worker_id)
 
+    def _worker_crashed(self, place):
+        """Remove the entry of a worker that a task has crashed; restart it later under a new id."""
+        place.worker.mark_untold()
+        self.store.remove("servers", place.worker.worker_id)
+        self.reactor.callLater(RESTART_DELAY_S, self.new_life, place)
+
+    def set_capacity(self, place, cpu):
+        """Change a worker's capacity at run time and update its entry."""
+        place.worker.set_capacity(cpu)
+        self.store.put("servers", place.worker.worker_id, place.worker.entry())
+
     def drain(self, place):
         """Let a worker say that it leaves."""
         worker = place.worker
@@ -189,6 +204,8 @@
         self.store_faults.clear()
         for place in self.places:
             place.faults.clear()
+            if place.worker.alive and place.worker.cpu != self.cpu:
+                self.set_capacity(place, self.cpu)
         for proxy in self.proxies.values():
             proxy.heal()
 
