Count a crash as early after a takeover only if the start is recent

The store was unavailable from 6.13 to 10.12 s, the home was killed at 7.39 s, and the worker crashed at 8.02 s before it could report the completion. The next home found the recorded start and a different incarnation at the worker's address, and counted a crash soon after the start.

Store the time of day with a recorded start. A home that takes over more than 3 s after that time still counts the loss, but not as an early crash.

--- a/anvilflow/jobs/_crash_history.py
+++ b/anvilflow/jobs/_crash_history.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 #: A crash counts as early when its run was last listed below this age. Unit: seconds.
 EARLY_CRASH_S = 2.0
@@ -32,6 +32,10 @@
 #: Backoff before the start that follows a second loss; doubles with each loss. Unit: seconds.
 FIRST_BACKOFF_S = 1.0
 
+#: Maximum age of a recorded start, when a new home takes over, at which the loss of its worker
+#: counts as an early crash. Allows for the duration of the takeover. Unit: seconds.
+MAX_RECORDED_START_AGE_S = EARLY_CRASH_S + 1.0
+
 
 class Fate(StrEnum):
     """State of a worker on which a task was started.
@@ -61,6 +65,8 @@
         Whether the worker was lost early in the run, or during a trial run.
     has_begun : bool
         Whether the worker has confirmed that the run began.
+    started_at : float
+        Time of day at which the start was recorded. Unit: seconds.
     """
 
     worker_id: str
@@ -70,6 +76,7 @@
     max_age_s: float = EARLY_CRASH_S
     is_soon: bool = True
     has_begun: bool = True
+    started_at: float = 0.0
 
 
 class CrashHistory:
@@ -159,17 +166,30 @@
         is_unknown = any(each.fate is Fate.UNKNOWN for each in losses)
         return not is_unknown or waited_s >= MAX_UNKNOWN_WAIT_S
 
-    def add_start(self, *, worker_id, address, run_id):
-        """Add a start that is being recorded."""
-        self.lost_runs[worker_id] = LostRun(worker_id=worker_id, address=address, run_id=run_id)
+    def add_start(self, *, worker_id, address, run_id, started_at):
+        """Add a start that is being recorded. Unit of `started_at`: seconds, time of day."""
+        self.lost_runs[worker_id] = LostRun(
+            worker_id=worker_id, address=address, run_id=run_id, started_at=round(started_at, 2)
+        )
+
+    def mark_stale_starts(self, wall_now):
+        """Exclude recorded starts without a recent time from the early crashes.
+
+        Their runs may have continued, or completed, while the store was unavailable.
+        """
+        for worker_id, lost in self.lost_runs.items():
+            is_recent = 0.0 <= wall_now - lost.started_at <= MAX_RECORDED_START_AGE_S
+            if lost.fate is Fate.PLACED and not is_recent:
+                self.lost_runs[worker_id] = structs.replace(lost, is_soon=False)
 
     def add_loss(self, run, fate, now):
         """Add the loss of a run's worker."""
         info = run.worker.info
         if run.is_adopted:
             # The age of the run is unknown. A start that is still recorded has not been cleared by
-            # a surviving run, so its crash counts as early.
-            is_soon = has_begun = self._is_placed(info.worker_id)
+            # a surviving run, so its crash counts as early if the start is recent.
+            has_begun = self._is_placed(info.worker_id)
+            is_soon = has_begun and self.lost_runs[info.worker_id].is_soon
         else:
             is_soon = run.is_trial if self.losses else run.survived_s < EARLY_CRASH_S
             has_begun = run.has_begun
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -174,7 +174,7 @@
         self.due_by = now + queue.stretch * longest_chain_s(spec.steps) + queue.target_latency_s
         self.open_occurrences(now, wall_now)
         if record is not None:
-            self._restore(record)
+            self._restore(record, wall_now)
 
     @property
     def is_ended(self):
@@ -320,7 +320,7 @@
                     record.lost_runs[f"{key}.{task.index}"] = list(history.lost_runs.values())
         return record
 
-    def _restore(self, record):
+    def _restore(self, record, wall_now):
         self.begun = record.begun
         if record.begun:
             self.state = JobState.RUNNING
@@ -339,6 +339,7 @@
                     task.crash_history = CrashHistory(
                         lost_runs=record.lost_runs[name], now=self.accepted_at
                     )
+                    task.crash_history.mark_stale_starts(wall_now)
         for step in self.steps.values():
             step.ready_at = None
         self.mark_ready(self.accepted_at)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -211,6 +211,7 @@
             Starts after which no more are decided; None: no limit.
         """
         actions = []
+        self.wall_offset_s = wall_now - now
         if now >= self._looked_at + LOOK_S:
             self._looked_at = now
             actions = self._look_round(now, wall_now)
--- a/anvilflow/jobs/_trial_book.py
+++ b/anvilflow/jobs/_trial_book.py
@@ -59,7 +59,7 @@
     names of the trial runs by worker; no task of another job is started on these workers. Once a
     loss counts against a task, its next start is made durable before it is sent, so that a new
     home can count a crash that coincides with the failure of the previous one. `is_store_away`
-    says that nothing can be recorded.
+    says that nothing can be recorded, `wall_offset_s` is the time of day minus the steady time.
     """
 
     def __init__(self, **values):
@@ -67,6 +67,7 @@
         self.suspects = {}
         self.trials = {}
         self.is_store_away = False
+        self.wall_offset_s = 0.0
         self._held_starts = []
         self._has_lost_unheard_worker = False
 
@@ -213,7 +214,12 @@
         run.state = "recording"
         suspect = self._add_suspect(step, task)
         info = run.worker.info
-        suspect.history.add_start(worker_id=info.worker_id, address=info.address, run_id=run.run_id)
+        suspect.history.add_start(
+            worker_id=info.worker_id,
+            address=info.address,
+            run_id=run.run_id,
+            started_at=now + self.wall_offset_s,
+        )
         step.job.touch(now)
 
     def hold_unrecorded_starts(self, actions, now):
