Skip the job of an unreadable row instead of failing the home

A single row of the jobs, their progress or their ends, written by another program or a newer release, made each successive home fail on reading it, so that the cell served nothing any more. A row written later ended the home that was following the table.

The home now skips the job of such a row and logs one warning per row, "row not understood". The job is not run without the row's content, because its tasks could run again after they were done. All other jobs continue.

--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -23,6 +23,7 @@
         self.scheduler = scheduler
         self.janitor = janitor
         self._version = 0
+        self._unreadable_job_ids = set()
 
     @property
     def version(self):
@@ -44,11 +45,12 @@
         state : StoredState
         """
         self.known_up_to(state.jobs_version)
-        progress = {row.key: decode(row.value, JobRecord) for row in state.progress}
+        progress = {row.key: self._decode_row(row, JobRecord) for row in state.progress}
         for row in state.ended:
-            value = decode(row.value, EndedJob)
-            self.scheduler.forget_job(row.key, JobState(value.state), self._now())
-            self.janitor.add(row.key, value.ended_at)
+            value = self._decode_row(row, EndedJob)
+            if value is not None:
+                self.scheduler.forget_job(row.key, JobState(value.state), self._now())
+                self.janitor.add(row.key, value.ended_at)
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
             if not row.key.endswith(CANCEL_MARK):
@@ -68,12 +70,33 @@
         self.log.info("job cancelled by an entry", job=job_id)
         return self.scheduler.cancel_job(job_id, self._now())
 
+    def _decode_row(self, row, value_type):
+        """Return a row's decoded value, or None if it cannot be decoded.
+
+        The job of such a row is not run: without the row's content, tasks that are already done
+        could run again. An exception here would stop each successive home on the same row.
+        """
+        try:
+            value = decode(row.value, value_type, error=PlatformError)
+            if value_type is EndedJob:
+                # Raises ValueError for an unknown state.
+                JobState(value.state)
+        except (PlatformError, ValueError) as exc:
+            self._unreadable_job_ids.add(row.key)
+            self.log.warning("row not understood", table=row.table, job=row.key, error=str(exc))
+            return None
+        return value
+
     def _add_row(self, row, record):
         if self.scheduler.knows_job(row.key):
             # Most rows that a home reads when it begins are of jobs that have ended.
             self.known_up_to(row.version)
             return
-        value = decode(row.value, JobRow, error=PlatformError)
+        is_unreadable = row.key in self._unreadable_job_ids
+        value = None if is_unreadable else self._decode_row(row, JobRow)
+        if value is None:
+            self.known_up_to(row.version)
+            return
         self.add(value, row.version, record)
 
     def add(self, value, version, record=None):
