Require trial runs again after another loss

Once a trial run had passed, all suspects of its step or image stayed exempt from trial runs. After the next crashes of their workers, all of them were restarted at once. A loss now revokes the exemption, so that one suspect of a step is tried at a time again.

Suspects of a job that another instance has ended, or that is no longer known, were still judged. They are now dropped at the next review.

Found by reading the code.

--- a/anvilflow/jobs/_crash_book.py
+++ b/anvilflow/jobs/_crash_book.py
@@ -103,6 +103,7 @@
             suspect = self._add_suspect(step, task)
             if suspect is not None:
                 suspect.history.add_loss(run, fate, now)
+                self.require_trials(step)
                 step.job.touch(now)
         self._drop_run(run, now)
 
@@ -159,7 +160,8 @@
         for name, suspect in list(self.suspects.items()):
             for lost in list(suspect.history.lost_runs.values()):
                 actions += self._review_loss(suspect, lost, by_address, now)
-            if suspect.is_resolved and not suspect.awaits_record:
+            is_job_known = self.jobs.get(suspect.step.job.job_id) is suspect.step.job
+            if not is_job_known or (suspect.is_resolved and not suspect.awaits_record):
                 suspect.task.crash_history = None
                 del self.suspects[name]
         return actions + self._fail_crashing_jobs(now)
--- a/anvilflow/jobs/_crash_history.py
+++ b/anvilflow/jobs/_crash_history.py
@@ -89,7 +89,7 @@
     last_lost_at : float
         Time of the latest loss. Unit: seconds.
     is_trial_exempt : bool
-        Whether a trial run of the same step or image has passed, so that this task needs none.
+        Whether a trial run of the same step or image has passed since the last loss.
     unrecorded_change : int
         Change of the job that must be durable before the next start.
     """
--- a/anvilflow/jobs/_trial_book.py
+++ b/anvilflow/jobs/_trial_book.py
@@ -156,6 +156,12 @@
             run.is_trial = True
             self.trials.setdefault(run.worker.info.worker_id, set()).add(run.task)
 
+    def require_trials(self, step):
+        """Revoke the trial exemption of all suspects of the same step or image."""
+        for suspect in self.suspects.values():
+            if suspect.matches(step):
+                suspect.history.is_trial_exempt = False
+
     def _pass_trial(self, suspect, run):
         self._end_trial(run)
         for each in self.suspects.values():
--- a/anvilflow/jobs/tests/test_crashes.py
+++ b/anvilflow/jobs/tests/test_crashes.py
@@ -205,6 +205,34 @@
     )
 
 
+def test_loss_after_a_passed_trial_requires_trials_again():
+    """Guards against restarting all suspects of a step at once after further crashes."""
+    scheduler = make_scheduler(4)
+    starts = add_job(scheduler, StepSpec(n_tasks=4, cpu_milli=1000))
+    answer_started(scheduler, starts, 0.0)
+    for worker_id in {start.worker_id for start in starts}:
+        _crash(scheduler, worker_id, 0.1)
+    [trial] = _plan(scheduler, 0.5)
+    _list_run(scheduler, trial, 3.0)
+    others = _plan(scheduler, 3.1)
+    for start in others:
+        _list_run(scheduler, start, 6.0)
+    for worker_id in {start.worker_id for start in others}:
+        _crash(scheduler, worker_id, 6.1)
+    assert len(_plan(scheduler, 8.0)) == 1
+
+
+def test_suspects_of_a_forgotten_job_are_dropped():
+    """Guards against counting crashes of a task whose job another instance has ended."""
+    scheduler = make_scheduler(4)
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [start], 0.0)
+    _crash(scheduler, start.worker_id, 0.1)
+    scheduler.forget_job(JOB, JobState.CANCELLED, 0.2)
+    scheduler.review_suspects(0.3)
+    assert not scheduler.suspects
+
+
 def test_start_of_a_suspect_waits_until_it_is_durable():
     """Guards against a crash that the next home cannot count."""
     scheduler = make_scheduler(4)
