Require trial runs only after early crashes

Found by reading the code: two losses at any age made a task a suspect. Its trial run then lasted twice the age of the lost run, up to minutes. During that time its worker accepted no task of another job and the other tasks of its step waited, so long-running tasks that had lost their workers twice were restarted one by one.

Only an early crash makes a task a suspect now. Late losses are counted, recorded before the next start from the second one on, and limited to five as before; a task with late losses only does not wait for what became of its last worker. A crash below 2 s after a late loss counts as early; before, it counted only in a trial run. A trial run lasts 0.5 s plus 1.25 times the age of the early crash (twice before), so that a healthy task that was lost early returns to normal scheduling sooner: after at most 4.1 s for a run of 2 s whose loss is noticed 0.9 s later.

The new test failed before this change.

--- a/anvilflow/jobs/_crash_history.py
+++ b/anvilflow/jobs/_crash_history.py
@@ -13,10 +13,10 @@
 #: Workers lost while running a task, at any age of the run, after which it is not restarted.
 MAX_LOST_WORKERS = 5
 
-#: A trial run passes at this age plus :data:`TRIAL_TIMES` the longest age of a lost run.
-#: Unit: seconds.
+#: A trial run passes at this age plus :data:`TRIAL_TIMES` the longest age of a run that was lost
+#: early or during a trial. Unit: seconds.
 TRIAL_S = 0.5
-TRIAL_TIMES = 2.0
+TRIAL_TIMES = 1.25
 
 #: A run clears the task's history at this age or at :data:`CLEARED_TIMES` the longest age that a
 #: lost run reached, whichever is greater. Unit: seconds.
@@ -115,8 +115,7 @@
     @property
     def is_suspect(self):
         """Whether the task may crash the next worker as well."""
-        losses = self.losses
-        return len(losses) > 1 or any(each.is_soon for each in losses)
+        return any(each.is_soon for each in self.losses)
 
     @property
     def must_be_recorded(self):
@@ -142,17 +141,15 @@
     @property
     def trial_s(self):
         """Age at which a trial run passes. Unit: seconds."""
-        return TRIAL_S + TRIAL_TIMES * self._longest_age_s()
+        early_losses = [each for each in self.losses if each.is_soon]
+        return TRIAL_S + TRIAL_TIMES * _longest_age_s(early_losses)
 
     @property
     def cleared_s(self):
         """Age at which a run clears the history. Unit: seconds."""
-        cleared_s = max(CLEARED_S, CLEARED_TIMES * self._longest_age_s())
+        cleared_s = max(CLEARED_S, CLEARED_TIMES * _longest_age_s(self.losses))
         return min(MAX_CLEARED_S, cleared_s)
 
-    def _longest_age_s(self):
-        return max((each.max_age_s for each in self.losses), default=0.0)
-
     def may_start(self, now):
         """Whether the task may be started again at this time."""
         losses = self.losses
@@ -163,7 +160,7 @@
         waited_s = now - self.last_lost_at
         if waited_s < FIRST_BACKOFF_S * 2 ** (len(losses) - 2):
             return False
-        is_unknown = any(each.fate is Fate.UNKNOWN for each in losses)
+        is_unknown = self.is_suspect and any(each.fate is Fate.UNKNOWN for each in losses)
         return not is_unknown or waited_s >= MAX_UNKNOWN_WAIT_S
 
     def add_start(self, *, worker_id, address, run_id, started_at):
@@ -191,7 +188,7 @@
             has_begun = self._is_placed(info.worker_id)
             is_soon = has_begun and self.lost_runs[info.worker_id].is_soon
         else:
-            is_soon = run.is_trial if self.losses else run.survived_s < EARLY_CRASH_S
+            is_soon = run.is_trial if self.is_suspect else run.survived_s < EARLY_CRASH_S
             has_begun = run.has_begun
         self.lost_runs[info.worker_id] = LostRun(
             worker_id=info.worker_id,
@@ -215,3 +212,7 @@
     def forget_placed(self, worker_id):
         """Remove the entry of a worker unless the worker was lost."""
         return self._is_placed(worker_id) and self.forget(worker_id)
+
+
+def _longest_age_s(lost_runs):
+    return max((each.max_age_s for each in lost_runs), default=0.0)
--- a/anvilflow/jobs/tests/test_crashes.py
+++ b/anvilflow/jobs/tests/test_crashes.py
@@ -60,6 +60,16 @@
     scheduler.report(start.worker_id, make_report([active], clock_s=now), asked_at=now, now=now)
 
 
+def _list_worker_runs(scheduler, start, starts, now):
+    """Report every run in `starts` that is on the same worker as `start`."""
+    active = [
+        RunReport(task=each.task, run_id=each.run_id, checkpoint="", percent=1.0, load=0.0)
+        for each in starts
+        if each.worker_id == start.worker_id
+    ]
+    scheduler.report(start.worker_id, make_report(active, clock_s=now), asked_at=now, now=now)
+
+
 def _state(scheduler, job_id=JOB):
     return scheduler.jobs[job_id].state
 
@@ -222,6 +232,22 @@
     assert len(_plan(scheduler, 8.0)) == 1
 
 
+def test_late_crashes_do_not_require_trials():
+    """Guards against restarting long-running tasks one at a time after two late crashes."""
+    scheduler = make_scheduler(4)
+    starts = add_job(scheduler, StepSpec(n_tasks=4, cpu_milli=1000, long_running=True))
+    answer_started(scheduler, starts, 0.0)
+    for crash_at in (10.0, 30.0):
+        for start in starts:
+            _list_worker_runs(scheduler, start, starts, crash_at - 0.1)
+        for worker_id in {start.worker_id for start in starts}:
+            _crash(scheduler, worker_id, crash_at)
+        starts = _plan(scheduler, crash_at + 1.5)
+        assert len(starts) == 4
+        assert not scheduler.trials
+    assert _state(scheduler) is JobState.RUNNING
+
+
 def test_suspects_of_a_forgotten_job_are_dropped():
     """Guards against counting crashes of a task whose job another instance has ended."""
     scheduler = make_scheduler(4)
