Do not blame a task for workers that fail together, or before its start has begun

A recorded start proves a crash to the next home only if its worker has confirmed it, and the confirmation is durable; the record is written at once. A worker that is lost within 1 s of another one on which nothing was on trial, and that the task had not run on, is no early crash in a trial. Losses are still counted and bounded by five.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -399,6 +399,8 @@
         )
         if outcome != "started":
             self.events.changed()
+        elif action.task in self.scheduler.suspects:
+            self.events.ends_told()
 
     def stop_answered(self, action):
         """Take the answer to a stop."""
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -360,6 +360,8 @@
             self.context.meters.timed("first_start", seconds)
         n_wanted = self._fleet.n_wanted_starts()
         self.act(scheduler.plan(self.now, self.context.wall_clock(), n_wanted=n_wanted))
+        if scheduler.holds_starts:
+            self._recorder.hurry()
 
     def _plan_due(self):
         if self._planned is None:
--- a/anvilflow/jobs/_crash_book.py
+++ b/anvilflow/jobs/_crash_book.py
@@ -7,6 +7,12 @@
 from ._job import JobState, TaskState
 from ._trial_book import TrialBook
 
+#: Workers that are lost within this time of each other have a common cause. Unit: seconds.
+COMMON_CAUSE_S = 1.0
+
+#: Time for which the loss of a worker is remembered. Unit: seconds.
+REMEMBER_LOSS_S = 60.0
+
 
 class CrashBook(TrialBook):
     """Counts the workers lost while running each task, and fails jobs whose tasks crash workers.
@@ -16,6 +22,10 @@
     still running.
     """
 
+    def __init__(self, **values):
+        super().__init__(**values)
+        self._lost_workers = {}
+
     # Lost workers
 
     def worker_ended(self, worker_id, now, *, is_replaced=False):
@@ -50,6 +60,7 @@
         if worker.is_leaving:
             self._forget_worker(worker_id)
             return []
+        self._note_lost_worker(worker, False, now)
         return self._set_fate(worker_id, fate, worker.info.address, tasks, now)
 
     def take_on_unheard(self, worker_id, runs, now):
@@ -98,6 +109,7 @@
 
     def _lose_run(self, run, fate, now):
         """Remove a run whose worker was lost, and add the loss to its task's history."""
+        self._note_lost_worker(run.worker, run.is_trial, now)
         step, task = self.find_task(run.task)
         if task is not None and run.may_have_begun:
             suspect = self._add_suspect(step, task)
@@ -107,6 +119,34 @@
                 step.job.touch(now)
         self._drop_run(run, now)
 
+    def _note_lost_worker(self, worker, had_trial, now):
+        worker_id = worker.info.worker_id
+        at, had_trial_before = self._lost_workers.get(
+            worker_id, (worker.silent_at if worker.silent else now, False)
+        )
+        self._lost_workers[worker_id] = (at, had_trial or had_trial_before)
+        for other, (lost_at, _) in list(self._lost_workers.items()):
+            if now - lost_at > REMEMBER_LOSS_S:
+                del self._lost_workers[other]
+
+    def _has_common_cause(self, worker_id, history):
+        """Whether a worker was lost together with one that had no trial run, as in a power loss."""
+        if worker_id not in self._lost_workers or not history.has_other_early_loss(worker_id):
+            return False
+        lost_at, _ = self._lost_workers[worker_id]
+        others = {
+            other: (worker.silent_at, other in self.trials)
+            for other, worker in self.workers.items()
+            if worker.silent
+        }
+        others.update(self._lost_workers)
+        others.pop(worker_id, None)
+        return any(
+            not had_trial and abs(at - lost_at) <= COMMON_CAUSE_S
+            for other, (at, had_trial) in others.items()
+            if other not in history.lost_runs
+        )
+
     def _set_fate(self, worker_id, fate, address, tasks, now):
         """Set the fate of a worker in the histories of all tasks that were running there."""
         runs_and_losses = {}
@@ -114,6 +154,9 @@
             lost = suspect.history.lost_runs.get(worker_id)
             if lost is None:
                 continue
+            if self._has_common_cause(worker_id, suspect.history):
+                lost = structs.replace(lost, is_soon=False)
+                suspect.history.lost_runs[worker_id] = lost
             if lost.fate is not fate:
                 suspect.history.lost_runs[worker_id] = structs.replace(lost, fate=fate)
                 suspect.step.job.touch(now)
--- a/anvilflow/jobs/_crash_history.py
+++ b/anvilflow/jobs/_crash_history.py
@@ -117,6 +117,10 @@
         """Whether the task may crash the next worker as well."""
         return any(each.is_soon for each in self.losses)
 
+    def has_other_early_loss(self, worker_id):
+        """Whether a worker other than the given one was lost early."""
+        return any(each.is_soon for each in self.losses if each.worker_id != worker_id)
+
     @property
     def must_be_recorded(self):
         """Whether the next start must be durable before it is sent."""
@@ -166,9 +170,21 @@
     def add_start(self, *, worker_id, address, run_id, started_at):
         """Add a start that is being recorded. Unit of `started_at`: seconds, time of day."""
         self.lost_runs[worker_id] = LostRun(
-            worker_id=worker_id, address=address, run_id=run_id, started_at=round(started_at, 2)
+            worker_id=worker_id,
+            address=address,
+            run_id=run_id,
+            has_begun=False,
+            started_at=round(started_at, 2),
         )
 
+    def confirm_start(self, worker_id):
+        """Note that a recorded start has begun; return whether there is such a start."""
+        lost = self.lost_runs.get(worker_id)
+        if lost is None or lost.fate is not Fate.PLACED or lost.has_begun:
+            return False
+        self.lost_runs[worker_id] = structs.replace(lost, has_begun=True)
+        return True
+
     def mark_stale_starts(self, wall_now):
         """Exclude recorded starts without a recent time from the early crashes.
 
@@ -185,8 +201,9 @@
         if run.is_adopted:
             # The age of the run is unknown. A start that is still recorded has not been cleared by
             # a surviving run, so its crash counts as early if the start is recent.
-            has_begun = self._is_placed(info.worker_id)
-            is_soon = has_begun and self.lost_runs[info.worker_id].is_soon
+            placed = self.lost_runs.get(info.worker_id)
+            has_begun = self._is_placed(info.worker_id) and placed.has_begun
+            is_soon = has_begun and placed.is_soon
         else:
             is_soon = run.is_trial if self.is_suspect else run.survived_s < EARLY_CRASH_S
             has_begun = run.has_begun
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -192,8 +192,13 @@
             if not job.is_ended:
                 job.state = JobState.RUNNING
         _, task = self.find_task(run.task)
-        if task is not None and task.started_at is None:
+        if task is None:
+            return
+        if task.started_at is None:
             task.started_at = now
+        history = task.crash_history
+        if history is not None and history.confirm_start(run.worker.info.worker_id):
+            job.touch(now)
 
     # Ends
 
--- a/anvilflow/jobs/_trial_book.py
+++ b/anvilflow/jobs/_trial_book.py
@@ -244,6 +244,11 @@
             )
         return kept
 
+    @property
+    def holds_starts(self):
+        """Whether starts wait until they are durable."""
+        return bool(self._held_starts)
+
     def _started_run(self, action):
         if not isinstance(action, StartRun):
             return None
--- a/anvilflow/jobs/tests/test_crashes.py
+++ b/anvilflow/jobs/tests/test_crashes.py
@@ -315,6 +315,40 @@
     assert is_failed is (state == "failed")
 
 
+def test_recorded_start_that_no_worker_confirmed_is_no_evidence_for_the_next_home():
+    """Guards against blaming a task for a worker that had failed before the start reached it."""
+    former = make_scheduler(4)
+    [start] = add_job(former, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(former, [start], 0.0)
+    _crash(former, start.worker_id, 0.1)
+    former.plan(0.5, 0.5)
+    job = former.jobs[JOB]
+    former.recorded(JOB, job.change, 0.6)
+    [start] = former.plan(0.6, 0.6)
+    scheduler = make_scheduler(0)
+    scheduler.add_job(job.spec, job.queue, version=1, now=1.0, wall_now=1.0, record=job.to_record())
+    address = former.workers[start.worker_id].info.address
+    scheduler.worker_listed(make_worker_info(0, worker_id="w99", address=address), 1.0)
+    scheduler.report("w99", make_report(), asked_at=1.0, now=1.0)
+    scheduler.plan(1.5, 1.5)
+    assert _state(scheduler) is JobState.RUNNING
+
+
+@pytest.mark.parametrize("n_others", [0, 1])
+def test_worker_lost_together_with_others_is_no_evidence_in_a_trial(n_others):
+    """Guards against failing jobs when several workers lose power while suspects are tried."""
+    scheduler = make_scheduler(6)
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    answer_started(scheduler, [start], 0.0)
+    _crash(scheduler, start.worker_id, 0.1)
+    [start] = _plan(scheduler, 0.5)
+    idle = [name for name, worker in scheduler.workers.items() if not worker.runs]
+    for worker_id in idle[:n_others]:
+        scheduler.worker_silent(worker_id, 0.9)
+    _crash(scheduler, start.worker_id, 0.6)
+    assert (_state(scheduler) is JobState.FAILED) is (n_others == 0)
+
+
 def test_unconfirmed_losses_limit_the_starts():
     """Guards against endless restarts when no crash is ever confirmed."""
     history = CrashHistory(lost_runs=[_lost(number, Fate.GONE) for number in range(5)])
