Benchmark of equal small instances on narrow links

The links of virtual instances are limited both ways, for calls and for what instances tell each other; processor is measured per instance, with a fixed price for each call and write.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference lock thrift
+.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-narrow bench-scheduler days bench-decisions bench-path capacity fuzz idle processes reference lock thrift
 
 install: $(STAMP)
 
@@ -55,6 +55,10 @@
 bench-cell: $(STAMP)
 	$(BIN)/python benchmarks/bench_cell.py
 
+# Equal small instances on narrow links: starts a second, bytes and processor at the home, take-overs.
+bench-narrow: $(STAMP)
+	$(BIN)/python benchmarks/bench_narrow.py $(SIZES)
+
 # Days of our own on a site of the users' kit: make days KIT=path/to/kit/program SITE=path/to/site
 days:
 	for day in deploy/days/*.toml; do $(KIT) run $(SITE) $$day --why "own days" || exit 1; done
--- a/anvilflow/standins/_network.py
+++ b/anvilflow/standins/_network.py
@@ -1,5 +1,7 @@
 """Connections in memory, under a virtual clock, that can be cut and silenced."""
 
+from collections import Counter
+
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import (
     ConnectionAborted,
@@ -9,6 +11,9 @@
 )
 from twisted.python.failure import Failure
 
+#: Processor time of one write or read of a kept connection: a system call. Unit: seconds.
+WRITE_S = 2e-5
+
 
 class _Pipe:
     """One end's transport: what is written arrives at the other end after the delay, in order."""
@@ -22,11 +27,34 @@
         self.other = None
         self.protocol = None
         self.closed = False
+        self._queued = []
+        self._is_sending = False
 
     def write(self, data):
         """Send bytes; over a silenced way they vanish."""
-        if not self.closed and not self.network.is_silent(self.here, self.there):
+        if self.closed or self.network.is_silent(self.here, self.there):
+            return
+        self.network.count(self.here, self.there, len(data))
+        if self.network.is_limited(self.here, self.there):
+            self._queued.append(data)
+            if not self._is_sending:
+                self._send_queued()
+        else:
+            self.network.later(self.here, self.there, self.other.receive, data)
+
+    def _send_queued(self):
+        """Carry all that waits over both ends' links; what is written later follows it."""
+        data = b"".join(self._queued)
+        self._queued.clear()
+        self._is_sending = True
+        self.network.carry(self.here, self.there, len(data), lambda: self._sent(data))
+
+    def _sent(self, data):
+        self._is_sending = False
+        if not self.network.is_silent(self.here, self.there):
             self.network.later(self.here, self.there, self.other.receive, data)
+        if self._queued and not self.closed:
+            self._send_queued()
 
     def receive(self, data):
         """Hand bytes to this end's protocol."""
@@ -73,6 +101,11 @@
     silent_dials_hang : bool, default=False
         Whether a connection over a silenced way is only given up after its time, as over a real
         cut, and not refused at once.
+
+    Notes
+    -----
+    `links` and `send_links` are slow links that bytes arrive and leave over, by instance; others
+    have no limit. `bytes` counts what was sent, by both ends.
     """
 
     def __init__(self, *, clock, random_state, delay_s=0.001, silent_dials_hang=False):
@@ -80,6 +113,9 @@
         self.random_state = random_state
         self.delay_s = delay_s
         self.silent_dials_hang = silent_dials_hang
+        self.links = {}
+        self.send_links = {}
+        self.bytes = Counter()
         self.pipes = {}
         self._listeners = {}
         self._silent = set()
@@ -127,6 +163,23 @@
         self._arrivals[here] = arrival
         self._clocks.get(there, self.clock).callLater(arrival - now, call, *args)
 
+    def is_limited(self, here, there):
+        """Whether bytes on the way go over a slow link."""
+        return here in self.send_links or there in self.links
+
+    def carry(self, here, there, n_bytes, on_end):
+        """Carry bytes over the link of the sender, then over that of the receiver."""
+        links = [link for link in (self.send_links.get(here), self.links.get(there)) if link]
+        _carry_over(links, n_bytes, on_end)
+
+    def count(self, here, there, n_bytes):
+        """Count bytes, and the processor time of the write and of the read."""
+        self.bytes[here, there] += n_bytes
+        for name in (here, there):
+            clock = self._clocks.get(name)
+            if clock is not None:
+                clock.charge(WRITE_S)
+
     def listen(self, name, factory):
         """Accept connections to `name`."""
         self._listeners[name] = factory
@@ -160,6 +213,14 @@
             pipe.protocol.makeConnection(pipe)
 
 
+def _carry_over(links, n_bytes, on_end):
+    if not links:
+        on_end()
+        return
+    link, *others = links
+    link.receive(n_bytes, on_data=lambda: None, on_end=lambda: _carry_over(others, n_bytes, on_end))
+
+
 class _Port:
     def __init__(self, *, network, name):
         self.network = network
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -3,7 +3,6 @@
 from random import Random
 
 from twisted.internet.defer import maybeDeferred
-from twisted.internet.task import Clock
 
 from ..cell import CellContext, CellDaemon, CellSettings
 from ..cell import ListenSettings as CellListen
@@ -16,6 +15,7 @@
 from ._network import MemoryNetwork
 from ._order_worker import OrderWorker
 from ._pausable_clock import PausableClock
+from ._virtual_clock import VirtualClock
 from ._wire import WireNetwork
 
 STORE = "store:1"
@@ -122,7 +122,7 @@
         self.weak = frozenset(weak)
         self.n_instances = n_instances
         self.random_state = Random(random_state)
-        self.clock = Clock()
+        self.clock = VirtualClock()
         self.wire = WireNetwork(clock=self.clock)
         self.network = MemoryNetwork(
             clock=self.clock, random_state=self.random_state, silent_dials_hang=True
@@ -214,6 +214,12 @@
         daemon.start()
         return daemon
 
+    def limit_links(self, name, bytes_per_s):
+        """Limit an instance's link both ways, for calls and for what instances tell each other."""
+        self.wire.narrow_link(name, bytes_per_s)
+        self.network.links[name] = self.wire.links[name]
+        self.network.send_links[name] = self.wire.send_links[name]
+
     # Faults
 
     def crash_worker(self, worker_id, **values):
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -18,6 +18,10 @@
 #: Head of a request or an answer on a link that is limited both ways. Unit: bytes.
 HEAD_BYTES = 200
 
+#: Processor time of one call that a real process makes: two system calls and a parser. Unit:
+#: seconds.
+CALL_S = 5e-5
+
 
 class WireFaults:
     """Switches of one server.
@@ -67,8 +71,9 @@
 
     Notes
     -----
-    `calls` counts calls by caller and address; `links` are the slow ones that answers come over and
-    `send_links` those that calls go out over, by process.
+    `calls` counts calls by caller and address, `bytes_out` and `bytes_in` what they carry; `links`
+    are the slow ones that answers come over and `send_links` those that calls go out over, by
+    process.
     """
 
     def __init__(self, *, clock):
@@ -78,6 +83,8 @@
         self.links = {}
         self.send_links = {}
         self.calls = Counter()
+        self.bytes_out = Counter()
+        self.bytes_in = Counter()
         self._under_way = defaultdict(set)
         self._silent = set()
 
@@ -112,11 +119,14 @@
         """Make a call; the Deferred fires on `clock` with status and body, or never."""
         parts = urlsplit(url)
         self.calls[caller, parts.netloc] += 1
+        self.bytes_out[caller, parts.netloc] += len(body) + HEAD_BYTES
+        clock.charge(CALL_S)
         faults = self.faults.get(parts.netloc)
         server = self.servers.get(parts.netloc)
         done = Deferred()
         self._under_way[caller].add(done)
         done.addBoth(self._over, caller, done)
+        done.addCallback(self._count_answer, caller, parts.netloc)
         if server is None or (faults.refuses and faults.concern(caller)):
             clock.callLater(WAY_S, done.errback, Failure(ConnectionRefusedError()))
             return done
@@ -135,6 +145,10 @@
         )
         return done
 
+    def _count_answer(self, result, caller, address):
+        self.bytes_in[caller, address] += len(result[1]) + HEAD_BYTES
+        return result
+
     def _over(self, result, caller, done):
         self._under_way[caller].discard(done)
         return result
@@ -183,6 +197,8 @@
         self.network = network
         self.name = name
         self.clock = clock
+        self.n_bytes_out = 0
+        self.n_bytes_in = 0
 
     def call(
         self,
@@ -203,10 +219,16 @@
             idle_timeout=idle_timeout,
             on_begin=on_begin,
         )
+        self.n_bytes_out += len(body) + HEAD_BYTES
         done = self.network.carry(self.name, self.clock, method, url, body, headers)
+        done.addCallback(self._count)
         done.addCallbacks(exchange.begin, exchange.end)
         return exchange.limit(timeout)
 
+    def _count(self, result):
+        self.n_bytes_in += len(result[1]) + HEAD_BYTES
+        return result
+
     def post(self, url, body, *, timeout, held_s=0.0, headers=None):
         """Post bytes."""
         return self.call(b"POST", url, body, timeout=timeout, headers=headers)
@@ -257,7 +279,7 @@
             self.end(result)
             return
         self._transfer = self._link.receive(
-            len(result[1]), on_data=self._progress, on_end=lambda: self.end(result)
+            len(result[1]) + HEAD_BYTES, on_data=self._progress, on_end=lambda: self.end(result)
         )
 
     def _progress(self):
