Rank workers once a step, not once a task

Of a start's processor at a deciding instance with 72 workers most went into ranking all workers anew for each task of a step: 70 costs a task. Tasks without a history of their own cost the same on a worker, so the ranking is kept in a heap and only the worker that took a task is ranked again. Tasks with one are placed as before, and the choices are the same: ties go to the first worker in either.

--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -3,8 +3,8 @@
 from ._actions import NoteWait, StartRun
 from ._advice import ask, ask_ahead, ask_held, drop_old_asks, has_ticket
 from ._job import TaskState
+from ._ranking import Ranking
 from ._reservations import Reservations
-from ._sickness import is_slow
 
 #: Time for which tasks wait before the log says why, and then again. Unit: seconds.
 NOTE_WAIT_S = 1.5
@@ -160,12 +160,14 @@
     actions = []
     reserve = scheduler.reserve_share(step)
     fitting = [worker for worker in workers if worker.fits(step.spec)]
+    ranking = Ranking(scheduler=scheduler, step=step, workers=fitting, reserve=reserve)
     for task in waiting:
-        worker = _choose(scheduler, step, task, fitting, reserve)
+        worker = ranking.choose(task)
         if worker is None:
             break
         scheduler.reservations.placed(worker, step.spec)
         actions.append(_start(scheduler, worker, step, task, now))
+        ranking.update(worker)
     return actions
 
 
@@ -185,62 +187,6 @@
     return [note]
 
 
-def _leaves(worker, spec, reserve):
-    """Whether the reserve stays free on a worker, or nothing else is there that could use it."""
-    left = worker.cpu_free - spec.cpu_milli
-    return left >= reserve * worker.info.cpu_milli or not worker.runs
-
-
-def _choose(scheduler, step, task, workers, reserve):
-    """Return the fitting worker that the task leaves least room on, away from what it disturbs."""
-    spec = step.spec
-    fitting = [
-        worker
-        for worker in workers
-        if worker.fits(spec)
-        and scheduler.reservations.allows(worker, step)
-        and _leaves(worker, spec, reserve)
-        and not (spec.max_per_worker and step.n_on(worker.info.worker_id) >= spec.max_per_worker)
-        and task.name not in worker.runs
-        and not scheduler.has_other_suspect(worker, task)
-    ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda worker: _cost(scheduler, step, task, worker))
-
-
-def _cost(scheduler, step, task, worker):
-    spec = step.spec
-    far = bool(spec.data_rack) and worker.info.rack != spec.data_rack
-    failed_here = worker.info.worker_id in task.avoid
-    slow = scheduler.policy.avoids_slow and is_slow(worker, scheduler.policy)
-    risk = _work_at_risk(task, worker)
-    return (risk, failed_here, far, worker.n_bad, slow, _disturbs(spec, worker), worker.cpu_free)
-
-
-def _work_at_risk(task, worker):
-    """Return the cost of losing a worker to a suspect task, as a sort key; empty for others."""
-    history = task.crash_history
-    if history is None or not history.is_suspect:
-        return ()
-    runs = worker.runs.values()
-    return (
-        worker.info.address in history.lost_addresses,
-        sum(run.step.long_running or run.step.gang for run in runs),
-        sum(not run.step.checkpointing for run in runs),
-        len(runs),
-    )
-
-
-def _disturbs(spec, worker):
-    """Count the runs on a worker that a task of `spec` would disturb, or that would disturb it."""
-    if spec.fills:
-        return sum(run.step.target_s > 0 for run in worker.runs.values())
-    if spec.target_s:
-        return sum(run.step.fills for run in worker.runs.values())
-    return 0
-
-
 def _start_gang(scheduler, step, waiting, now):
     """Start all tasks of a gang, or none: a part of it would only wait, and end as alone."""
     if len(waiting) < len(step.tasks):
