Wait longer for the store's answers while short of processor

A home that is late reads answers late. It took the store for away after 0.5 s without one, told the others that it yields, and each of its successors read all rows on top of the same burst.

Its time limits grow by three times its own lag, as those of instances that wait for it do already. The new test (answers after 1.3 s at a home that is 0.6 s late) loses its home without that, and keeps it with it.

--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -57,6 +57,10 @@
 TIMEOUT_ANSWERS = 4
 READ_TIMEOUT_S = 0.5
 
+#: Times its lag by which an instance that is short of processor waits for longer: an answer that is
+#: there waits for its turn to be read, as the call waited to be written.
+LAG_TIMES = 3
+
 #: Wait after a call without an answer. Unit: seconds.
 AGAIN_S = 0.15
 
@@ -239,7 +243,7 @@
         answers again after an outage has lost the answer; then the transaction is given up.
         """
         while not self.stopped:
-            yield writing.wait(self.context.clock, self._doubt_s)
+            yield writing.wait(self.context.clock, self._doubt_s + self._late_s)
             if writing.is_known:
                 return None
             was_away = self.reach.is_bad
@@ -250,6 +254,11 @@
                 return None
         return None
 
+    @property
+    def _late_s(self):
+        """How much later answers may be for want of processor here. Unit: seconds."""
+        return LAG_TIMES * self.context.lag.lag_s
+
     def _has_moved(self, row):
         return row is not None and row.version != self._row_version
 
@@ -263,7 +272,7 @@
         began = self.context.clock.seconds()
         try:
             row = yield self.context.store.read_row(
-                HOME, PART, HOME_KEY, timeout=max(READ_TIMEOUT_S, self._doubt_s)
+                HOME, PART, HOME_KEY, timeout=max(READ_TIMEOUT_S, self._doubt_s) + self._late_s
             )
         except PlatformError:
             self.reach.bad()
--- a/anvilflow/cell/tests/test_short_of_processor.py
+++ b/anvilflow/cell/tests/test_short_of_processor.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from anvilflow.cell import _leadership
+from anvilflow.cell import _leadership, _recorder
 from anvilflow.cell._lag import MAX_LAG_S, LagMeter
 from anvilflow.clients._time_limit import TimeLimit
 from anvilflow.clients.tests.test_http import ANSWER, _Server
@@ -98,3 +98,17 @@
     server.clock.callLater(0.4, protocol.dataReceived, ANSWER)
     server.clock.advance(0.4)
     assert (server.results == [(200, b"ok")]) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_is_late_does_not_take_the_store_for_away(monkeypatch, safeguard):
+    """Answers of the store wait for their turn to be read, and the home offered its place."""
+    if not safeguard:
+        monkeypatch.setattr(_recorder, "LAG_TIMES", 0)
+    monkeypatch.setattr(LagMeter, "called", lambda self, now: setattr(self, "lag_s", 0.6))
+    cell = make_cell(n_instances=4)
+    home = cell.home()
+    cell.store_faults.slow_s = 1.3
+    cell.store_faults.only = {home}
+    cell.advance(4.0)
+    assert (cell.home() == home) is safeguard
