--- /dev/null
+++ b/anvilflow/cell/_carrier.py
@@ -0,0 +1,177 @@
+"""Makes calls to workers for the home: an instance as a carrier."""
+
+from collections import OrderedDict
+
+from msgspec import Struct
+
+from ..decisions import MessageAge
+from ..exceptions import AnvilflowError, PayloadGoneError, PlatformError
+from ..jobs import SetPace, StartRun, StopRun
+from ..peers.gen.ttypes import WorkerAnswer
+from ..runtime import Part
+from ._worker_orders import (
+    LATE,
+    LEAVING,
+    OrderOutcome,
+    Verb,
+    answer_of_error,
+    answer_of_report,
+    find_flaw,
+)
+
+#: Workers whose calls are kept ready, the ones used last.
+MAX_WORKERS = 4_096
+
+
+class WorkerPlace(Struct, kw_only=True):
+    """Where a worker is."""
+
+    worker_id: str
+    address: str
+
+
+class CarrierPart(Part):
+    """Carries out the orders of the home to workers, each at once or not at all.
+
+    Notes
+    -----
+    An order that has waited for longer than its time limit is not sent: the home has given it up,
+    and a start would begin after all that followed from that. So is one of a home that another one
+    has followed, as far as this instance has heard; the worker's fence refuses the rest.
+    """
+
+    prefix = "carrier"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._calls = OrderedDict()
+        self._token = 0
+        self._link = None
+        self._age = MessageAge()
+
+    def start(self):
+        """Take orders."""
+        self.context.carrier = self
+
+    def stop(self):
+        """Take no more."""
+        self.context.carrier = None
+        super().stop()
+
+    def serve(self, link, order):
+        """Carry out a :class:`WorkerOrder` that came over `link`, and answer over it."""
+        flaw = find_flaw(order)
+        if flaw is not None:
+            self.context.meters.count("malformed_messages")
+            self.log.warning("order not understood", home=link.peer.instance, error=flaw)
+            return
+        give_up_at = self.now - self.heard(link, order.sent_ms) + order.limit_ms / 1000
+        refusal = self._refusal(link, order, give_up_at)
+        if refusal is not None:
+            self._answer(_not_sent(refusal), link, order)
+            return
+        self._token = order.token
+        if order.verb == Verb.START:
+            job_id = order.task.partition(".")[0]
+            done = self.context.payloads.find(job_id)
+            done.addCallback(self._start, link, order, give_up_at)
+        else:
+            done = self._call(order)
+        done.addErrback(_failed)
+        done.addCallback(self._answer, link, order)
+        done.addErrback(self.fail_with)
+
+    def heard(self, link, sent_ms):
+        """Return for how long a message of the home was on its way. Unit: seconds."""
+        if link is not self._link:
+            self._link, self._age = link, MessageAge()
+        return self._age.note(sent_ms / 1000, self.now)
+
+    def _refusal(self, link, order, give_up_at):
+        """Return why an order is not carried out, or None."""
+        context = self.context
+        checks = {
+            LEAVING: context.leaving,
+            "not from the home": context.links is None or link is not context.links.home_link,
+            "of a former home": order.token < self._token,
+            LATE: self.now >= give_up_at,
+        }
+        return next((why for why, holds in checks.items() if holds), None)
+
+    def _answer(self, answer, link, order):
+        self.context.meters.count(
+            "carried", Verb(order.verb).name, OrderOutcome(answer.outcome).name
+        )
+        answer.call = order.call
+        link.send(answer)
+
+    def _start(self, payload, link, order, give_up_at):
+        # Reading the payload may have taken a while.
+        refusal = self._refusal(link, order, give_up_at)
+        if refusal is not None:
+            return _not_sent(refusal)
+        action = StartRun(
+            worker_id=order.worker,
+            task=order.task,
+            run_id=order.run_id,
+            payload=payload,
+            checkpoint=order.checkpoint or "",
+            ticket=order.ticket or "",
+        )
+        done = self._calls_to(order).start(
+            action, until_s=order.until_ms / 1000, timeout=order.limit_ms / 1000
+        )
+        return done.addCallback(
+            lambda clock_s: WorkerAnswer(outcome=OrderOutcome.DONE, clock_ms=round(1000 * clock_s))
+        )
+
+    def _call(self, order):
+        calls = self._calls_to(order)
+        timeout = order.limit_ms / 1000
+        match order.verb:
+            case Verb.HOLD:
+                done = calls.hold(
+                    seen=order.seen,
+                    until_s=None if order.until_ms is None else order.until_ms / 1000,
+                    wait_s=(order.wait_ms or 0) / 1000,
+                    timeout=timeout,
+                )
+                return done.addCallback(answer_of_report)
+            case Verb.STOP:
+                action = StopRun(
+                    worker_id=order.worker, task=order.task, run_id=order.run_id, why=""
+                )
+                done = calls.stop(action, timeout=timeout)
+            case Verb.PACE:
+                action = SetPace(
+                    worker_id=order.worker,
+                    task=order.task,
+                    run_id=order.run_id,
+                    percent=order.percent,
+                )
+                done = calls.set_pace(action, timeout=timeout)
+        return done.addCallback(lambda _: WorkerAnswer(outcome=OrderOutcome.DONE))
+
+    def _calls_to(self, order):
+        key = (order.worker, order.address)
+        calls = self._calls.get(key)
+        if calls is None or calls.token != order.token:
+            place = WorkerPlace(worker_id=order.worker, address=order.address)
+            calls = self._calls[key] = self.context.make_worker(place, order.token)
+        self._calls.move_to_end(key)
+        while len(self._calls) > MAX_WORKERS:
+            self._calls.popitem(last=False)
+        return calls
+
+
+def _not_sent(why):
+    return WorkerAnswer(outcome=OrderOutcome.NOT_SENT, reason=why)
+
+
+def _failed(failure):
+    failure.trap(AnvilflowError)
+    if failure.check(PayloadGoneError):
+        return WorkerAnswer(outcome=OrderOutcome.NO_PAYLOAD, reason=str(failure.value))
+    if failure.check(PlatformError):
+        return _not_sent(f"payload not read: {failure.value}")
+    return answer_of_error(failure.value)
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -6,6 +6,8 @@
 
 from ..metrics import Meters
 from ._lag import LagMeter
+from ._link_use import LinkUse
+from ._payloads import Payloads
 from ._start_waits import StartWaits
 from ._waiting import WaitingJobs
 
@@ -75,6 +77,13 @@
     make_worker : callable
         Returns the :class:`WorkerCalls` of a worker's info and a token.
     random_state : random.Random, default=None
+    count_bytes : callable, default=None
+        Returns the bytes that calls have sent and received so far.
+
+    Notes
+    -----
+    `is_carried` tells whether the home has its orders to workers carried out by other instances,
+    as far as this one knows.
     """
 
     def __init__(
@@ -89,6 +98,7 @@
         advice,
         make_worker,
         random_state=None,
+        count_bytes=lambda: (0, 0),
     ):
         self.settings = settings
         self.clock = clock
@@ -99,6 +109,7 @@
         self.advice = advice
         self.make_worker = make_worker
         self.random_state = random_state or Random()
+        self.started_at = clock.seconds()
         self.incarnation = f"{self.random_state.getrandbits(64):016x}"
         self.config = None
         self.config_at = clock.seconds()
@@ -109,9 +120,14 @@
         self.lag = LagMeter(period=LAG_PERIOD_S)
         self.waiting = WaitingJobs(context=self)
         self.start_waits = StartWaits(clock=clock)
+        self.payloads = Payloads(context=self)
+        self.link_use = LinkUse(settings=lambda: self.settings, count=self._count_bytes)
+        self.is_carried = False
         self.meters = Meters()
         self.dump = dict
+        self._count_call_bytes = count_bytes
         self.links = None
+        self.carrier = None
         self.home = None
         self.config_part = None
 
@@ -120,6 +136,18 @@
         """Name of the instance."""
         return self.settings.instance
 
+    @property
+    def up_s(self):
+        """Time since the process began. Unit: seconds."""
+        return self.clock.seconds() - self.started_at
+
+    def _count_bytes(self):
+        """Return the bytes sent and received by calls and over links to instances."""
+        n_out, n_in = self._count_call_bytes()
+        if self.links is not None:
+            n_out, n_in = n_out + self.links.n_bytes_out, n_in + self.links.n_bytes_in
+        return n_out, n_in
+
 
 class StoreHealth:
     """Whether the store answers this instance, and how long its last answer took.
--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -11,6 +11,7 @@
 from ..exceptions import SettingsError
 from ..platform import AdviceClient, StoreClient, WorkerCalls
 from ..runtime import Bus, ReactorNetwork, Supervisor, use_steady_clock
+from ._carrier import CarrierPart
 from ._config import ConfigPart
 from ._context import CellContext, Leaving
 from ._entry import EntryPart
@@ -67,6 +68,7 @@
             ("home", HomePart),
             ("leadership", LeadershipPart),
             ("entry", EntryPart),
+            ("carrier", CarrierPart),
         ):
             self.supervisor.add(name, lambda kind=kind: kind(context=context))
 
@@ -165,10 +167,16 @@
             token=token,
             timeout=WORKER_TIMEOUT_S,
         ),
+        count_bytes=lambda: _count_bytes(store_http, worker_http, advice_http),
     )
     return CellDaemon(context=context, give_up=give_up)
 
 
+def _count_bytes(*clients):
+    n_in = sum(client.n_bytes_in for client in clients)
+    return sum(client.n_bytes_out for client in clients), n_in
+
+
 def run_cell(settings, load):
     """Run an instance until SIGTERM; return the exit status.
 
--- a/anvilflow/cell/_entry.py
+++ b/anvilflow/cell/_entry.py
@@ -24,7 +24,7 @@
 from ._context import Claimed, HomeChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job_surely
 from ._recorder import answer_timeout
-from ._tables import MAX_ROW_BYTES, JobRow
+from ._tables import MAX_ROW_BYTES, JobRow, without_payload
 
 #: Wait for the home's answer before the store is asked instead. The home answers in a few
 #: milliseconds or is changing. Unit: seconds.
@@ -157,7 +157,9 @@
     @inlineCallbacks
     def submit(self, spec, queue):
         """Accept a job durably; AF302 says it certainly was not, AF305 that it may have been."""
-        value = JobRow(spec=spec, queue=queue, config_version=self.config.version)
+        # The home then sends none of the starts itself, and need not hold the payload.
+        entry = self.context.name if self.context.is_carried else ""
+        value = JobRow(spec=spec, queue=queue, config_version=self.config.version, entry=entry)
         if len(encode(value)) > MAX_ROW_BYTES:
             # The store refuses it however often it comes. Taken for a write in doubt, the client
             # was told to send it again, and the instance took the store for away each time.
@@ -183,6 +185,9 @@
             else:
                 self.log.info("job accepted", job=job_id, queue=queue.name, version=version)
                 if version:
+                    if entry:
+                        self.context.payloads.keep(job_id, spec.payload)
+                        value = without_payload(value)
                     self._tell_home(value, version)
                 return
         outcome = yield self._submit_at_home(value)
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -1,8 +1,10 @@
 """The home's sessions with all workers: what goes out to them and what comes back."""
 
 from ..decisions import RetryBudget, RoundTrip, RoundTripSettings
+from ..exceptions import PayloadGoneError
 from ..jobs import ORDER_S
 from ._registry import Registry
+from ._routed_calls import RoutedCalls
 from ._session import HOLD_WAIT_S, WorkerSession
 from ._start_queue import StartQueue
 
@@ -55,16 +57,18 @@
     log : Logger
     scheduler : Scheduler
     token : int
+    carriers : Carriers
     events : object
         Hears what follows: ``act(actions)``, ``changed()``, ``ends_told()``, ``deposed()``,
         ``fail_with(failure)``.
     """
 
-    def __init__(self, *, context, log, scheduler, token, events):
+    def __init__(self, *, context, log, scheduler, token, carriers, events):
         self.context = context
         self.log = log
         self.scheduler = scheduler
         self.token = token
+        self.carriers = carriers
         self.events = events
         self.closed = False
         self.confirmed_at = context.clock.seconds()
@@ -74,6 +78,7 @@
         self._heard_at = {}
         self._round_trip = RoundTrip(settings=ALL_WORKERS)
         self._unanswered_share = 0.0
+        self.jobs_without_payload = set()
         self._retries = RetryBudget(ratio=RETRY_RATIO, burst=RETRY_BURST)
         self.starts = StartQueue(
             clock=context.clock,
@@ -145,7 +150,14 @@
 
     def _send_start(self, action, waited_s):
         self.context.meters.timed("start_wait", waited_s)
-        self.log.info("start", task=action.task, run=action.run_id, worker=action.worker_id)
+        job_id = action.task.partition(".")[0]
+        self.log.info(
+            "start",
+            task=action.task,
+            run=action.run_id,
+            worker=action.worker_id,
+            carrier=self.carriers.for_start(action.worker_id, job_id),
+        )
         self.scheduler.start_sent(action.worker_id, action.task, action.run_id)
         session = self._sessions.get(action.worker_id)
         if session is None:
@@ -283,7 +295,12 @@
         before = self._sessions.pop(info.worker_id, None)
         if before is not None:
             before.close()
-        calls = self.context.make_worker(info, self.token)
+        calls = RoutedCalls(
+            direct=self.context.make_worker(info, self.token),
+            info=info,
+            carriers=self.carriers,
+            context=self.context,
+        )
         session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, home=self)
         self._sessions[info.worker_id] = session
         session.run().addErrback(self.events.fail_with)
@@ -392,6 +409,8 @@
                 worker=action.worker_id,
                 why=outcome,
             )
+        if outcome == "no payload":
+            self._note_no_payload(action)
         self.events.act(
             self.scheduler.start_answered(
                 action.worker_id, action.task, action.run_id, outcome, self._now()
@@ -402,6 +421,14 @@
         elif action.task in self.scheduler.suspects:
             self.events.ends_told()
 
+    def _note_no_payload(self, action):
+        """Say once of a job that none of its tasks can be started."""
+        job_id = action.task.partition(".")[0]
+        if job_id not in self.jobs_without_payload:
+            self.jobs_without_payload.add(job_id)
+            cause = PayloadGoneError("the store has no payload of the job")
+            self.log.warning("job cannot be started", job=job_id, error=str(cause))
+
     def stop_answered(self, action):
         """Take the answer to a stop."""
         if not self.closed:
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -16,6 +16,7 @@
 from ..runtime import Part
 from ..utils import jitter, to_builtins
 from ._advisers import Advisers
+from ._carriers import Carriers
 from ._context import LAG_PERIOD_S, Claimed, ConfigChanged, Deposed, Leaving
 from ._fleet import Fleet
 from ._follower import TableFollower
@@ -64,6 +65,7 @@
         self._scheduler = None
         self._recorder = None
         self._advisers = None
+        self._carriers = None
         self._fleet = None
         self._followers = []
         self._calls = None
@@ -106,6 +108,7 @@
         return {
             "term": self._claimed.term,
             "jobs": {job.job_id: str(job.state) for job in scheduler.jobs.values()},
+            "jobs_without_payload": sorted(self._fleet.jobs_without_payload),
             "workers": {
                 name: {"free_cpu": worker.cpu_free, "runs": len(worker.runs)}
                 for name, worker in scheduler.workers.items()
@@ -158,12 +161,14 @@
             scheduler.configure(self.context.config)
         self._scheduler = scheduler
         self._advisers = Advisers(context=self.context)
+        self._carriers = Carriers(context=self.context, log=self.log)
         self._janitor = Janitor(context=self.context, on_removed=scheduler.forget_ended)
         self._fleet = Fleet(
             context=self.context,
             log=self.log,
             scheduler=scheduler,
             token=claimed.token,
+            carriers=self._carriers,
             events=self,
         )
         self._recorder = Recorder(
@@ -183,7 +188,11 @@
         )
         self._recorder.note_progress_rows(row.key for row in state.progress)
         self._intake = JobIntake(
-            context=self.context, log=self.log, scheduler=scheduler, janitor=self._janitor
+            context=self.context,
+            log=self.log,
+            scheduler=scheduler,
+            janitor=self._janitor,
+            carriers=self._carriers,
         )
         self.act(self._intake.take_over(state))
         for row in state.workers:
@@ -236,6 +245,7 @@
         if self._recorder is not None:
             self._recorder.close()
         self._recorder = self._scheduler = self._janitor = self._fleet = self._intake = None
+        self._carriers = None
         if self._calls is not None:
             self._calls.close()
         self._calls = None
@@ -248,6 +258,12 @@
 
     # Telling the others
 
+    def measure_load(self):
+        """Note whether this instance is short of link or processor, as the home."""
+        if self._carriers is not None:
+            self._carriers.measure()
+            self.context.is_carried = self._carriers.are_used
+
     def beat(self):
         """Return what the home says of itself and of what waits."""
         return self._voice.full_beat()
@@ -438,5 +454,6 @@
         for job in ended:
             self._janitor.add(job.job_id, self.context.wall_clock())
             self._janitor.shorten(job)
+            self._carriers.forget_job(job.job_id)
             self.log.info("job ended", job=job.job_id, state=str(job.state))
             self._calls.job_ended(job.job_id)
--- a/anvilflow/cell/_home_voice.py
+++ b/anvilflow/cell/_home_voice.py
@@ -17,8 +17,8 @@
     context : CellContext
     log : Logger
     home : object
-        Offers ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``, ``loaded_at``,
-        ``waiting()`` and ``start_waits()``.
+        Offers ``measure_load()``, ``term``, ``is_loading``, ``loads_in_vain``, ``is_store_away``,
+        ``loaded_at``, ``waiting()`` and ``start_waits()``.
     """
 
     def __init__(self, *, context, log, home):
@@ -38,6 +38,8 @@
             successors=links.successors if links is not None else [],
             addresses=links.successor_addresses if links is not None else [],
             lag_ms=round(1000 * self.context.lag.lag_s),
+            carried=self.context.is_carried,
+            sent_ms=round(1000 * self.context.clock.seconds()),
         )
 
     def full_beat(self):
@@ -61,6 +63,7 @@
         if lag.is_short and not was_short:
             self.context.meters.count("short_of_processor")
             self.log.warning("short of processor", lag_s=round(lag.lag_s, 3))
+        self.home.measure_load()
         self.tell()
 
     def tell(self):
--- a/anvilflow/cell/_janitor.py
+++ b/anvilflow/cell/_janitor.py
@@ -5,7 +5,17 @@
 from twisted.internet.defer import inlineCallbacks
 
 from ..exceptions import PlatformError, PreconditionError
-from ._tables import CANCEL_MARK, ENDED, JOBS, condition, job_part, short_row, write
+from ._tables import (
+    CANCEL_MARK,
+    ENDED,
+    JOBS,
+    PAYLOADS,
+    condition,
+    has_payload,
+    job_part,
+    short_row,
+    write,
+)
 
 #: Period of looking for rows to remove. Unit: seconds.
 SWEEP_S = 5.0
@@ -20,8 +30,8 @@
 #: Payload from which a row is worth a second write. Unit: bytes.
 MIN_PAYLOAD_BYTES = 400
 
-#: Jobs in one transaction at the most; it holds 100 entries, and a job has two in a part.
-JOBS_PER_COMMIT = 50
+#: Jobs in one transaction at the most; it holds 100 entries, and a job has three in a part.
+JOBS_PER_COMMIT = 33
 
 
 class Janitor:
@@ -55,7 +65,7 @@
 
         A new home reads the rows of all jobs of the last two minutes, most of which have ended.
         """
-        if len(job.spec.payload) >= MIN_PAYLOAD_BYTES:
+        if has_payload(job.spec) and len(job.spec.payload) >= MIN_PAYLOAD_BYTES:
             self._long.setdefault(job_part(job.job_id), []).append(job)
 
     @inlineCallbacks
@@ -104,6 +114,7 @@
             for chunk in _chunks(ids):
                 keys = [key for job_id in chunk for key in (job_id, job_id + CANCEL_MARK)]
                 rows = [write(JOBS, key, None, part=part) for key in keys]
+                rows += [write(PAYLOADS, job_id, None, part=part) for job_id in chunk]
                 yield self.context.store.commit([], rows)
         for chunk in _chunks(job_ids):
             yield self.context.store.commit([], [write(ENDED, job_id, None) for job_id in chunk])
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -15,13 +15,16 @@
     log : Logger
     scheduler : Scheduler
     janitor : Janitor
+    carriers : Carriers
+        Hears which instance has the payload of a job.
     """
 
-    def __init__(self, *, context, log, scheduler, janitor):
+    def __init__(self, *, context, log, scheduler, janitor, carriers):
         self.context = context
         self.log = log
         self.scheduler = scheduler
         self.janitor = janitor
+        self.carriers = carriers
         self._version = 0
         self._unreadable_job_ids = set()
 
@@ -112,6 +115,7 @@
             config_version=value.config_version,
         )
         if added:
+            self.carriers.note_entry(value.spec.job_id, value.entry)
             self.log.info(
                 "job taken on",
                 job=value.spec.job_id,
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -18,7 +18,17 @@
 from ..jobs import EndedJob, JobState
 from ..utils import decode
 from ._outcome import Outcome
-from ._tables import CANCEL_MARK, ENDED, JOB_PARTS, JOBS, PART, condition, job_part, write
+from ._tables import (
+    CANCEL_MARK,
+    ENDED,
+    JOB_PARTS,
+    JOBS,
+    PART,
+    condition,
+    job_part,
+    job_writes,
+    write,
+)
 
 #: Longest wait for the write of a job's row. A part of the store queues for 1 s at the most and
 #: then refuses. Where the store is a hundred times as slow as usual, a write itself takes 0.3 s and
@@ -78,7 +88,7 @@
     try:
         version = yield store.commit(
             [condition(JOBS, job_id, 0, part=part)],
-            [write(JOBS, job_id, value, part=part)],
+            job_writes(value),
             timeout=timeout,
         )
     except PreconditionError:
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -113,6 +113,7 @@
         if beat.yielding and not self._yielding:
             self.log.info("home yields", home=source, term=beat.term)
         self._yielding = beat.yielding
+        self.context.is_carried = bool(beat.carried)
         if beat.waiting is not None:
             waiting = Waiting(counts=beat.waiting, version=beat.jobs_version or 0)
             self.context.waiting.told(waiting)
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -4,7 +4,16 @@
 
 from ..exceptions import NotReadyError, PeerSilentError
 from ..peers import Link, LinkFactory
-from ..peers.gen.ttypes import AdviceCall, AdviceReply, Hello, HomeBeat, JobCall, JobReply
+from ..peers.gen.ttypes import (
+    AdviceCall,
+    AdviceReply,
+    Hello,
+    HomeBeat,
+    JobCall,
+    JobReply,
+    WorkerAnswer,
+    WorkerOrder,
+)
 from ..runtime import Part
 from ._strength import in_order, told_cpu_milli
 
@@ -47,6 +56,8 @@
         self._asked = {}
         self._gone = {}
         self._n_calls = 0
+        self._n_bytes_out = 0
+        self._n_bytes_in = 0
         self._stopped = False
 
     def start(self):
@@ -76,6 +87,8 @@
             link_mbps=round(context.settings.link_mbps or 0),
             address=context.settings.listen.peers_address,
             cpu_milli=context.settings.cpu_milli,
+            carries=True,
+            up_s=int(context.up_s),
         )
         return Link(hello=hello, clock=context.clock, queue_limit=QUEUE_LIMIT, events=self)
 
@@ -84,6 +97,20 @@
         """Whether this instance is the home or is connected to it."""
         return self.context.home is not None or self.home_link is not None
 
+    @property
+    def n_bytes_out(self):
+        """Bytes sent to other instances so far."""
+        return self._n_bytes_out + sum(link.n_bytes_out for link in self._open_links())
+
+    @property
+    def n_bytes_in(self):
+        """Bytes received from other instances so far."""
+        return self._n_bytes_in + sum(link.n_bytes_in for link in self._open_links())
+
+    def _open_links(self):
+        home = (self.home_link,) if self.home_link is not None else ()
+        return [*self.peers.values(), *home]
+
     @property
     def successors(self):
         """Names of the connected instances in the order in which they should become the home."""
@@ -173,6 +200,8 @@
 
     def link_down(self, link):
         """A connection is gone: calls over it get no answer."""
+        self._n_bytes_out += link.n_bytes_out
+        self._n_bytes_in += link.n_bytes_in
         for call, (used, done) in list(self._calls.items()):
             if used is link:
                 del self._calls[call]
@@ -195,7 +224,7 @@
     def link_heard(self, link, body):
         """Hand a message to whom it is for."""
         match body:
-            case JobReply() | AdviceReply():
+            case JobReply() | AdviceReply() | WorkerAnswer():
                 _, done = self._calls.pop(body.call, (None, None))
                 if done is not None:
                     done.callback(body)
@@ -204,11 +233,16 @@
                 if asked is not None:
                     asked.callback(HomeWord(link=link, beat=body))
                 elif link is self.home_link:
+                    if body.sent_ms is not None and self.context.carrier is not None:
+                        self.context.carrier.heard(link, body.sent_ms)
                     self.context.bus.post(body, source=link.peer.instance)
             case JobCall():
                 self._serve_job(link, body)
             case AdviceCall():
                 self._serve_advice(link, body)
+            case WorkerOrder():
+                if self.context.carrier is not None:
+                    self.context.carrier.serve(link, body)
 
     # Calls
 
@@ -227,6 +261,13 @@
             return fail(NotReadyError(f"{instance} is not connected"))
         return self._call(link, AdviceCall, timeout, values)
 
+    def ask_carrier(self, instance, timeout, **values):
+        """Make a :class:`WorkerOrder` to an instance that is connected here."""
+        link = self.peers.get(instance)
+        if link is None:
+            return fail(NotReadyError(f"{instance} is not connected"))
+        return self._call(link, WorkerOrder, timeout, values)
+
     def _call(self, link, kind, timeout, values):
         self._n_calls += 1
         number = self._n_calls
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -1,6 +1,6 @@
 """Our own rows in the store: one part, so that a transaction can fence any of them."""
 
-from msgspec import Struct
+from msgspec import UNSET, Struct, structs
 
 from ..jobs import EndedJob, HandoverWorker, JobSpec, Queue
 from ..platform import RowCondition, RowWrite
@@ -9,10 +9,12 @@
 #: The part of the home's row and of all rows that it fences: what it records of jobs.
 PART = "cell"
 
-#: Accepted jobs, and marks of those that an entry cancelled; progress; final states. Rows of jobs
+#: Accepted jobs, and marks of those that an entry cancelled; payloads of jobs, where their rows
+#: leave them out; progress; final states. Rows of jobs
 #: lie in many parts: a part carries out its transactions one after another, each as long as the
 #: store is slow, and at sixty times its usual 3 ms one part takes five a second.
 JOBS = "jobs"
+PAYLOADS = "payloads"
 PROGRESS = "progress"
 ENDED = "ended"
 
@@ -55,12 +57,46 @@
 class JobRow(Struct, kw_only=True):
     """An accepted job, with its queue as configured when it was accepted, and by which version.
 
-    Of a job that has ended the row may have no steps any more, see :func:`short_row`.
+    Of a job that has ended the row may have no steps any more, see :func:`short_row`. `entry` names
+    the instance that keeps the payload, where that has a row of its own.
     """
 
     spec: JobSpec
     queue: Queue
     config_version: int = 0
+    entry: str = ""
+
+
+def has_payload(spec):
+    """Whether a job's payload is in its spec."""
+    return spec.payload is not UNSET
+
+
+def without_payload(value):
+    """Return a job's row without the payload: what decisions need.
+
+    Instances of releases before rows were split require the payload, and skip such a row; taken for
+    an empty one, it would have them start tasks with another payload than the client's.
+    """
+    spec = structs.replace(value.spec, payload=UNSET)
+    return JobRow(
+        spec=spec, queue=value.queue, config_version=value.config_version, entry=value.entry
+    )
+
+
+def job_writes(value):
+    """Return the writes of an accepted job, to be made in one transaction.
+
+    The payload gets a row of its own where the job's row names an instance that keeps it.
+    """
+    job_id = value.spec.job_id
+    part = job_part(job_id)
+    if not value.entry or not has_payload(value.spec):
+        return [write(JOBS, job_id, value, part=part)]
+    return [
+        write(JOBS, job_id, without_payload(value), part=part),
+        write(PAYLOADS, job_id, value.spec.payload, part=part),
+    ]
 
 
 def short_row(job):
--- /dev/null
+++ b/anvilflow/cell/tests/test_carriers.py
@@ -0,0 +1,374 @@
+"""Orders of a home that is short of link or processor, made by other instances."""
+
+import pytest
+
+from anvilflow.cell._carriers import Carriers
+from anvilflow.cell._payloads import Payloads
+from anvilflow.cell._routed_calls import RoutedCalls
+from anvilflow.cell._tables import job_part
+from anvilflow.cell._worker_orders import (
+    OrderOutcome,
+    Verb,
+    find_flaw,
+    raise_failed,
+    report_of_answer,
+)
+from anvilflow.decisions import MessageAge
+from anvilflow.peers.gen.ttypes import WorkerOrder
+
+from ._helpers import JOB, cancel, find_runs_after_cancelling, make_cell
+from .test_drawn_crashes import CrashScenario
+from .test_drawn_faults import DrawnDay
+
+NAMES = tuple(f"a{number}" for number in range(5))
+
+STEP = {"count": 4, "cpu": 1000, "estimate-ms": 500}
+SECOND = {"count": 4, "cpu": 1000, "estimate-ms": 500, "after": [0]}
+
+
+def _make_cell(**values):
+    """Return a cell of instances with so little processor that orders are carried."""
+    cell = make_cell(**{"n_instances": 5, "n_workers": 6, "weak": NAMES, **values})
+    cell.advance(1.0)
+    return cell
+
+
+def _n_calls_to_workers(cell, name):
+    return sum(n for (caller, to), n in cell.wire.calls.items() if caller == name and to[0] == "w")
+
+
+def _entry_with_payload(cell, step=STEP, **values):
+    """Submit a job at an instance that is not the home, and return the instance."""
+    entry = cell.other()
+    answers = cell.submit(entry, JOB, step, **values)
+    cell.advance(0.03)
+    assert answers[0][0] == 200
+    return entry
+
+
+def _done(cell):
+    return {span.task for span in cell.spans if span.how == "done"}
+
+
+def _names(n_steps=1):
+    return {f"{JOB}.0.{step}.{index}" for step in range(n_steps) for index in range(4)}
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_is_short_makes_no_calls_to_workers(monkeypatch, safeguard):
+    """Its link and its processor bound the starts of the whole cell."""
+    if not safeguard:
+        monkeypatch.setattr(Carriers, "are_used", False)
+    cell = _make_cell()
+    before = _n_calls_to_workers(cell, cell.home())
+    _entry_with_payload(cell, spec="0.5 done 1000")
+    cell.advance(2.0)
+    assert _done(cell) == _names()
+    assert (_n_calls_to_workers(cell, cell.home()) == before) is safeguard
+
+
+def test_home_with_room_sends_its_starts_and_jobs_have_one_row():
+    """What is cheaper where nothing is short stays as it is."""
+    cell = make_cell(n_instances=5, n_workers=6)
+    _entry_with_payload(cell, spec="0.5 done 1000")
+    cell.advance(2.0)
+    assert _done(cell) == _names()
+    assert not any(_n_calls_to_workers(cell, name) for name in cell.daemons if name != cell.home())
+    assert cell.store.value("jobs", JOB, part=job_part(JOB))["spec"]["payload"]
+    assert cell.store.value("payloads", JOB, part=job_part(JOB)) is None
+
+
+def test_link_that_is_in_use_has_orders_carried():
+    """A home on a fast link, too, whose share in use says that a burst would fill it."""
+    cell = make_cell(n_instances=5, n_workers=6)
+    home = cell.daemons[cell.home()]
+    assert not home.context.is_carried
+    home.context.settings.link_mbps = 0.1
+    home.context.settings.cpu_share = 1.0
+    cell.advance(1.0)
+    assert home.context.is_carried
+
+
+def test_row_of_a_job_leaves_out_its_payload_and_both_end_together():
+    """A new home reads the rows of all jobs; payloads are most of their size."""
+    cell = _make_cell()
+    _entry_with_payload(cell, spec="0.5 done 1000")
+    part = job_part(JOB)
+    assert "payload" not in cell.store.value("jobs", JOB, part=part)["spec"]
+    assert cell.store.value("payloads", JOB, part=part) == "0.5 done 1000"
+    versions = {row[0] for key, row in cell.store.rows.items() if key[2] == JOB}
+    assert len(versions) == 1
+    cell.advance(160.0)
+    assert not [key for key in cell.store.rows if key[2] == JOB]
+
+
+@pytest.mark.parametrize("fault", ["kill", "pause", "cut from", "cut to", "restart"])
+def test_carrier_is_lost_between_its_order_and_the_start(fault):
+    """Starts that it was told of are not lost, and none runs twice."""
+    cell = _make_cell(n_workers=3)
+    entry = _entry_with_payload(cell, STEP, spec="0.6 done 1000")
+    home = cell.home()
+    match fault:
+        case "kill":
+            cell.kill(entry)
+        case "pause":
+            cell.pause(entry)
+            cell.clock.callLater(2.0, cell.resume, entry)
+        case "cut from":
+            cell.network.silence(entry, home)
+        case "cut to":
+            cell.network.silence(home, entry)
+        case "restart":
+            cell.kill(entry)
+            cell.start_instance(entry)
+    cell.advance(8.0)
+    assert _done(cell) == _names()
+    assert cell.check() == []
+
+
+def test_steps_of_a_job_whose_entry_is_gone_start_from_the_payload_in_the_store():
+    """Another instance reads it: the job's row does not hold it, nor does the home."""
+    cell = _make_cell()
+    entry = cell.other()
+    cell.submit(entry, JOB, STEP, SECOND, spec="0.5 done 1000")
+    cell.advance(0.3)
+    cell.kill(entry)
+    cell.advance(3.0)
+    assert _done(cell) == _names(2)
+
+
+def test_home_and_carrier_are_lost_together():
+    """The next home knows neither the payload nor what was told to the carrier."""
+    cell = _make_cell()
+    entry = cell.other()
+    cell.submit(entry, JOB, STEP, SECOND, spec="0.5 done 1000")
+    cell.advance(0.04)
+    home = cell.home()
+    cell.kill(entry)
+    cell.kill(home)
+    cell.advance(9.0)
+    assert _done(cell) == _names(2)
+    assert cell.check() == []
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_order_that_waited_for_longer_than_its_limit_is_not_sent(monkeypatch, safeguard):
+    """A carrier that was paused finds orders that the home has long given up."""
+    if not safeguard:
+        monkeypatch.setattr(MessageAge, "note", lambda self, sent_at, received_at: 0.0)
+    cell = _make_cell(n_workers=1)
+    carrier = cell.other()
+    cell.pause(carrier)
+    cell.submit(cell.home(), JOB, {"count": 1, "cpu": 1000}, spec="0.3 done 1000")
+    link = cell.daemons[cell.home()].context.links.peers[carrier]
+    link.send(_order(cell, sent_ms=round(1000 * cell.clock.seconds())))
+    cell.advance(1.0)
+    cell.resume(carrier)
+    cell.advance(0.1)
+    assert cell.runs_of(f"{JOB}.9.9.9") is not safeguard
+
+
+def _order(cell, **values):
+    home = cell.daemons[cell.home()]
+    worker = cell.workers["i-0"]
+    fields = {
+        "call": 10_000_000,
+        "verb": Verb.START,
+        "token": home.supervisor.part("home")._claimed.token,
+        "worker": "i-0",
+        "address": worker.address,
+        "limit_ms": 400,
+        "sent_ms": round(1000 * cell.clock.seconds()),
+        "task": f"{JOB}.9.9.9",
+        "run_id": 1,
+        "until_ms": round(1000 * (worker.clock_s() + 3.0)),
+    }
+    return WorkerOrder(**{**fields, **values})
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_order_of_a_former_home_is_not_carried_out(monkeypatch, safeguard):
+    """Workers that the next home has not reached yet would take it."""
+    cell = _make_cell()
+    carrier = cell.other()
+    _entry_with_payload(cell, spec="0.3 done 1000")
+    cell.advance(1.0)
+    context = cell.daemons[carrier].context
+    if not safeguard:
+        context.carrier._token = 0
+        monkeypatch.setattr(cell.workers["i-0"], "token", 0)
+    order = _order(cell, token=1)
+    context.carrier.serve(context.links.home_link, order)
+    cell.advance(0.1)
+    assert (not cell.runs_of(order.task)) is safeguard
+
+
+def test_order_from_an_instance_that_is_not_the_home_is_not_carried_out():
+    """A former home that has not noticed is connected for a while."""
+    cell = _make_cell()
+    carrier = cell.other()
+    context = cell.daemons[carrier].context
+    context.payloads.keep(JOB, "0.3 done 1000")
+    other = cell.daemons[cell.home()].context.links.peers[carrier]
+    context.carrier.serve(other, _order(cell))
+    cell.advance(0.1)
+    assert not cell.runs_of(f"{JOB}.9.9.9")
+
+
+@pytest.mark.parametrize("values", [{"verb": 99}, {"task": None}, {"address": None}])
+def test_malformed_order_is_dropped_and_counted(values):
+    """A message that cannot be carried out must not end the part that takes it."""
+    cell = _make_cell()
+    context = cell.daemons[cell.other()].context
+    order = _order(cell, **values)
+    assert find_flaw(order)
+    context.carrier.serve(context.links.home_link, order)
+    assert context.meters.counts["malformed_messages", ()] == 1
+
+
+def test_start_told_twice_begins_once():
+    """The home repeats a start whose outcome was lost, over the same carrier or another."""
+    cell = _make_cell()
+    context = cell.daemons[cell.other()].context
+    context.payloads.keep(JOB, "0.3 done 1000")
+    for _ in range(2):
+        context.carrier.serve(context.links.home_link, _order(cell))
+    cell.advance(0.1)
+    assert len(cell.runs_of(f"{JOB}.9.9.9")) == 1
+
+
+def test_outcomes_that_are_lost_cost_neither_tasks_nor_a_second_run():
+    """The carrier acts and its answers do not reach the home."""
+    cell = _make_cell(n_workers=3)
+    entry = _entry_with_payload(cell, spec="0.6 done 1000")
+    cell.network.silence(entry, cell.home())
+    cell.advance(9.0)
+    assert _done(cell) == _names()
+    assert cell.check() == []
+
+
+def test_job_whose_payload_is_gone_starts_nothing_and_holds_up_no_other():
+    """A row without its payload is one line in the log, not a start with another text."""
+    cell = _make_cell()
+    cell.submit(cell.other(), JOB, STEP, SECOND, spec="0.5 done 1000")
+    cell.advance(0.3)
+    cell.store.remove("payloads", JOB, part=job_part(JOB))
+    for daemon in cell.daemons.values():
+        daemon.context.payloads = Payloads(context=daemon.context)
+    other = f"{7:016x}"
+    cell.submit(cell.other(), other, STEP, spec="0.3 done 1000")
+    cell.advance(4.0)
+    assert {span.task for span in cell.spans if span.task.startswith(JOB)} == _names()
+    assert {f"{other}.0.0.{index}" for index in range(4)} <= _done(cell)
+    home = cell.daemons[cell.home()].supervisor.part("home")
+    assert home.dump()["jobs_without_payload"] == [JOB]
+
+
+def test_store_that_is_silent_does_not_stop_carriers_that_have_the_payload():
+    """Steps that follow begin in an outage of the store, too."""
+    cell = _make_cell()
+    cell.submit(cell.other(), JOB, STEP, SECOND, spec="0.5 done 1000")
+    cell.advance(0.2)
+    cell.store_faults.silent = True
+    cell.advance(2.0)
+    assert _names(2) <= {span.task for span in cell.spans}
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_carrier_cut_off_from_workers_does_not_make_them_look_dark(monkeypatch, safeguard):
+    """Its share of the workers would get no work, and what runs there would be started again."""
+    if not safeguard:
+        monkeypatch.setattr(Carriers, "rest", lambda self, name, why: None)
+        monkeypatch.setattr(RoutedCalls, "hold", _hold_once)
+    cell = _make_cell(n_workers=8)
+    for number in range(12):
+        cell.submit(cell.home(), f"{number:016x}", STEP, spec="6.0 done 1000")
+    cell.advance(1.0)
+    for faults in cell.worker_faults.values():
+        faults.silent = True
+        faults.only = {cell.other()}
+    cell.advance(9.0)
+    home = cell.daemons[cell.home()].supervisor.part("home")._scheduler
+    is_well = not any(worker.silent for worker in home.workers.values())
+    is_well = is_well and not [span for span in cell.spans if span.how in ("lapsed", "stopped")]
+    assert is_well is safeguard
+
+
+def _hold_once(self, **values):
+    """Hold through the carrier alone."""
+    done = self._carried(
+        Verb.HOLD,
+        lambda: self._carriers.for_worker(self.worker_id),
+        values["timeout"],
+        held_s=values["wait_s"],
+        seen=values["seen"],
+        until_ms=None if values["until_s"] is None else int(1000 * values["until_s"]),
+        wait_ms=round(1000 * values["wait_s"]),
+    )
+    return done.addCallback(_report_or_fail, self, values)
+
+
+def _report_or_fail(found, calls, values):
+    if found[1] is None:
+        return calls.direct.hold(**values)
+    return report_of_answer(raise_failed(found[1]))
+
+
+def test_gang_of_which_one_member_is_not_started_is_stopped_as_a_whole():
+    """Its members are sent by the carrier one by one; the others would wait and end alone."""
+    cell = _make_cell(n_workers=4)
+    cell.workers["i-2"].n_late_starts = 4
+    gang = {"count": 4, "cpu": 9000, "gang": True, "estimate-ms": 500}
+    cell.submit(cell.other(), JOB, gang, spec="2.0 done 9000")
+    cell.advance(12.0)
+    assert _done(cell) == _names()
+    assert cell.check() == []
+    assert [span.how for span in cell.runs_of(f"{JOB}.0.0.0")] == ["stopped", "done"]
+
+
+def test_job_that_is_cancelled_while_its_starts_are_on_their_way():
+    """A start that a carrier was told of may come after the stop."""
+    cell = _make_cell()
+    entry = cell.other()
+    cell.submit(entry, JOB, STEP, spec="30.0 done 1000")
+    cell.advance(0.015)
+    acked_at = cancel(cell, entry)
+    cell.advance(6.0)
+    assert find_runs_after_cancelling(cell, acked_at) == []
+
+
+def test_instance_of_an_earlier_release_gets_whole_rows_and_no_orders(monkeypatch):
+    """In a rolling restart the home may not know rows without a payload."""
+    cell = _make_cell()
+    for daemon in cell.daemons.values():
+        monkeypatch.setattr(daemon.context, "is_carried", False)
+    cell.submit(cell.other(), JOB, STEP, spec="0.5 done 1000")
+    assert cell.daemons[cell.other()].context.is_carried is False
+    cell.advance(2.0)
+    assert cell.store.value("jobs", JOB, part=job_part(JOB))["spec"]["payload"]
+    assert _done(cell) == _names()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_drawn_days_with_carriers(monkeypatch, seed):
+    """Cancelled jobs, orders that go astray, homes and workers that are lost, as without them."""
+    monkeypatch.setattr(Carriers, "are_used", True)
+    assert DrawnDay(seed=seed).play() == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_drawn_crashes_with_carriers(monkeypatch, seed):
+    """Tasks that crash workers are counted as without them."""
+    monkeypatch.setattr(Carriers, "are_used", True)
+    assert CrashScenario(seed=seed).play() == []
+
+
+def test_orders_of_all_kinds_are_counted_by_route_and_outcome():
+    """An operator tells by them whether the home, a carrier or a worker binds."""
+    cell = _make_cell()
+    entry = _entry_with_payload(cell, spec="0.5 done 1000")
+    cell.advance(1.0)
+    routes = cell.daemons[cell.home()].context.meters.counts
+    assert routes["routes", ("START", "carried")] == 4
+    carried = cell.daemons[entry].context.meters.counts
+    assert carried["carried", (Verb.START.name, OrderOutcome.DONE.name)] == 4
--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -12,8 +12,8 @@
 from ._http_connection import AnswerLostError, Exchange, HttpConnection
 from ._time_limit import TimeLimit
 
-#: Heads of a request and its answer, as seen on the wire. Unit: bytes.
-HEAD_BYTES = 230
+#: Head of a request, and of its answer, as seen on the wire. Unit: bytes.
+HEAD_BYTES = 200
 
 #: Failures before anything of the request left the process: it certainly had no effect.
 NOT_SENT = (ConnectError, DNSLookupError)
@@ -61,7 +61,8 @@
         self.connections = connections
         self.connect_timeout = connect_timeout
         self.n_calls = 0
-        self.n_bytes = 0
+        self.n_bytes_out = 0
+        self.n_bytes_in = 0
         self._idle = {}
 
     def post(self, url, body, *, timeout, held_s=0.0, headers=None):
@@ -109,7 +110,7 @@
         exchange = Exchange(on_begin=on_begin, on_data=on_data)
         call = limit.watch(exchange.done)
         self.n_calls += 1
-        self.n_bytes += len(body) + HEAD_BYTES
+        self.n_bytes_out += len(body) + HEAD_BYTES
         call.addCallback(self._count)
         due_at = self.clock.seconds() + held_s
         if self._send((host, port), request, exchange):
@@ -117,7 +118,7 @@
         return call
 
     def _count(self, result):
-        self.n_bytes += len(result[1])
+        self.n_bytes_in += len(result[1]) + HEAD_BYTES
         return result
 
     def post_json(self, url, value, *, timeout):
--- a/anvilflow/decisions/__init__.py
+++ b/anvilflow/decisions/__init__.py
@@ -14,6 +14,7 @@
     TaskState,
 )
 from ._leases import LeaseClock, lease_over_at
+from ._message_age import MessageAge
 from ._messages import (
     Dispatch,
     ForgetRequest,
@@ -46,6 +47,7 @@
     "HoldRevoked",
     "HomeBook",
     "LeaseClock",
+    "MessageAge",
     "Outcome",
     "OwnerBook",
     "QueuedItem",
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -220,6 +220,12 @@
     http_status = 504
 
 
+class PayloadGoneError(AnvilflowError):
+    """A job's row names a payload that the store does not have: none of its tasks can start."""
+
+    code = "AF414"
+
+
 class FrameError(AnvilflowError):
     """A frame from another instance is malformed or over the size limit."""
 
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -1,15 +1,15 @@
 """What the scheduler wants done."""
 
-from msgspec import Struct
+from msgspec import Struct, UnsetType
 
 
 class StartRun(Struct, kw_only=True):
-    """Start a task on a worker."""
+    """Start a task on a worker; `payload` is left out where the home does not hold it."""
 
     worker_id: str
     task: str
     run_id: int
-    payload: str
+    payload: str | UnsetType
     checkpoint: str
     ticket: str
 
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -142,6 +142,7 @@
         "change",
         "changed_at",
         "due_by",
+        "hold_back_until",
         "inherited",
         "is_changed",
         "is_idle",
@@ -160,6 +161,7 @@
         self.queue = queue
         self.version = version
         self.accepted_at = now
+        self.hold_back_until = 0.0
         self.inherited = inherited
         self.lasts = any(step.long_running for step in spec.steps)
         self.is_idle = False
--- a/anvilflow/jobs/_run_book.py
+++ b/anvilflow/jobs/_run_book.py
@@ -12,6 +12,9 @@
 #: know how many its predecessor started, and a worker refuses a number that is not higher.
 RUNS_PER_TERM = 1000
 
+#: Pause between tries to start tasks of a job whose payload the store does not have. Unit: seconds.
+NO_PAYLOAD_S = 5.0
+
 #: First wait before a worker that refused or failed without reason gets work again, doubled each
 #: time. Unit: seconds.
 FIRST_REST_S = 0.5
@@ -318,6 +321,8 @@
             step, _ = self.find_task(task)
             if step is not None:
                 step.tickets.pop(worker_id, None)
+        elif outcome == "no payload":
+            run.job.hold_back_until = now + NO_PAYLOAD_S
         elif outcome in ("room", "unhealthy"):
             self._worker_did_badly(run.worker, now)
             run.worker.retry_at = max(run.worker.retry_at, now + FIRST_REST_S)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -296,7 +296,12 @@
         return self.policy.reserve_share if self.config.has_more_urgent(queue) else 0.0
 
     def may_start(self, job, now):
-        """Whether no earlier home can have a run of the job that nobody has listed yet."""
+        """Whether no earlier home can have a run of the job that nobody has listed yet.
+
+        Nor may one whose tasks could not be started for want of their payload.
+        """
+        if now < job.hold_back_until:
+            return False
         if not job.inherited or self.grace_period.is_over(now):
             return True
         return self.grace_period.knows_all and all(
--- a/anvilflow/jobs/_spec.py
+++ b/anvilflow/jobs/_spec.py
@@ -2,7 +2,7 @@
 
 from functools import cached_property
 
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 
 class StepSpec(Struct, kw_only=True, frozen=True, omit_defaults=True):
@@ -65,7 +65,7 @@
     ----------
     job_id, queue : str
     payload : str
-        Opaque text that goes to each task.
+        Opaque text that goes to each task; left out where a row of its own holds it.
     steps : tuple of StepSpec
     first_at, interval_s : float
         Time of day of the first occurrence and distance of the others. Unit: seconds.
@@ -75,7 +75,7 @@
 
     job_id: str
     queue: str
-    payload: str
+    payload: str | UnsetType = UNSET
     steps: tuple[StepSpec, ...]
     first_at: float = 0.0
     interval_s: float = 0.0
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -23,6 +23,10 @@
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
     "late_workers": ("Calls to workers without an answer while answers of all were late.", ()),
     "short_of_processor": ("Times that the instance began to be late with its own timers.", ()),
+    "carried": ("Orders of the home to workers, made by this instance.", ("verb", "outcome")),
+    "routes": ("Orders of this home to workers, by who made them.", ("verb", "route")),
+    "malformed_messages": ("Messages of instances that were dropped.", ()),
+    "bytes": ("Bytes sent and received, with heads.", ("service", "direction")),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "store_calls": ("Calls to the store.", ("kind",)),
 }
--- a/anvilflow/parts/_daemon.py
+++ b/anvilflow/parts/_daemon.py
@@ -70,7 +70,7 @@
             "revision": self.context.catalog.revision,
             "restarts": self.supervisor.restarts(),
             "http": {
-                name: {"calls": client.n_calls, "bytes": client.n_bytes}
+                name: {"calls": client.n_calls, "bytes": client.n_bytes_out + client.n_bytes_in}
                 for name, client in self.clients.items()
             },
             "parts": {name: part.dump() for name, part in self.supervisor.parts().items()},
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -25,6 +25,8 @@
      - link_mbps
      - address
      - cpu_milli
+     - carries
+     - up_s
 
     """
 
@@ -35,16 +37,20 @@
         'link_mbps',
         'address',
         'cpu_milli',
+        'carries',
+        'up_s',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None, address=None, cpu_milli=None,):
+    def __init__(self, instance=None, incarnation=None, failure_domain=None, link_mbps=None, address=None, cpu_milli=None, carries=None, up_s=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.link_mbps = link_mbps
         self.address = address
         self.cpu_milli = cpu_milli
+        self.carries = carries
+        self.up_s = up_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -85,6 +91,16 @@
                     self.cpu_milli = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.carries = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.up_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -119,6 +135,14 @@
             oprot.writeFieldBegin('cpu_milli', TType.I32, 6)
             oprot.writeI32(self.cpu_milli)
             oprot.writeFieldEnd()
+        if self.carries is not None:
+            oprot.writeFieldBegin('carries', TType.BOOL, 7)
+            oprot.writeBool(self.carries)
+            oprot.writeFieldEnd()
+        if self.up_s is not None:
+            oprot.writeFieldBegin('up_s', TType.I32, 8)
+            oprot.writeI32(self.up_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1750,6 +1774,8 @@
      - waiting
      - jobs_version
      - start_waits
+     - carried
+     - sent_ms
 
     """
 
@@ -1763,10 +1789,12 @@
         'waiting',
         'jobs_version',
         'start_waits',
+        'carried',
+        'sent_ms',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None, carried=None, sent_ms=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
@@ -1776,6 +1804,8 @@
         self.waiting = waiting
         self.jobs_version = jobs_version
         self.start_waits = start_waits
+        self.carried = carried
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1853,6 +1883,16 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.carried = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1913,6 +1953,14 @@
                 oprot.writeI32(viter52)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.carried is not None:
+            oprot.writeFieldBegin('carried', TType.BOOL, 10)
+            oprot.writeBool(self.carried)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 11)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2390,6 +2438,620 @@
         return not (self == other)
 
 
+class WorkerOrder(object):
+    """
+    Attributes:
+     - call
+     - verb
+     - token
+     - worker
+     - address
+     - limit_ms
+     - sent_ms
+     - task
+     - run_id
+     - until_ms
+     - checkpoint
+     - ticket
+     - seen
+     - wait_ms
+     - percent
+
+    """
+
+    __slots__ = (
+        'call',
+        'verb',
+        'token',
+        'worker',
+        'address',
+        'limit_ms',
+        'sent_ms',
+        'task',
+        'run_id',
+        'until_ms',
+        'checkpoint',
+        'ticket',
+        'seen',
+        'wait_ms',
+        'percent',
+    )
+
+
+    def __init__(self, call=None, verb=None, token=None, worker=None, address=None, limit_ms=None, sent_ms=None, task=None, run_id=None, until_ms=None, checkpoint=None, ticket=None, seen=None, wait_ms=None, percent=None,):
+        self.call = call
+        self.verb = verb
+        self.token = token
+        self.worker = worker
+        self.address = address
+        self.limit_ms = limit_ms
+        self.sent_ms = sent_ms
+        self.task = task
+        self.run_id = run_id
+        self.until_ms = until_ms
+        self.checkpoint = checkpoint
+        self.ticket = ticket
+        self.seen = seen
+        self.wait_ms = wait_ms
+        self.percent = percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.verb = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.limit_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.until_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.ticket = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.seen = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerOrder')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.verb is not None:
+            oprot.writeFieldBegin('verb', TType.BYTE, 2)
+            oprot.writeByte(self.verb)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 4)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 5)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.limit_ms is not None:
+            oprot.writeFieldBegin('limit_ms', TType.I32, 6)
+            oprot.writeI32(self.limit_ms)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 7)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 8)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 9)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.until_ms is not None:
+            oprot.writeFieldBegin('until_ms', TType.I64, 10)
+            oprot.writeI64(self.until_ms)
+            oprot.writeFieldEnd()
+        if self.checkpoint is not None:
+            oprot.writeFieldBegin('checkpoint', TType.STRING, 11)
+            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
+            oprot.writeFieldEnd()
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.STRING, 12)
+            oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
+            oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.I64, 13)
+            oprot.writeI64(self.seen)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 14)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I32, 15)
+            oprot.writeI32(self.percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ActiveRun(object):
+    """
+    Attributes:
+     - task
+     - run_id
+     - checkpoint
+     - percent
+     - load
+
+    """
+
+    __slots__ = (
+        'task',
+        'run_id',
+        'checkpoint',
+        'percent',
+        'load',
+    )
+
+
+    def __init__(self, task=None, run_id=None, checkpoint=None, percent=None, load=None,):
+        self.task = task
+        self.run_id = run_id
+        self.checkpoint = checkpoint
+        self.percent = percent
+        self.load = load
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I16:
+                    self.percent = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ActiveRun')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 2)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.checkpoint is not None:
+            oprot.writeFieldBegin('checkpoint', TType.STRING, 3)
+            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I16, 4)
+            oprot.writeI16(self.percent)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 5)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListedEnd(object):
+    """
+    Attributes:
+     - number
+     - task
+     - run_id
+     - how
+     - checkpoint
+
+    """
+
+    __slots__ = (
+        'number',
+        'task',
+        'run_id',
+        'how',
+        'checkpoint',
+    )
+
+
+    def __init__(self, number=None, task=None, run_id=None, how=None, checkpoint=None,):
+        self.number = number
+        self.task = task
+        self.run_id = run_id
+        self.how = how
+        self.checkpoint = checkpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.how = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedEnd')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 2)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 3)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.how is not None:
+            oprot.writeFieldBegin('how', TType.STRING, 4)
+            oprot.writeString(self.how.encode('utf-8') if sys.version_info[0] == 2 else self.how)
+            oprot.writeFieldEnd()
+        if self.checkpoint is not None:
+            oprot.writeFieldBegin('checkpoint', TType.STRING, 5)
+            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkerAnswer(object):
+    """
+    Attributes:
+     - call
+     - outcome
+     - reason
+     - clock_ms
+     - active
+     - ended
+
+    """
+
+    __slots__ = (
+        'call',
+        'outcome',
+        'reason',
+        'clock_ms',
+        'active',
+        'ended',
+    )
+
+
+    def __init__(self, call=None, outcome=None, reason=None, clock_ms=None, active=None, ended=None,):
+        self.call = call
+        self.outcome = outcome
+        self.reason = reason
+        self.clock_ms = clock_ms
+        self.active = active
+        self.ended = ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.outcome = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.active = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = ActiveRun()
+                        _elem79.read(iprot)
+                        self.active.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = ListedEnd()
+                        _elem85.read(iprot)
+                        self.ended.append(_elem85)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerAnswer')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.I64, 1)
+            oprot.writeI64(self.call)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.BYTE, 2)
+            oprot.writeByte(self.outcome)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 4)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.active))
+            for iter86 in self.active:
+                iter86.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter87 in self.ended:
+                iter87.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -2413,6 +3075,8 @@
      - job_reply
      - advice_call
      - advice_reply
+     - worker_order
+     - worker_answer
 
     """
 
@@ -2437,10 +3101,12 @@
         'job_reply',
         'advice_call',
         'advice_reply',
+        'worker_order',
+        'worker_answer',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, forward_request=None, request_ended=None, cancel_request=None, hold_ask=None, hold_answer=None, hold_release=None, task_start=None, task_answer=None, task_acknowledge=None, task_stop=None, task_query=None, status_ask=None, status_answer=None, home_beat=None, job_call=None, job_reply=None, advice_call=None, advice_reply=None,):
+    def __init__(self, hello=None, heartbeat=None, forward_request=None, request_ended=None, cancel_request=None, hold_ask=None, hold_answer=None, hold_release=None, task_start=None, task_answer=None, task_acknowledge=None, task_stop=None, task_query=None, status_ask=None, status_answer=None, home_beat=None, job_call=None, job_reply=None, advice_call=None, advice_reply=None, worker_order=None, worker_answer=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.forward_request = forward_request
@@ -2461,6 +3127,8 @@
         self.job_reply = job_reply
         self.advice_call = advice_call
         self.advice_reply = advice_reply
+        self.worker_order = worker_order
+        self.worker_answer = worker_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2591,6 +3259,18 @@
                     self.advice_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.worker_order = WorkerOrder()
+                    self.worker_order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.worker_answer = WorkerAnswer()
+                    self.worker_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2681,6 +3361,14 @@
             oprot.writeFieldBegin('advice_reply', TType.STRUCT, 20)
             self.advice_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.worker_order is not None:
+            oprot.writeFieldBegin('worker_order', TType.STRUCT, 21)
+            self.worker_order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.worker_answer is not None:
+            oprot.writeFieldBegin('worker_answer', TType.STRUCT, 22)
+            self.worker_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2733,11 +3421,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = Message()
-                        _elem79.read(iprot)
-                        self.messages.append(_elem79)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = Message()
+                        _elem93.read(iprot)
+                        self.messages.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2754,8 +3442,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter80 in self.messages:
-                iter80.write(oprot)
+            for iter94 in self.messages:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2790,6 +3478,8 @@
     (4, TType.I32, 'link_mbps', None, None, ),  # 4
     (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
     (6, TType.I32, 'cpu_milli', None, None, ),  # 6
+    (7, TType.BOOL, 'carries', None, None, ),  # 7
+    (8, TType.I32, 'up_s', None, None, ),  # 8
 )
 all_structs.append(Shape)
 Shape.thrift_spec = (
@@ -2923,6 +3613,8 @@
     (7, TType.MAP, 'waiting', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
     (8, TType.I64, 'jobs_version', None, None, ),  # 8
     (9, TType.MAP, 'start_waits', (TType.I32, None, TType.I32, None, False), None, ),  # 9
+    (10, TType.BOOL, 'carried', None, None, ),  # 10
+    (11, TType.I64, 'sent_ms', None, None, ),  # 11
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
@@ -2957,6 +3649,53 @@
     (4, TType.DOUBLE, 'valid_s', None, None, ),  # 4
     (5, TType.STRING, 'error', 'UTF8', None, ),  # 5
 )
+all_structs.append(WorkerOrder)
+WorkerOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.BYTE, 'verb', None, None, ),  # 2
+    (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.STRING, 'worker', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'limit_ms', None, None, ),  # 6
+    (7, TType.I64, 'sent_ms', None, None, ),  # 7
+    (8, TType.STRING, 'task', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'run_id', None, None, ),  # 9
+    (10, TType.I64, 'until_ms', None, None, ),  # 10
+    (11, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'ticket', 'UTF8', None, ),  # 12
+    (13, TType.I64, 'seen', None, None, ),  # 13
+    (14, TType.I32, 'wait_ms', None, None, ),  # 14
+    (15, TType.I32, 'percent', None, None, ),  # 15
+)
+all_structs.append(ActiveRun)
+ActiveRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'run_id', None, None, ),  # 2
+    (3, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 3
+    (4, TType.I16, 'percent', None, None, ),  # 4
+    (5, TType.DOUBLE, 'load', None, None, ),  # 5
+)
+all_structs.append(ListedEnd)
+ListedEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'task', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'run_id', None, None, ),  # 3
+    (4, TType.STRING, 'how', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 5
+)
+all_structs.append(WorkerAnswer)
+WorkerAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call', None, None, ),  # 1
+    (2, TType.BYTE, 'outcome', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'clock_ms', None, None, ),  # 4
+    (5, TType.LIST, 'active', (TType.STRUCT, [ActiveRun, None], False), None, ),  # 5
+    (6, TType.LIST, 'ended', (TType.STRUCT, [ListedEnd, None], False), None, ),  # 6
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -2980,6 +3719,8 @@
     (18, TType.STRUCT, 'job_reply', [JobReply, None], None, ),  # 18
     (19, TType.STRUCT, 'advice_call', [AdviceCall, None], None, ),  # 19
     (20, TType.STRUCT, 'advice_reply', [AdviceReply, None], None, ),  # 20
+    (21, TType.STRUCT, 'worker_order', [WorkerOrder, None], None, ),  # 21
+    (22, TType.STRUCT, 'worker_answer', [WorkerAnswer, None], None, ),  # 22
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -9,6 +9,10 @@
   5: optional string address,
   // Thousandths of a core that the instance has.
   6: optional i32 cpu_milli,
+  // It carries orders to workers, and reads rows of jobs whose payload has a row of its own.
+  7: optional bool carries,
+  // Time since its process began. Unit: seconds.
+  8: optional i32 up_s,
 }
 
 struct Shape {
@@ -132,6 +136,10 @@
   // By priority, how long a new job's tasks wait before the home can start them. Unit: milliseconds.
   // Only of a home that is short of what it sends starts with, and in beats that tell what waits.
   9: optional map<i32, i32> start_waits,
+  // The home has its orders carried: entries keep payloads and store them in rows of their own.
+  10: optional bool carried,
+  // On the home's steady clock. Unit: milliseconds.
+  11: optional i64 sent_ms,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
@@ -165,6 +173,57 @@
   5: string error,
 }
 
+// From the home to an instance: make this call to a worker. The verb is one of the carrier's.
+struct WorkerOrder {
+  1: i64 call,
+  2: i8 verb,
+  3: i64 token,
+  4: string worker,
+  5: string address,
+  // Time limit of the call, and from when on the home's clock. Unit: milliseconds.
+  6: i32 limit_ms,
+  7: i64 sent_ms,
+  8: optional string task,
+  9: optional i64 run_id,
+  // End of the lease on the worker's clock. Unit: milliseconds.
+  10: optional i64 until_ms,
+  11: optional string checkpoint,
+  12: optional string ticket,
+  // Of a hold: the last durable end, and the longest wait for the next one.
+  13: optional i64 seen,
+  14: optional i32 wait_ms,
+  15: optional i32 percent,
+}
+
+// A run that is active on a worker.
+struct ActiveRun {
+  1: string task,
+  2: i64 run_id,
+  3: optional string checkpoint,
+  4: i16 percent,
+  5: optional double load,
+}
+
+// An end that a worker lists.
+struct ListedEnd {
+  1: i64 number,
+  2: string task,
+  3: i64 run_id,
+  4: string how,
+  5: optional string checkpoint,
+}
+
+// What became of a WorkerOrder.
+struct WorkerAnswer {
+  1: i64 call,
+  2: i8 outcome,
+  // The worker's reason for a refusal, or what went wrong.
+  3: optional string reason,
+  4: optional i64 clock_ms,
+  5: optional list<ActiveRun> active,
+  6: optional list<ListedEnd> ended,
+}
+
 // Exactly one field is set.
 struct Message {
   1: optional Hello hello,
@@ -187,6 +246,8 @@
   18: optional JobReply job_reply,
   19: optional AdviceCall advice_call,
   20: optional AdviceReply advice_reply,
+  21: optional WorkerOrder worker_order,
+  22: optional WorkerAnswer worker_answer,
 }
 
 // Messages that are written together, in order.
