--- a/anvilflow/cell/_carriers.py
+++ b/anvilflow/cell/_carriers.py
@@ -22,6 +22,11 @@
 BUSY_KEPT_S = 10.0
 
 
+#: Time for which the list of carriers is kept: orders to one that has gone meanwhile are not sent,
+#: and go to the next. Unit: seconds.
+NAMES_KEPT_S = 0.1
+
+
 class Carriers:
     """Chooses an instance for each order, and has the order carried out there.
 
@@ -46,6 +51,8 @@
         self.log = log
         self._entries = {}
         self._names = ()
+        self._names_until = float("-inf")
+        self._n_peers = 0
         self._holders = {}
         self._rests = {}
         self._left = {}
@@ -106,9 +113,14 @@
         if not self.are_used or self.context.links is None:
             return ()
         now = self.context.clock.seconds()
+        peers = self.context.links.peers
+        is_known = now < self._names_until and len(peers) == self._n_peers
+        if is_known and (self._names or not peers):
+            return self._names
+        self._names_until, self._n_peers = now + NAMES_KEPT_S, len(peers)
         names = tuple(
             name
-            for name, link in self.context.links.peers.items()
+            for name, link in peers.items()
             if link.peer.carries and self._left.get(name) is not link and self._is_rested(name, now)
         )
         if names != self._names:
@@ -163,6 +175,7 @@
         """Note why an instance did not carry out an order."""
         if why == LEAVING:
             self._left[name] = self.context.links.peers.get(name)
+            self._names_until = float("-inf")
         elif why != LATE:
             self.rest(name, why)
 
@@ -175,4 +188,5 @@
         is_again = now - until < MAX_REST_S
         length_s = min(MAX_REST_S, 2 * length_s) if is_again else REST_S
         self._rests[name] = (now + length_s, length_s)
+        self._names_until = float("-inf")
         self.log.info("carrier rests", carrier=name, why=why, rest_s=length_s)
--- a/anvilflow/cell/_routed_calls.py
+++ b/anvilflow/cell/_routed_calls.py
@@ -1,6 +1,6 @@
 """Calls to one worker, made by other instances while the home is short of link or processor."""
 
-from twisted.internet.defer import inlineCallbacks
+from msgspec import Struct
 
 from ..exceptions import (
     NotReadyError,
@@ -16,11 +16,41 @@
 #: Other instances that are tried for an order before the home makes the call itself.
 MAX_CARRIERS = 2
 
-#: Label of the orders that the home sends itself.
+#: Labels of who makes a call.
 _DIRECT = "direct"
 _CARRIED = "carried"
 
 
+class _Order(Struct):
+    """One call on its way.
+
+    Parameters
+    ----------
+    verb : Verb
+    choose : callable
+        Returns the instance that should carry the order, or None.
+    direct : callable
+        Makes the call from here.
+    convert : callable
+        Returns the call's result from a :class:`WorkerAnswer`.
+    limit_s, held_s : float
+        Wait for the worker's answer, beyond how long it may be held back. Unit: seconds.
+    values : dict
+        Fields of the :class:`WorkerOrder`.
+    n_left : int
+        Other instances that may still be tried.
+    """
+
+    verb: Verb
+    choose: object
+    direct: object
+    convert: object
+    limit_s: float
+    held_s: float
+    values: dict
+    n_left: int = MAX_CARRIERS
+
+
 class RoutedCalls:
     """The interface of :class:`WorkerCalls`, with a choice of who makes each call.
 
@@ -48,133 +78,154 @@
         self._carriers = carriers
         self._context = context
 
-    @inlineCallbacks
     def hold(self, *, seen, until_s, wait_s, timeout=None):
         """Renew the lease of all that runs, see :meth:`WorkerCalls.hold`."""
-        name, answer = yield self._carried(
-            Verb.HOLD,
-            lambda: self._carriers.for_worker(self.worker_id),
-            timeout,
-            held_s=wait_s,
-            seen=seen,
-            until_ms=None if until_s is None else int(1000 * until_s),
-            wait_ms=round(1000 * wait_s),
-        )
-        if answer is not None and answer.outcome != OrderOutcome.UNANSWERED:
-            return report_of_answer(raise_failed(answer))
-        self._count(Verb.HOLD, _DIRECT)
-        # What is left of a lease's time is shorter now, never longer: its end is a moment on the
-        # worker's clock. The worker is not asked to wait once more.
-        report = yield self.direct.hold(
-            seen=seen, until_s=until_s, wait_s=0.0 if answer else wait_s, timeout=timeout
+
+        def hold_directly(held_s=wait_s):
+            return self.direct.hold(seen=seen, until_s=until_s, wait_s=held_s, timeout=timeout)
+
+        until_ms = None if until_s is None else int(1000 * until_s)
+        values = {"seen": seen, "until_ms": until_ms, "wait_ms": round(1000 * wait_s)}
+        return self._send(
+            self._order(
+                Verb.HOLD, hold_directly, report_of_answer, timeout, values=values, held_s=wait_s
+            )
         )
-        if answer is not None:
-            self._carriers.rest(name, "does not reach a worker")
-        return report
 
-    @inlineCallbacks
     def start(self, action, *, until_s, timeout=None):
         """Start a run, see :meth:`WorkerCalls.start`."""
         job_id = action.task.partition(".")[0]
-        _, answer = yield self._carried(
+        order = self._order(
             Verb.START,
-            lambda: self._carriers.for_start(self.worker_id, job_id),
+            lambda: self._start_directly(action, job_id, until_s, timeout),
+            _clock_of_answer,
             timeout,
-            task=action.task,
-            run_id=action.run_id,
-            until_ms=int(1000 * until_s),
-            checkpoint=action.checkpoint or None,
-            ticket=action.ticket or None,
+            values={
+                "task": action.task,
+                "run_id": action.run_id,
+                "until_ms": int(1000 * until_s),
+                "checkpoint": action.checkpoint or None,
+                "ticket": action.ticket or None,
+            },
         )
-        if answer is not None:
-            return raise_failed(answer).clock_ms / 1000
-        self._count(Verb.START, _DIRECT)
-        if not has_payload(action):
-            action.payload = yield self._find_payload(job_id)
-        clock_s = yield self.direct.start(action, until_s=until_s, timeout=timeout)
-        return clock_s
-
-    @inlineCallbacks
+        order.choose = lambda: self._carriers.for_start(self.worker_id, job_id)
+        return self._send(order)
+
     def stop(self, action, *, timeout=None):
         """Stop a run, see :meth:`WorkerCalls.stop`."""
-        _, answer = yield self._carried(
-            Verb.STOP,
-            lambda: self._carriers.for_worker(self.worker_id),
-            timeout,
-            task=action.task,
-            run_id=action.run_id,
+        values = {"task": action.task, "run_id": action.run_id}
+        return self._send(
+            self._order(
+                Verb.STOP,
+                lambda: self.direct.stop(action, timeout=timeout),
+                _nothing_of_answer,
+                timeout,
+                values=values,
+            )
         )
-        if answer is not None:
-            raise_failed(answer)
-            return
-        self._count(Verb.STOP, _DIRECT)
-        yield self.direct.stop(action, timeout=timeout)
 
-    @inlineCallbacks
     def set_pace(self, action, *, timeout=None):
         """Change the pace of a run, see :meth:`WorkerCalls.set_pace`."""
-        _, answer = yield self._carried(
-            Verb.PACE,
-            lambda: self._carriers.for_worker(self.worker_id),
-            timeout,
-            task=action.task,
-            run_id=action.run_id,
-            percent=action.percent,
+        values = {"task": action.task, "run_id": action.run_id, "percent": action.percent}
+        return self._send(
+            self._order(
+                Verb.PACE,
+                lambda: self.direct.set_pace(action, timeout=timeout),
+                _nothing_of_answer,
+                timeout,
+                values=values,
+            )
         )
-        if answer is not None:
-            raise_failed(answer)
-            return
-        self._count(Verb.PACE, _DIRECT)
-        yield self.direct.set_pace(action, timeout=timeout)
-
-    @inlineCallbacks
-    def _find_payload(self, job_id):
-        try:
-            payload = yield self._context.payloads.find(job_id)
-        except PayloadGoneError as exc:
-            raise WorkerRefusedError(str(exc), details={"reason": "no payload"}) from exc
-        except PlatformError as exc:
-            raise WorkerRefusedError(
-                f"payload not read: {exc}", details={"reason": "unreached"}
-            ) from exc
-        return payload
-
-    def _count(self, verb, route):
-        self._context.meters.count("routes", verb.name, route)
-
-    @inlineCallbacks
-    def _carried(self, verb, choose, timeout, *, held_s=0.0, **values):
-        """Return a carrier and its answer, or None for both when none has sent the order.
-
-        Raises
-        ------
-        WorkerUnreachableError
-            AF412, a carrier was given the order, and whether it was carried out is not known.
-        """
-        limit_s = self.timeout if timeout is None else timeout
-        for _ in range(MAX_CARRIERS):
-            name = choose()
-            if name is None:
-                break
-            self._count(verb, _CARRIED)
-            try:
-                answer = yield self._carriers.ask(
-                    name,
-                    verb,
-                    limit_s,
-                    held_s=held_s,
-                    token=self.direct.token,
-                    worker=self.worker_id,
-                    address=self._address,
-                    **values,
-                )
-            except NotReadyError:
-                continue
-            except PeerSilentError as exc:
-                if verb is Verb.HOLD:
-                    break
-                raise WorkerUnreachableError(f"no answer of {name}: {exc}") from exc
-            if answer.outcome != OrderOutcome.NOT_SENT:
-                return name, answer
-            self._carriers.not_sent(name, answer.reason)
-        return None, None
+
+    def _order(self, verb, direct, convert, timeout, *, values, held_s=0.0):
+        return _Order(
+            verb=verb,
+            choose=self._choose_holder,
+            direct=direct,
+            convert=convert,
+            limit_s=self.timeout if timeout is None else timeout,
+            held_s=held_s,
+            values=values,
+        )
+
+    def _choose_holder(self):
+        return self._carriers.for_worker(self.worker_id)
+
+    def _start_directly(self, action, job_id, until_s, timeout):
+        if has_payload(action):
+            return self.direct.start(action, until_s=until_s, timeout=timeout)
+        done = self._context.payloads.find(job_id)
+        done.addErrback(_no_payload)
+        return done.addCallback(self._start_with, action, until_s, timeout)
+
+    def _start_with(self, payload, action, until_s, timeout):
+        action.payload = payload
+        return self.direct.start(action, until_s=until_s, timeout=timeout)
+
+    # One order on its way
+
+    def _send(self, order):
+        """Have an order carried out, or make the call; the Deferred fires with its result."""
+        name = order.choose() if order.n_left else None
+        if name is None:
+            self._count(order, _DIRECT)
+            return order.direct()
+        order.n_left -= 1
+        self._count(order, _CARRIED)
+        done = self._carriers.ask(
+            name,
+            order.verb,
+            order.limit_s,
+            held_s=order.held_s,
+            token=self.direct.token,
+            worker=self.worker_id,
+            address=self._address,
+            **order.values,
+        )
+        return done.addCallbacks(
+            self._answered, self._unanswered, callbackArgs=(order, name), errbackArgs=(order,)
+        )
+
+    def _answered(self, answer, order, name):
+        match answer.outcome:
+            case OrderOutcome.DONE:
+                return order.convert(answer)
+            case OrderOutcome.NOT_SENT:
+                self._carriers.not_sent(name, answer.reason)
+                return self._send(order)
+            case OrderOutcome.UNANSWERED if order.verb is Verb.HOLD:
+                self._count(order, _DIRECT)
+                # The worker has held its answer back already, if it was reached.
+                return order.direct(0.0).addCallback(self._carrier_was_cut_off, name)
+            case _:
+                return raise_failed(answer)
+
+    def _carrier_was_cut_off(self, report, name):
+        self._carriers.rest(name, "does not reach a worker")
+        return report
+
+    def _unanswered(self, failure, order):
+        if failure.check(NotReadyError):
+            return self._send(order)
+        failure.trap(PeerSilentError)
+        if order.verb is Verb.HOLD:
+            order.n_left = 0
+            return self._send(order)
+        raise WorkerUnreachableError(f"no answer of a carrier: {failure.value}") from failure.value
+
+    def _count(self, order, route):
+        self._context.meters.count("routes", order.verb.name, route)
+
+
+def _clock_of_answer(answer):
+    return answer.clock_ms / 1000
+
+
+def _nothing_of_answer(_):
+    return None
+
+
+def _no_payload(failure):
+    failure.trap(PayloadGoneError, PlatformError)
+    reason = "no payload" if failure.check(PayloadGoneError) else "unreached"
+    raise WorkerRefusedError(str(failure.value), details={"reason": reason}) from failure.value
--- a/anvilflow/cell/tests/test_carriers.py
+++ b/anvilflow/cell/tests/test_carriers.py
@@ -11,7 +11,6 @@
     Verb,
     find_flaw,
     raise_failed,
-    report_of_answer,
 )
 from anvilflow.decisions import MessageAge
 from anvilflow.peers.gen.ttypes import WorkerOrder
@@ -274,12 +273,15 @@
     assert _names(2) <= {span.task for span in cell.spans}
 
 
+def _believe_carrier(self, answer, order, name):
+    return order.convert(raise_failed(answer))
+
+
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_carrier_cut_off_from_workers_does_not_make_them_look_dark(monkeypatch, safeguard):
     """Its share of the workers would get no work, and what runs there would be started again."""
     if not safeguard:
-        monkeypatch.setattr(Carriers, "rest", lambda self, name, why: None)
-        monkeypatch.setattr(RoutedCalls, "hold", _hold_once)
+        monkeypatch.setattr(RoutedCalls, "_answered", _believe_carrier)
     cell = _make_cell(n_workers=8)
     for number in range(12):
         cell.submit(cell.home(), f"{number:016x}", STEP, spec="6.0 done 1000")
@@ -294,26 +296,6 @@
     assert is_well is safeguard
 
 
-def _hold_once(self, **values):
-    """Hold through the carrier alone."""
-    done = self._carried(
-        Verb.HOLD,
-        lambda: self._carriers.for_worker(self.worker_id),
-        values["timeout"],
-        held_s=values["wait_s"],
-        seen=values["seen"],
-        until_ms=None if values["until_s"] is None else int(1000 * values["until_s"]),
-        wait_ms=round(1000 * values["wait_s"]),
-    )
-    return done.addCallback(_report_or_fail, self, values)
-
-
-def _report_or_fail(found, calls, values):
-    if found[1] is None:
-        return calls.direct.hold(**values)
-    return report_of_answer(raise_failed(found[1]))
-
-
 def test_gang_of_which_one_member_is_not_started_is_stopped_as_a_whole():
     """Its members are sent by the carrier one by one; the others would wait and end alone."""
     cell = _make_cell(n_workers=4)
