A home that is told to stop is followed at once

In a rolling restart of a narrow cell the home was told to stop at 9.03 s, said so to all, and kept its place until it stopped at 12.64: a claim is made on the condition that the home's row is as it was read, and a busy home records ends every 15 ms. Each claim was refused, read the row and looked again. Callers were served by a home without time for it, and then waited for its successor's reading.

A claim of a place that is offered is made again at once on the row that its refusal brought, as long as the same home holds it; a home that stops leaves 0.1 s between two records. The new test has a home that records all the time: it keeps its place for over 0.6 s without either, and loses it in that time with them.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -82,8 +82,9 @@
 
     Notes
     -----
-    `is_carried` tells whether the home has its orders to workers carried out by other instances,
-    as far as this one knows.
+    `successors` are the instances that come next as the home, in their order. `is_carried` tells
+    whether the home has its orders to workers carried out by other instances, as far as this one
+    knows.
     """
 
     def __init__(
@@ -128,6 +129,8 @@
         self._count_call_bytes = count_bytes
         self.links = None
         self.carrier = None
+        self.warm_tables = None
+        self.successors = ()
         self.home = None
         self.config_part = None
 
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -58,6 +58,11 @@
 CLAIM_READS = 6
 CLAIM_TIMEOUT_S = 0.8
 
+#: Claims in a row of the place of a home that yields. It records ends until it is deposed, and each
+#: record between the reading of its row and the claim had the claim refused: the home of a rolling
+#: restart kept its place for 3.6 s, until it stopped.
+CLAIM_TRIES = 8
+
 #: Shorter waits than this are over: the clock does not tell them from none. Unit: seconds.
 _TICK_S = 1e-4
 
@@ -87,7 +92,6 @@
         self.row_version = 0
         self._newest_version = 0
         self.is_home = False
-        self._successors = ()
         self._addresses = ()
         self._yielding = False
         self._heard_at = 0.0
@@ -108,7 +112,7 @@
     def _beat(self, source, beat):
         self._heard_at = self.now
         self._patience_s = LAG_TIMES * (beat.lag_ms or 0) / 1000
-        self._successors = tuple(beat.successors)
+        self.context.successors = tuple(beat.successors)
         self._addresses = tuple(beat.addresses or ())
         if beat.yielding and not self._yielding:
             self.log.info("home yields", home=source, term=beat.term)
@@ -200,15 +204,15 @@
 
     def _rank(self):
         name = self.context.name
-        if name in self._successors:
-            return self._successors.index(name)
-        return self.context.random_state.random() * max(3, len(self._successors))
+        if name in self.context.successors:
+            return self.context.successors.index(name)
+        return self.context.random_state.random() * max(3, len(self.context.successors))
 
     @property
     def _holds_back(self):
         """Whether other instances should claim first, as far as this one knows."""
         settings = self.context.settings
-        is_known = self.context.name in self._successors
+        is_known = self.context.name in self.context.successors
         return not is_known and not is_fit(settings.link_mbps, settings.cpu_milli)
 
     def _still_s(self):
@@ -242,7 +246,7 @@
         if changed:
             self._yielding = False
             self._patience_s = 0.0
-            self._successors = ()
+            self.context.successors = ()
         return changed
 
     @inlineCallbacks
@@ -322,8 +326,21 @@
 
     @inlineCallbacks
     def _claim(self, why):
+        for _ in range(CLAIM_TRIES):
+            moved = yield self._claim_once(why)
+            if moved is None or why != "home yields":
+                return
+            holder = decode(moved.value, HomeRow, error=PlatformError)
+            if holder.incarnation != self.row.incarnation:
+                yield self._read_row()
+                return
+            self.row, self.row_version = holder, moved.version
+
+    @inlineCallbacks
+    def _claim_once(self, why):
+        """Claim; return the home's row if that has been written since it was read, or None."""
         if self.context.leaving:
-            return
+            return None
         former = self.row
         row = HomeRow(
             holder=self.context.name,
@@ -347,16 +364,19 @@
                 [write(HOME, HOME_KEY, row)],
                 timeout=max(CLAIM_TIMEOUT_S, CLAIM_READS * self._read_s),
             )
-        except PreconditionError:
-            yield self._read_row()
-            return
+        except PreconditionError as exc:
+            found = (row for row in exc.details["rows"] if row.key == HOME_KEY and row.value)
+            moved = next(found, None)
+            if moved is None:
+                yield self._read_row()
+            return moved
         except PlatformError as exc:
             # The claim may have been made, or may be made yet: the row will tell.
             self.log.info("claim unanswered", error=str(exc))
             yield self._sleep(jitter(self.context.random_state, AGAIN_S))
             yield self._read_row()
             if self.row is None or self.row.incarnation != self.context.incarnation:
-                return
+                return None
             version = self.row_version
         self.row, self.row_version = row, version
         self.is_home = True
@@ -365,3 +385,4 @@
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term)
         self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
+        return None
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -25,6 +25,10 @@
 #: each wait here is one that the next end may have, too. Unit: seconds.
 GATHER_S = 0.015
 
+#: The same for a home that is about to stop: its successor's claim has to come between two of them.
+#: Unit: seconds.
+LEAVING_GATHER_S = 0.1
+
 #: Period of writes without anything to record: they show instances that do not reach the home that
 #: it lives. A take-over waits for two of them, and they cost 7 of the store's 800 calls a second.
 #: Unit: seconds.
@@ -127,7 +131,8 @@
         while not self.stopped:
             now = self.context.clock.seconds()
             due = self._due()
-            wait = (GATHER_S if due else BEAT_S) - (now - wrote_at)
+            gather_s = LEAVING_GATHER_S if self.context.leaving else GATHER_S
+            wait = (gather_s if due else BEAT_S) - (now - wrote_at)
             if wait <= _TICK_S:
                 wrote_at = now
                 yield self._commit(due)
--- a/anvilflow/cell/tests/test_draining.py
+++ b/anvilflow/cell/tests/test_draining.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anvilflow.cell import CellDaemon
+from anvilflow.cell import CellDaemon, _leadership, _recorder
 from anvilflow.cell._daemon import BALANCER_S, END_MARGIN_S
 
 from ._helpers import JOB, make_cell
@@ -66,3 +66,27 @@
     ends = _drain(cell, cell.other())
     cell.advance(GRACE_S)
     assert ends[0] - began < BALANCER_S + 1.0 + 0.25
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_home_that_stops_is_followed_at_once_however_much_it_records(monkeypatch, safeguard):
+    """Each of its records between a successor's reading and claim had the claim refused."""
+    if not safeguard:
+        monkeypatch.setattr(_leadership, "CLAIM_TRIES", 1)
+        monkeypatch.setattr(_recorder, "LEAVING_GATHER_S", 0.0)
+        monkeypatch.setattr(_recorder, "GATHER_S", 0.0)
+    cell = make_cell(n_instances=5, n_workers=8, sizes=lambda task, payload: (0.05, "done", 500))
+    cell.store_faults.slow_s = 0.02
+    for number in range(40):
+        cell.submit("a0", f"{number:016x}", *_chain(20))
+    cell.advance(0.6)
+    former = cell.home()
+    cell.daemons[former].drain()
+    cell.advance(0.6)
+    assert (cell.home() != former) is safeguard
+
+
+def _chain(n_steps):
+    steps = [{"count": 2, "cpu": 500, "after": [number - 1]} for number in range(n_steps)]
+    steps[0]["after"] = []
+    return steps
