The next homes follow the tables before they claim

The two that come next read the tables in their own time and what changes each half second; after a claim only what has changed since is read, and the claim fences the former home, so that nothing of its records comes later. Without it, or when the history is gone, the tables are read as before. Where link and processor have room nobody follows.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -20,6 +20,7 @@
 from ._links import LinksPart
 from ._observer import ObserverPart
 from ._store_watch import StoreWatchPart
+from ._warm_tables import WarmTablesPart
 
 #: Wait for an answer of the store. It answers in 4 ms; slowed sixty times, in 0.25 s.
 #: Unit: seconds.
@@ -65,6 +66,7 @@
             ("links", LinksPart),
             ("store", StoreWatchPart),
             ("config", ConfigPart),
+            ("warm", WarmTablesPart),
             ("home", HomePart),
             ("leadership", LeadershipPart),
             ("entry", EntryPart),
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -147,12 +147,7 @@
     def _load(self, claimed):
         """Read what lasts, then hear the workers: only then anything is started."""
         claimed_at = self.now
-        state = yield read_state(
-            self.context.store,
-            claimed.former,
-            self.context.config,
-            at_once=self._readings_at_once(claimed),
-        )
+        state = yield self._read_tables(claimed)
         if self._claimed is not claimed:
             return
         scheduler = make_scheduler(self.context, claimed, state.missing)
@@ -216,6 +211,22 @@
         self._recorder.run().addErrback(self.fail_with)
         self._follow_all(state.jobs_version, state.workers_version)
 
+    @inlineCallbacks
+    def _read_tables(self, claimed):
+        """Return the state of the tables: what is known of them already, or read whole."""
+        context = self.context
+        if context.warm_tables is not None:
+            state = yield context.warm_tables.state(claimed.former, context.config)
+            if state is not None:
+                return state
+        state = yield read_state(
+            context.store,
+            claimed.former,
+            context.config,
+            at_once=self._readings_at_once(claimed),
+        )
+        return state
+
     def _readings_at_once(self, claimed):
         n_failed = self._n_failed_loads + (claimed.former.n_loads if claimed.former else 0)
         return readings_at_once(self.context.settings.link_mbps, n_failed)
--- /dev/null
+++ b/anvilflow/cell/_warm_tables.py
@@ -0,0 +1,168 @@
+"""Tables of the cell, followed by the instances that come next as its home."""
+
+from twisted.internet.defer import inlineCallbacks
+
+from ..exceptions import PlatformError, RevisionGoneError
+from ..platform import REGISTRY_TABLE
+from ..runtime import Part
+from ._home_state import StoredState, find_missing, gather, readings_at_once
+from ._job_store import read_jobs
+from ._registry import names_worker
+from ._strength import is_fit
+from ._tables import ENDED, JOBS, PART, PROGRESS
+
+#: Successors that follow the tables: the next home, and the one after it.
+N_WARM = 2
+
+#: Pause between readings of what has changed. Unit: seconds.
+PERIOD_S = 0.5
+
+#: Time for which the tables are kept by an instance that is no successor any more: between two
+#: homes there is no order. Unit: seconds.
+KEPT_S = 5.0
+
+_TABLES = (JOBS, PROGRESS, ENDED, REGISTRY_TABLE)
+
+
+class _Table:
+    """Rows of a table as of a version; nothing while it has not been read."""
+
+    __slots__ = ("rows", "version")
+
+    def __init__(self):
+        self.rows = {}
+        self.version = None
+
+    def read(self, rows, version):
+        """Take the whole table."""
+        self.rows = {(row.part, row.key): row for row in rows}
+        self.version = version
+
+    def changed(self, rows, version):
+        """Take the changes up to a version; an answer that is overtaken by a later one is old."""
+        if version < self.version:
+            return
+        for row in rows:
+            if row.value is None:
+                self.rows.pop((row.part, row.key), None)
+            else:
+                self.rows[row.part, row.key] = row
+        self.version = version
+
+
+class WarmTablesPart(Part):
+    """Follows the tables that a home reads when it begins, while this instance is a successor.
+
+    Over a narrow link, and with little processor, a new home read them for seconds. Leases ended
+    meanwhile, and callers were refused. After a claim only what has changed since is read; the
+    claim fences the former home, so that nothing of its records comes later.
+    """
+
+    prefix = "warm"
+
+    def __init__(self, *, context):
+        super().__init__(context=context)
+        self._tables = {}
+        self._wanted_at = float("-inf")
+
+    def start(self):
+        """Follow the tables whenever this instance is one of the next homes."""
+        self.context.warm_tables = self
+        self.every(PERIOD_S, self._follow)
+
+    def stop(self):
+        """Forget them."""
+        self.context.warm_tables = None
+        super().stop()
+
+    @property
+    def is_warm(self):
+        """Whether all tables have been read."""
+        return len(self._tables) == len(_TABLES)
+
+    def _is_wanted(self):
+        context = self.context
+        settings = context.settings
+        if is_fit(settings.link_mbps, settings.cpu_milli) or context.home is not None:
+            return False
+        return context.name in context.successors[:N_WARM]
+
+    @inlineCallbacks
+    def _follow(self):
+        if not self._is_wanted():
+            if self.now - self._wanted_at > KEPT_S:
+                self._tables = {}
+            return
+        self._wanted_at = self.now
+        if self.context.store_health.is_bad:
+            return
+        try:
+            if self.is_warm:
+                yield self._catch_up()
+            else:
+                yield self._read()
+        except RevisionGoneError:
+            self._tables = {}
+        except PlatformError as exc:
+            self.log.info("tables not followed", error=str(exc))
+
+    @inlineCallbacks
+    def _read(self):
+        """Read all tables, one after the other: this is in no hurry."""
+        store = self.context.store
+        tables = {}
+        for name in _TABLES:
+            table = tables[name] = _Table()
+            if name == JOBS:
+                rows, version = yield read_jobs(store, 1)
+            else:
+                part = "" if name == REGISTRY_TABLE else PART
+                rows, version = yield store.read(name, part)
+            table.read(rows, version)
+        self._tables = tables
+        self.log.info("tables followed", rows=sum(len(table.rows) for table in tables.values()))
+
+    @inlineCallbacks
+    def _catch_up(self):
+        tables = dict(self._tables)
+        reads = [
+            lambda name=name, table=table: self.context.store.follow(
+                name, table.version, wait_s=0.0
+            )
+            for name, table in tables.items()
+        ]
+        changes = yield gather(reads, readings_at_once(self.context.settings.link_mbps, 0))
+        for table, (rows, version) in zip(tables.values(), changes, strict=True):
+            table.changed(rows, version)
+
+    @inlineCallbacks
+    def state(self, former, config):
+        """Return the :class:`StoredState` as it is now, or None where the tables are not followed.
+
+        Parameters
+        ----------
+        former : HomeRow or None
+        config : CellConfig or None
+            As in :func:`read_state`.
+        """
+        if not self.is_warm:
+            return None
+        try:
+            yield self._catch_up()
+            missing = yield find_missing(self.context.store, former, config)
+        except RevisionGoneError:
+            self._tables = {}
+            return None
+        rows = {name: list(table.rows.values()) for name, table in self._tables.items()}
+        workers = rows[REGISTRY_TABLE]
+        if missing is not None:
+            missing -= {row.key for row in workers if names_worker(row, config)}
+        return StoredState(
+            jobs=rows[JOBS],
+            jobs_version=self._tables[JOBS].version,
+            progress=rows[PROGRESS],
+            ended=rows[ENDED],
+            workers=workers,
+            workers_version=self._tables[REGISTRY_TABLE].version,
+            missing=missing,
+        )
