Instances restarted after the home come first among its equals

An instance says how long its process has been up; among instances of equal strength those that were started over 4 s after the home come first in the order. Strength still goes before. The new test fails without it.

--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -31,6 +31,10 @@
 #: each address is sent 220 times a second.
 MAX_ADDRESSES = 3
 
+#: Time by which an instance must have been started after another one to count as started anew:
+#: those of a cell that begins start within seconds of each other. Unit: seconds.
+RESTARTED_S = 4.0
+
 #: Time for which a home that loses its place remembers who was connected: all others leave it
 #: within milliseconds for the next one, and it sees its own end up to a second later. Unit:
 #: seconds.
@@ -55,6 +59,7 @@
         self._calls = {}
         self._asked = {}
         self._gone = {}
+        self._restarted = set()
         self._n_calls = 0
         self._n_bytes_out = 0
         self._n_bytes_in = 0
@@ -114,7 +119,8 @@
     @property
     def successors(self):
         """Names of the connected instances in the order in which they should become the home."""
-        return [hello.instance for hello in in_order(link.peer for link in self.peers.values())]
+        hellos = [link.peer for link in self.peers.values()]
+        return [hello.instance for hello in in_order(hellos, self._restarted)]
 
     @property
     def most_cpu_milli(self):
@@ -128,7 +134,8 @@
         since = self.now - REMEMBERED_S
         hellos = {name: hello for name, (hello, at) in self._gone.items() if at >= since}
         hellos.update((name, link.peer) for name, link in self.peers.items())
-        return _first_addresses(hellos.values())
+        first = in_order(hellos.values(), self._restarted)
+        return [hello.address for hello in first if hello.address][:MAX_ADDRESSES]
 
     # To the home
 
@@ -195,9 +202,18 @@
             ready.callback(link)
             return
         self.peers[link.peer.instance] = link
+        self._note_start(link.peer)
         if self.context.home is not None:
             link.send(self.context.home.beat())
 
+    def _note_start(self, hello):
+        """Note whether an instance was started after this one."""
+        is_later = hello.up_s is not None and hello.up_s < self.context.up_s - RESTARTED_S
+        if is_later:
+            self._restarted.add(hello.instance)
+        else:
+            self._restarted.discard(hello.instance)
+
     def link_down(self, link):
         """A connection is gone: calls over it get no answer."""
         self._n_bytes_out += link.n_bytes_out
@@ -320,10 +336,6 @@
         done.addCallback(link.send)
 
 
-def _first_addresses(hellos):
-    return [hello.address for hello in in_order(hellos) if hello.address][:MAX_ADDRESSES]
-
-
 class HomeWord:
     """An instance said that it is the home.
 
--- a/anvilflow/cell/_strength.py
+++ b/anvilflow/cell/_strength.py
@@ -29,19 +29,27 @@
     return cpu_milli if 0 < cpu_milli <= MAX_CPU_MILLI else 0
 
 
-def in_order(hellos):
+def in_order(hellos, restarted=()):
     """Return instances in the order in which they should become the home.
 
     Those on a link that bears a home come first, of these the ones with most processor: a home on
-    the weakest of instances that differ fourfold was late in each burst.
+    the weakest of instances that differ fourfold was late in each burst. Among equals those that
+    were started after the home come first: in a rolling restart the others are yet to be stopped.
+
+    Parameters
+    ----------
+    hellos : iterable of Hello
+    restarted : collection of str, default=()
+        Names of the instances that were started after the home.
     """
-    return sorted(hellos, key=_key)
+    return sorted(hellos, key=lambda hello: _key(hello, hello.instance in restarted))
 
 
-def _key(hello):
+def _key(hello, is_restarted):
     link_mbps = hello.link_mbps or 0
     bears = link_mbps >= HOME_LINK_MBPS
-    return (not bears, -told_cpu_milli(hello), -link_mbps, hello.instance)
+    strength = (not bears, -told_cpu_milli(hello), -link_mbps)
+    return (*strength, not is_restarted, hello.instance)
 
 
 def gives_way(own_cpu_milli, other_cpu_milli):
--- a/anvilflow/cell/tests/test_strength.py
+++ b/anvilflow/cell/tests/test_strength.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anvilflow.cell import CellSettings, ListenSettings, _home_voice, _strength
+from anvilflow.cell import CellSettings, ListenSettings, _home_voice, _links, _strength
 from anvilflow.cell._strength import in_order, told_cpu_milli
 from anvilflow.peers.gen.ttypes import Hello
 
@@ -109,3 +109,19 @@
     done = {span.task.split(".")[0] for span in cell.spans if span.how == "done"}
     assert done == set(job_ids)
     assert cell.check() == []
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_restarted_instances_come_first_among_equals(monkeypatch, safeguard):
+    """In a rolling restart the place went to instances that were to be stopped next."""
+    if not safeguard:
+        monkeypatch.setattr(_links, "RESTARTED_S", float("inf"))
+    cell = make_cell(n_instances=5)
+    cell.advance(10.0)
+    last = max(name for name in cell.daemons if name != cell.home())
+    cell.kill(last)
+    cell.advance(0.5)
+    cell.start_instance(last)
+    cell.advance(1.0)
+    successors = cell.daemons[cell.home()].context.links.successors
+    assert (successors[0] == last) is safeguard
