Answers of carriers that are not whole are refused; bytes by service on the page of metrics

An answer without the worker's clock, or with rows that lack a task, would have ended the home's part with a TypeError; it counts as no answer now, since the worker may have acted. Tests of three such answers; they fail without the checks.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -78,7 +78,7 @@
         Returns the :class:`WorkerCalls` of a worker's info and a token.
     random_state : random.Random, default=None
     count_bytes : callable, default=None
-        Returns the bytes that calls have sent and received so far.
+        Returns the bytes that calls have sent and received so far, by service.
 
     Notes
     -----
@@ -99,7 +99,7 @@
         advice,
         make_worker,
         random_state=None,
-        count_bytes=lambda: (0, 0),
+        count_bytes=dict,
     ):
         self.settings = settings
         self.clock = clock
@@ -144,12 +144,16 @@
         """Time since the process began. Unit: seconds."""
         return self.clock.seconds() - self.started_at
 
-    def _count_bytes(self):
-        """Return the bytes sent and received by calls and over links to instances."""
-        n_out, n_in = self._count_call_bytes()
+    def bytes_by_service(self):
+        """Return the bytes sent and received so far, by calls and over links to instances."""
+        counts = dict(self._count_call_bytes())
         if self.links is not None:
-            n_out, n_in = n_out + self.links.n_bytes_out, n_in + self.links.n_bytes_in
-        return n_out, n_in
+            counts["instances"] = (self.links.n_bytes_out, self.links.n_bytes_in)
+        return counts
+
+    def _count_bytes(self):
+        counts = self.bytes_by_service().values()
+        return sum(n_out for n_out, _ in counts), sum(n_in for _, n_in in counts)
 
 
 class StoreHealth:
--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -169,16 +169,18 @@
             token=token,
             timeout=WORKER_TIMEOUT_S,
         ),
-        count_bytes=lambda: _count_bytes(store_http, worker_http, advice_http),
+        count_bytes=lambda: {
+            name: (client.n_bytes_out, client.n_bytes_in)
+            for name, client in (
+                ("store", store_http),
+                ("workers", worker_http),
+                ("advice", advice_http),
+            )
+        },
     )
     return CellDaemon(context=context, give_up=give_up)
 
 
-def _count_bytes(*clients):
-    n_in = sum(client.n_bytes_in for client in clients)
-    return sum(client.n_bytes_out for client in clients), n_in
-
-
 def run_cell(settings, load):
     """Run an instance until SIGTERM; return the exit status.
 
--- a/anvilflow/cell/_observer.py
+++ b/anvilflow/cell/_observer.py
@@ -57,4 +57,7 @@
         store = context.store
         context.meters.counts["store_calls", ("read",)] = store.n_reads
         context.meters.counts["store_calls", ("write",)] = store.n_writes
+        for service, n_bytes in context.bytes_by_service().items():
+            for direction, n in zip(("out", "in"), n_bytes, strict=True):
+                context.meters.counts["bytes", (service, direction)] = n
         return context.meters.page()
--- a/anvilflow/cell/_routed_calls.py
+++ b/anvilflow/cell/_routed_calls.py
@@ -11,7 +11,13 @@
     WorkerUnreachableError,
 )
 from ._tables import has_payload
-from ._worker_orders import OrderOutcome, Verb, raise_failed, report_of_answer
+from ._worker_orders import (
+    OrderOutcome,
+    Verb,
+    clock_of_answer,
+    raise_failed,
+    report_of_answer,
+)
 
 #: Other instances that are tried for an order before the home makes the call itself.
 MAX_CARRIERS = 2
@@ -98,7 +104,7 @@
         order = self._order(
             Verb.START,
             lambda: self._start_directly(action, job_id, until_s, timeout),
-            _clock_of_answer,
+            clock_of_answer,
             timeout,
             values={
                 "task": action.task,
@@ -217,10 +223,6 @@
         self._context.meters.count("routes", order.verb.name, route)
 
 
-def _clock_of_answer(answer):
-    return answer.clock_ms / 1000
-
-
 def _nothing_of_answer(_):
     return None
 
--- a/anvilflow/cell/_worker_orders.py
+++ b/anvilflow/cell/_worker_orders.py
@@ -82,10 +82,22 @@
     return WorkerAnswer(outcome=outcome, reason=reason or str(error))
 
 
+def clock_of_answer(answer):
+    """Return the worker's clock in an answer; one without it cannot be read."""
+    if answer.clock_ms is None:
+        raise WorkerUnreachableError("the carrier's answer cannot be read")
+    return answer.clock_ms / 1000
+
+
 def report_of_answer(answer):
-    """Return the :class:`WorkerReport` in an answer."""
+    """Return the :class:`WorkerReport` in an answer; one that is not whole cannot be read."""
+    clock_s = clock_of_answer(answer)
+    rows = [*(answer.active or ()), *(answer.ended or ())]
+    numbers = [end.number for end in answer.ended or ()]
+    if any(row.task is None or row.run_id is None for row in rows) or None in numbers:
+        raise WorkerUnreachableError("the carrier's answer cannot be read")
     return WorkerReport(
-        clock_s=answer.clock_ms / 1000,
+        clock_s=clock_s,
         active=tuple(_run_report(run) for run in answer.active or ()),
         ended=tuple(_run_end(end) for end in answer.ended or ()),
     )
@@ -130,7 +142,7 @@
         task=run.task,
         run_id=run.run_id,
         checkpoint=run.checkpoint or "",
-        percent=float(run.percent),
+        percent=float(run.percent or 0),
         load=run.load or 0.0,
     )
 
--- a/anvilflow/cell/tests/test_carriers.py
+++ b/anvilflow/cell/tests/test_carriers.py
@@ -11,9 +11,11 @@
     Verb,
     find_flaw,
     raise_failed,
+    report_of_answer,
 )
 from anvilflow.decisions import MessageAge
-from anvilflow.peers.gen.ttypes import WorkerOrder
+from anvilflow.exceptions import WorkerUnreachableError
+from anvilflow.peers.gen.ttypes import ActiveRun, WorkerAnswer, WorkerOrder
 
 from ._helpers import JOB, cancel, find_runs_after_cancelling, make_cell
 from .test_drawn_crashes import CrashScenario
@@ -225,6 +227,15 @@
     assert context.meters.counts["malformed_messages", ()] == 1
 
 
+@pytest.mark.parametrize(
+    "values", [{}, {"clock_ms": 5, "active": [ActiveRun(run_id=1)]}, {"outcome": 77}]
+)
+def test_answer_that_is_not_whole_counts_as_none(values):
+    """A carrier's fault must not end the home's part; the worker may have acted."""
+    with pytest.raises(WorkerUnreachableError):
+        report_of_answer(raise_failed(WorkerAnswer(**{"outcome": OrderOutcome.DONE, **values})))
+
+
 def test_start_told_twice_begins_once():
     """The home repeats a start whose outcome was lost, over the same carrier or another."""
     cell = _make_cell()
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -208,7 +208,7 @@
                 timeout=0.4,
             ),
             random_state=Random(self.random_state.getrandbits(64)),
-            count_bytes=lambda: (http.n_bytes_out, http.n_bytes_in),
+            count_bytes=lambda: {"calls": (http.n_bytes_out, http.n_bytes_in)},
         )
         daemon = CellDaemon(context=context, give_up=self.errors.append)
         self.daemons[name] = daemon
