A home that is short gathers records, plans and outcomes

At a home of 0.12 of a core the processor binds once its link does not: each record is a call, each outcome a frame, and each change led to a plan in the same turn. Where orders are carried, records are made each 50 ms (15 before), plans for the changes of 10 ms, and carriers gather their answers for 10 ms.

--- a/anvilflow/cell/_carrier.py
+++ b/anvilflow/cell/_carrier.py
@@ -19,6 +19,10 @@
     find_flaw,
 )
 
+#: Time for which answers are gathered for one frame: the home, which is short of processor, pays
+#: for each frame that it reads. Unit: seconds.
+GATHER_S = 0.01
+
 #: Workers whose calls are kept ready, the ones used last.
 MAX_WORKERS = 4_096
 
@@ -45,6 +49,7 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self._calls = OrderedDict()
+        self._answers = []
         self._token = 0
         self._link = None
         self._age = MessageAge()
@@ -103,7 +108,14 @@
             "carried", Verb(order.verb).name, OrderOutcome(answer.outcome).name
         )
         answer.call = order.call
-        link.send(answer)
+        if not self._answers:
+            self.later(GATHER_S, self._send_answers)
+        self._answers.append((link, answer))
+
+    def _send_answers(self):
+        answers, self._answers = self._answers, []
+        for link, answer in answers:
+            link.send(answer)
 
     def _start(self, payload, link, order, give_up_at):
         # Reading the payload may have taken a while.
--- a/anvilflow/cell/_home.py
+++ b/anvilflow/cell/_home.py
@@ -35,6 +35,10 @@
 #: to do takes 0.03 ms at 14,000 running tasks. Unit: seconds.
 PLAN_S = 0.05
 
+#: Time that changes are gathered for one plan at a home that is short of link or processor. Unit:
+#: seconds.
+SHORT_PLAN_S = 0.01
+
 #: Pause between readings of the accepted jobs. Entries tell the home of them at once; the feed
 #: finds those whose entry died before it could. Unit: seconds.
 JOBS_FEED_S = 1.0
@@ -371,9 +375,12 @@
     # Decisions
 
     def changed(self):
-        """Plan in this turn of the reactor, once for all that changes in it."""
+        """Plan in this turn of the reactor, once for all that changes in it.
+
+        A home that is short of processor plans once for what changes in some turns.
+        """
         if self._planned is None and self._scheduler is not None:
-            self._planned = self.later(0, self._plan)
+            self._planned = self.later(SHORT_PLAN_S if self.context.is_carried else 0, self._plan)
 
     def _plan(self):
         self._planned = None
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -29,6 +29,10 @@
 #: Unit: seconds.
 LEAVING_GATHER_S = 0.1
 
+#: The same for a home that is short of link or processor: ends of a worker that come meanwhile are
+#: told in one answer, and each record is a call. Unit: seconds.
+SHORT_GATHER_S = 0.05
+
 #: Period of writes without anything to record: they show instances that do not reach the home that
 #: it lives. A take-over waits for two of them, and they cost 7 of the store's 800 calls a second.
 #: Unit: seconds.
@@ -131,14 +135,19 @@
         while not self.stopped:
             now = self.context.clock.seconds()
             due = self._due()
-            gather_s = LEAVING_GATHER_S if self.context.leaving else GATHER_S
-            wait = (gather_s if due else BEAT_S) - (now - wrote_at)
+            wait = (self._gather_s() if due else BEAT_S) - (now - wrote_at)
             if wait <= _TICK_S:
                 wrote_at = now
                 yield self._commit(due)
             else:
                 yield self._sleep(wait)
 
+    def _gather_s(self):
+        """Return the least time between two transactions. Unit: seconds."""
+        if self.context.leaving:
+            return LEAVING_GATHER_S
+        return SHORT_GATHER_S if self.context.is_carried else GATHER_S
+
     def _sleep(self, delay):
         clock = self.context.clock
         sleeping = deferLater(clock, 3600.0, lambda: None)
