--- a/anvilflow/cell/_carriers.py
+++ b/anvilflow/cell/_carriers.py
@@ -21,7 +21,6 @@
 #: Time for which orders are carried after the link was short. Unit: seconds.
 BUSY_KEPT_S = 10.0
 
-
 #: Time for which the list of carriers is kept: orders to one that has gone meanwhile are not sent,
 #: and go to the next. Unit: seconds.
 NAMES_KEPT_S = 0.1
