--- a/anvilflow/cell/_warm_tables.py
+++ b/anvilflow/cell/_warm_tables.py
@@ -17,6 +17,10 @@
 #: Pause between readings of what has changed. Unit: seconds.
 PERIOD_S = 0.5
 
+#: Pause between looks at whether to follow where link and processor have room: only settings that
+#: are read anew change that. Unit: seconds.
+IDLE_PERIOD_S = 5.0
+
 #: Time for which the tables are kept by an instance that is no successor any more: between two
 #: homes there is no order. Unit: seconds.
 KEPT_S = 5.0
@@ -68,7 +72,7 @@
     def start(self):
         """Follow the tables whenever this instance is one of the next homes."""
         self.context.warm_tables = self
-        self.every(PERIOD_S, self._follow)
+        self.every(self._period_s, self._follow)
 
     def stop(self):
         """Forget them."""
@@ -80,10 +84,16 @@
         """Whether all tables have been read."""
         return len(self._tables) == len(_TABLES)
 
+    def _has_room(self):
+        settings = self.context.settings
+        return is_fit(settings.link_mbps, settings.cpu_milli)
+
+    def _period_s(self):
+        return IDLE_PERIOD_S if self._has_room() else PERIOD_S
+
     def _is_wanted(self):
         context = self.context
-        settings = context.settings
-        if is_fit(settings.link_mbps, settings.cpu_milli) or context.home is not None:
+        if self._has_room() or context.home is not None:
             return False
         return context.name in context.successors[:N_WARM]
 
