--- a/anvilflow/cell/tests/test_drawn_faults.py
+++ b/anvilflow/cell/tests/test_drawn_faults.py
@@ -123,6 +123,39 @@
         self.cell.store.put("servers", worker_id, self.cell.workers[worker_id].entry())
 
 
+class DayWithoutStore(DrawnDay):
+    """The same, with a home that alone loses the store while it goes on ordering."""
+
+    def _draw_events(self):
+        yield from super()._draw_events()
+        at = self.random_state.uniform(0.0, FAULTS_S - 3.0)
+        yield at, self._take_store_away, self.random_state.choice(["refused", "silent", "reset"])
+        yield at + self.random_state.uniform(0.5, 4.0), self._give_store_back, None
+
+    def _submit(self, job_id):
+        # A job that an instance without the store refuses is not there to be cancelled.
+        cut_off = self.cell.store_faults.only or ()
+        entry = next(name for name in self.cell.daemons if name not in cut_off)
+        step = {"count": self.random_state.choice([1, 6]), "cpu": 1000}
+        self.cell.submit(entry, job_id, step, spec="40.0 done 1000")
+
+    def _take_store_away(self, how):
+        faults = self.cell.store_faults
+        faults.only = {self.cell.home()}
+        faults.status = 503 if how == "refused" else None
+        faults.silent = how == "silent"
+        faults.refuses = how == "reset"
+
+    def _give_store_back(self, _):
+        self.cell.store_faults.clear()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_task_runs_twice_where_the_home_alone_loses_the_store(seed):
+    """A task ran on two workers for 0.29 s, under the home without the store and the next one."""
+    assert DayWithoutStore(seed=seed).play() == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_cancelled_jobs_end_and_no_task_runs_twice(seed):
     """Jobs are cancelled while orders go astray, homes are removed, and workers are dark or hidden.
