Test of a home's busy link: measure the link, not the settings

The test set the link to 0.1 Mbit/s, by which orders are carried whatever is in use: it could not fail for what it says. The link is one that bears a home now, and 0.25 and 1 MB a second are counted on it: not carried, carried.

--- a/anvilflow/cell/tests/test_carriers.py
+++ b/anvilflow/cell/tests/test_carriers.py
@@ -2,9 +2,11 @@
 
 import pytest
 
-from anvilflow.cell._carriers import Carriers
+from anvilflow.cell._carriers import BUSY_SHARE, Carriers
+from anvilflow.cell._link_use import LinkUse
 from anvilflow.cell._payloads import Payloads
 from anvilflow.cell._routed_calls import RoutedCalls
+from anvilflow.cell._strength import HOME_LINK_MBPS
 from anvilflow.cell._tables import job_part
 from anvilflow.cell._worker_orders import (
     OrderOutcome,
@@ -16,6 +18,7 @@
 from anvilflow.decisions import MessageAge
 from anvilflow.exceptions import WorkerUnreachableError
 from anvilflow.peers.gen.ttypes import ActiveRun, WorkerAnswer, WorkerOrder
+from anvilflow.standins._platform_cell import BYTES_PER_MBIT
 
 from ._helpers import JOB, cancel, find_runs_after_cancelling, make_cell
 from .test_drawn_crashes import CrashScenario
@@ -79,15 +82,18 @@
     assert cell.store.value("payloads", JOB, part=job_part(JOB)) is None
 
 
-def test_link_that_is_in_use_has_orders_carried():
-    """A home on a fast link, too, whose share in use says that a burst would fill it."""
+@pytest.mark.parametrize("bytes_per_s", [250_000, 1_000_000])
+def test_link_that_is_in_use_has_orders_carried(bytes_per_s):
+    """A home on a wide link, too, once the share in use says that a burst would fill it."""
     cell = make_cell(n_instances=5, n_workers=6)
-    home = cell.daemons[cell.home()]
-    assert not home.context.is_carried
-    home.context.settings.link_mbps = 0.1
-    home.context.settings.cpu_share = 1.0
-    cell.advance(1.0)
-    assert home.context.is_carried
+    context = cell.daemons[cell.home()].context
+    context.settings.link_mbps = HOME_LINK_MBPS
+    context.link_use = LinkUse(
+        settings=lambda: context.settings, count=lambda: (0, bytes_per_s * cell.clock.seconds())
+    )
+    cell.advance(3.0)
+    is_busy = bytes_per_s >= BUSY_SHARE * HOME_LINK_MBPS * BYTES_PER_MBIT
+    assert context.is_carried is is_busy
 
 
 def test_row_of_a_job_leaves_out_its_payload_and_both_end_together():
