--- a/anvilflow/cell/__init__.py
+++ b/anvilflow/cell/__init__.py
@@ -8,9 +8,10 @@
 
 from ._context import CellContext
 from ._daemon import CellDaemon, make_cell_daemon, run_cell
-from ._settings import CellSettings, ListenSettings, load_cell_settings
+from ._settings import Bounds, CellSettings, ListenSettings, load_cell_settings
 
 __all__ = [
+    "Bounds",
     "CellContext",
     "CellDaemon",
     "CellSettings",
--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -3,7 +3,7 @@
 It is also read when the leader's heartbeat names a newer version (a hint).
 """
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from ..exceptions import PlatformError, PlatformUnavailableError, RevisionGoneError
@@ -37,6 +37,9 @@
 #: Mean wait after a failed read. Unit: seconds.
 RETRY_S = 0.25
 
+#: Timeout of a read that a client's call waits for. Unit: seconds.
+CONFIRM_TIMEOUT_S = 0.4
+
 
 def feed_wait_s(apply_s):
     """Return the time for which one read of the feed should wait for a change. Unit: seconds.
@@ -65,6 +68,7 @@
         super().__init__(context=context)
         self._version = None
         self._hinted = None
+        self._confirming = []
         self._is_arriving = False
         self._is_unreadable = False
         self._failing_since = None
@@ -119,6 +123,30 @@
     def _hinted_read_finished(self, _):
         self._hinted = None
 
+    def confirm(self):
+        """Read the configuration to prove that the one in force is the newest.
+
+        Returns a Deferred that fires when the read has ended, successfully or not; the result is in
+        the context's proof. All calls that wait at the same time share one read.
+        """
+        waiting = Deferred()
+        self._confirming.append(waiting)
+        if len(self._confirming) == 1:
+            reading = self._read_whole("confirm", CONFIRM_TIMEOUT_S)
+            reading.addErrback(self._confirm_failed)
+            reading.addErrback(self.fail_with)
+            reading.addBoth(self._confirm_ended)
+        return waiting
+
+    def _confirm_failed(self, failure):
+        failure.trap(PlatformError)
+        self.log.info("configuration not confirmed", error=str(failure.value))
+
+    def _confirm_ended(self, _):
+        confirming, self._confirming = self._confirming, []
+        for waiting in confirming:
+            waiting.callback(None)
+
     def _on_answer_begun(self):
         """Cancel the read made for a hint, as the feed's answer has begun to arrive."""
         self._is_arriving = True
@@ -127,7 +155,7 @@
 
     @inlineCallbacks
     def _follow(self):
-        self._read_at = self.now
+        self._read_at = sent_at = self.now
         self._reading = self._read_changes()
         try:
             rows, version = yield self._reading
@@ -152,7 +180,7 @@
             self._is_cancelled_for_retry = False
         self._record_success()
         self.context.store_health.record_answer()
-        self._apply_rows(rows, "read" if self._version is None else "feed")
+        self._apply_rows(rows, "read" if self._version is None else "feed", sent_at)
         self._version = version
 
     def _record_failed_read(self, error):
@@ -188,31 +216,44 @@
             self._is_arriving = False
         return found
 
-    @inlineCallbacks
     def _read_hinted(self):
-        rows, _ = yield self.context.store.read(OPERATOR_TABLE, "")
-        self._apply_rows(rows, "hint")
+        return self._read_whole("hint")
 
-    def _apply_rows(self, rows, source):
-        for row in rows:
-            if row.key == CONFIG_KEY and row.value is not None:
-                self._apply_row(row, source)
+    @inlineCallbacks
+    def _read_whole(self, source, timeout=None):
+        sent_at = self.now
+        rows, _ = yield self.context.store.read(OPERATOR_TABLE, "", timeout=timeout)
+        self._apply_rows(rows, source, sent_at)
+
+    def _apply_rows(self, rows, source, sent_at):
+        """Apply the rows of a read that was sent at `sent_at`. Unit: seconds."""
+        proof = self.context.config_proof
+        config_rows = [row for row in rows if row.key == CONFIG_KEY]
+        if source != "feed" and not config_rows:
+            proof.note_removal()
+        for row in config_rows:
+            if row.value is None:
+                proof.note_removal()
+            else:
+                proof.note_row(row.version, in_force=self._apply_row(row, source))
+        proof.note_read(sent_at)
 
     def _apply_row(self, row, source):
         """Apply a configuration; one that cannot be decoded leaves the last one in force.
 
-        When the error was raised as a fault of this part, all instances ended at the same time, and
-        again after each restart.
+        Returns whether the row's configuration is in force now. When the error was raised as a
+        fault of this part, all instances ended at the same time, and again after each restart.
         """
         try:
-            self._apply_config(row.value, source)
+            in_force = self._apply_config(row.value, source)
         except PlatformError as exc:
             self._is_unreadable = True
             self.log.warning(
                 "configuration not understood", row_version=row.version, error=str(exc)
             )
-        else:
-            self._is_unreadable = False
+            return False
+        self._is_unreadable = False
+        return in_force
 
     def _pause(self):
         delay = jitter(self.context.random_state, RETRY_S)
@@ -222,10 +263,18 @@
         config = decode_config(body)
         known = self.context.config
         if known is not None and config.version <= known.version:
-            return
+            return config == known
         self.context.config = config
         self.context.config_at = self.now
         self.log.info(
-            "configuration in force", version=config.version, source=source, bytes=len(body)
+            "configuration in force",
+            version=config.version,
+            source=source,
+            bytes=len(body),
+            tenants=len(config.tenants or ()),
+            keys=len(config.keys),
         )
+        if config.keys.ambiguous_owners:
+            self.log.warning("API keys of several tenants", tenants=config.keys.ambiguous_owners)
         self.post(ConfigChanged(version=config.version))
+        return True
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ..metrics import Meters
+from ._config_proof import ConfigProof
 from ._lag import LagMeter
 from ._link_utilization import LinkUtilization
 from ._payload_cache import PayloadCache
@@ -113,6 +114,7 @@
         self.incarnation = f"{self.random_state.getrandbits(64):016x}"
         self.config = None
         self.config_at = clock.seconds()
+        self.config_proof = ConfigProof()
         self.leaving = False
         self.store_health = StoreHealth(
             clock=clock, on_recovery=lambda away_s: bus.post(StoreRecovered(away_s=away_s))
@@ -145,6 +147,23 @@
         """Time since the process started. Unit: seconds."""
         return self.clock.seconds() - self.started_at
 
+    @property
+    def uses_keys(self):
+        """Whether calls need API keys."""
+        has_tenants = self.config is not None and self.config.tenants is not None
+        return has_tenants or self.settings.has_tenants
+
+    @property
+    def keys_checkable_s(self):
+        """Time for which this instance may still check API keys without another read of the store.
+
+        Negative once it may not. Unit: seconds.
+        """
+        bounds = self.settings.bounds
+        if not bounds.strict_revocation:
+            return float("inf")
+        return self.config_proof.expires_in_s(self.clock.seconds(), bounds.revoke_s)
+
     def bytes_by_service(self):
         """Return the bytes sent and received so far by service, with links to instances as one."""
         counts = dict(self._count_call_bytes())
--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -8,14 +8,18 @@
 from ..exceptions import (
     AnvilflowError,
     JobGoneError,
+    JobIdTakenError,
     NotReadyError,
     OverloadedError,
     PlatformError,
     PlatformRefusedError,
     RequestError,
     SlowWriteError,
+    TenantLimitError,
     TooLargeError,
+    UnauthorizedError,
     UnknownOutcomeError,
+    UnprovenConfigError,
 )
 from ..jobs import ENDED_STATES, JobState, longest_chain_s
 from ..platform import JobsResource, ReadyResource
@@ -47,7 +51,7 @@
 
 #: Results of a submit by the leader's outcome; after any other outcome the job may or may not be
 #: stored.
-_SUBMIT_RESULTS = {"ok": "ok", "refused": "refused", "not home": "refused"}
+_SUBMIT_RESULTS = {"ok": "ok", "refused": "refused", "not home": "refused", "taken": "taken"}
 
 #: Verbs that are counted under their own name. A client may send any text as the verb, so all
 #: others share one label value.
@@ -59,8 +63,12 @@
 #: sends no new connections: only this instance is cut off, and others serve. Unit: seconds.
 MAX_CUT_OFF_S = 0.5
 
+#: Remaining time for which keys can be checked below which the balancer's check fails: it takes two
+#: failed checks, a second apart. Unit: seconds.
+MIN_CHECKABLE_S = 1.0
+
 #: Statuses of refusals that an outdated configuration can cause; these refusals are logged.
-_LOGGED_REFUSALS = frozenset({404, 503})
+_LOGGED_REFUSALS = frozenset({401, 404, 503})
 
 #: Longest part of a path in a log line; clients may send paths of any length. Unit: characters.
 MAX_LOGGED_PATH_CHARS = 200
@@ -125,6 +133,8 @@
         context = self.context
         if context.config is None or context.leaving:
             return False
+        if context.uses_keys and context.keys_checkable_s < MIN_CHECKABLE_S:
+            return False
         is_isolated = context.links is not None and not context.links.reaches_home
         return not (is_isolated and context.store_health.failing_for_s > MAX_CUT_OFF_S)
 
@@ -158,14 +168,62 @@
         """Refuse a call that arrives before the first configuration has been read."""
         raise NotReadyError("no configuration has been read yet", details={"retry_after_s": 1})
 
+    # Access
+
+    @property
+    def uses_keys(self):
+        """Whether calls need API keys."""
+        return self.context.uses_keys
+
+    @inlineCallbacks
+    def authorize(self, queue, key):
+        """Return the :class:`Tenant` that makes a call, None for a call without a key.
+
+        Where revocation is strict, a key counts only while the configuration is proven: a call that
+        was read later than `revoke_s` after the time as of which it is proven is refused.
+
+        Parameters
+        ----------
+        queue : Queue
+        key : str or None
+
+        Raises
+        ------
+        UnauthorizedError
+            AF308: the key is missing, or no tenant has it.
+        UnprovenConfigError
+            AF205: this instance cannot check the key.
+        """
+        context = self.context
+        if not context.uses_keys or (key is None and queue.public):
+            return None
+        if key is None:
+            raise UnauthorizedError("the call has no API key")
+        if context.keys_checkable_s < 0 and not context.store_health.is_failing:
+            yield context.config_part.confirm()
+        if context.keys_checkable_s < 0:
+            context.meters.count("unproven_refusals")
+            raise UnprovenConfigError(
+                "whether the API key is in force is not known",
+                details={"retry_after_s": MIN_RETRY_AFTER_S},
+            )
+        tenant = self.config.tenant_with_key(key)
+        if tenant is None:
+            raise UnauthorizedError("no tenant has the API key")
+        return tenant
+
     # Submission
 
     @inlineCallbacks
-    def submit(self, spec, queue):
+    def submit(self, spec, queue, tenant=None):
         """Accept a job durably.
 
         Raises
         ------
+        JobIdTakenError
+            AF310: another tenant has a job with this id.
+        TenantLimitError
+            AF309: the tenant's maximum does not allow one of the job's tasks or gangs.
         RequestError
             AF302: the job was certainly not accepted.
         UnknownOutcomeError
@@ -174,13 +232,20 @@
         # With relays the leader sends no starts itself and need not keep the payload: the gateway
         # caches it.
         gateway = self.context.name if self.context.uses_relays else ""
-        value = JobRow(spec=spec, queue=queue, config_version=self.config.version, entry=gateway)
+        value = JobRow(
+            spec=spec,
+            queue=queue,
+            config_version=self.config.version,
+            entry=gateway,
+            tenant=tenant,
+        )
         if len(encode(value)) > MAX_ROW_BYTES:
             # The store refuses such a row every time. If that refusal counted as a write of unknown
             # outcome, the client would be asked to send the job again, and this instance would
             # count the store as unavailable each time.
             raise TooLargeError(f"the job's row exceeds {MAX_ROW_BYTES} bytes")
         job_id = spec.job_id
+        yield self._refuse_if_above_maximum(spec, tenant)
         yield self._refuse_if_late(spec, queue)
         in_doubt = False
         # No write is tried in an outage: it would get no answer, and its client could not determine
@@ -199,7 +264,13 @@
                 self.log.info("job's row unanswered", job=job_id, error=str(exc))
                 in_doubt = True
             else:
-                self.log.info("job accepted", job=job_id, queue=queue.name, version=version)
+                self.log.info(
+                    "job accepted",
+                    job=job_id,
+                    queue=queue.name,
+                    tenant=value.owner,
+                    version=version,
+                )
                 if version:
                     if gateway:
                         self.context.payloads.keep(job_id, spec.payload)
@@ -210,6 +281,8 @@
         self.log.info("job handed to the home", job=job_id, outcome=outcome, unsure=in_doubt)
         if outcome == "ok":
             return
+        if outcome == "taken":
+            raise JobIdTakenError(f"the id {job_id} is in use")
         if in_doubt or outcome == "unsure":
             raise UnknownOutcomeError("the job may or may not have been accepted; send it again")
         raise RequestError(
@@ -217,6 +290,23 @@
             details={"retry_after_s": self._retry_after()},
         )
 
+    @inlineCallbacks
+    def _refuse_if_above_maximum(self, spec, tenant):
+        """Refuse a job that can never run as its tenant's maximum is too low.
+
+        A copy of a job that was accepted under a higher maximum is not refused.
+        """
+        if tenant is None or all(tenant.can_ever_run(step) for step in spec.steps):
+            return
+        try:
+            state, _ = yield read_stored_job(self.context.store, spec.job_id, tenant.name)
+        except PlatformError as exc:
+            raise UnknownOutcomeError("whether the job was accepted before is not known") from exc
+        if state is None:
+            raise TenantLimitError(
+                f"the job was not accepted: a task or gang exceeds the maximum of {tenant.name}"
+            )
+
     @inlineCallbacks
     def _refuse_if_late(self, spec, queue):
         """Refuse a job that would start too late to meet its latency objective.
@@ -303,40 +393,44 @@
             return "unsure"
         return _SUBMIT_RESULTS.get(reply.outcome, "unsure")
 
-    def _call_leader(self, verb, job_id, queue, body=b"", timeout=LEADER_TIMEOUT_S):
+    def _call_leader(self, verb, job_id, queue, body=b"", timeout=LEADER_TIMEOUT_S, *, caller=None):
         return self.context.links.call_leader(
-            timeout, verb=verb, job_id=job_id, queue=queue, version=0, body=body
+            timeout, verb=verb, job_id=job_id, queue=queue, version=0, body=body, tenant=caller
         )
 
     # States, counts and cancellation
 
     @inlineCallbacks
-    def state(self, queue, job_id):
-        """Return a job's state; raise AF304 if there is no such job."""
-        known = self._final_states.get(job_id)
+    def state(self, queue, job_id, tenant=None):
+        """Return a job's state; raise AF304 if the calling tenant has no such job.
+
+        A job of another tenant is treated as a missing one, so that its existence is not revealed.
+        """
+        caller = _name_of(tenant)
+        known = self._final_states.get((job_id, caller))
         if known is not None:
             return known
         try:
-            reply = yield self._call_leader("state", job_id, queue.name)
+            reply = yield self._call_leader("state", job_id, queue.name, caller=caller)
             outcome = reply.outcome
         except AnvilflowError:
             outcome = "not home"
         if outcome in _STATE_NAMES:
-            return self._cache_if_final(job_id, JobState(outcome))
-        state = yield self._stored_state(job_id)
-        return self._cache_if_final(job_id, state)
+            return self._cache_if_final(job_id, caller, JobState(outcome))
+        state = yield self._stored_state(job_id, caller)
+        return self._cache_if_final(job_id, caller, state)
 
-    def _cache_if_final(self, job_id, state):
+    def _cache_if_final(self, job_id, caller, state):
         if state in ENDED_STATES:
-            self._final_states[job_id] = state
+            self._final_states[job_id, caller] = state
             while len(self._final_states) > MAX_CACHED_STATES:
                 self._final_states.popitem(last=False)
         return state
 
     @inlineCallbacks
-    def _stored_state(self, job_id):
+    def _stored_state(self, job_id, caller):
         try:
-            state, _ = yield read_stored_job(self.context.store, job_id)
+            state, _ = yield read_stored_job(self.context.store, job_id, caller)
         except PlatformError as exc:
             raise NotReadyError(
                 f"the job's state cannot be read: {exc}", details={"retry_after_s": 1}
@@ -374,17 +468,20 @@
         return reply.count if reply.outcome == "ok" else None
 
     @inlineCallbacks
-    def cancel(self, queue, job_id):
-        """Cancel a job durably; raise AF304 if there is no such job."""
+    def cancel(self, queue, job_id, tenant=None):
+        """Cancel a job durably; raise AF304 if the calling tenant has no such job."""
+        caller = _name_of(tenant)
         try:
-            reply = yield self._call_leader("cancel", job_id, queue.name, timeout=CANCEL_TIMEOUT_S)
+            reply = yield self._call_leader(
+                "cancel", job_id, queue.name, timeout=CANCEL_TIMEOUT_S, caller=caller
+            )
             outcome = reply.outcome
         except AnvilflowError:
             outcome = "not home"
         if outcome == "ok":
             return
         try:
-            found = yield cancel_stored_job(self.context.store, job_id)
+            found = yield cancel_stored_job(self.context.store, job_id, caller)
         except PlatformError as exc:
             raise NotReadyError(
                 f"the cancellation could not be stored: {exc}", details={"retry_after_s": 1}
@@ -394,6 +491,11 @@
             raise JobGoneError(f"there is no job {job_id}")
 
 
+def _name_of(tenant):
+    """Return the name under which a call is made to the leader; empty for one without a key."""
+    return tenant.name if tenant is not None else ""
+
+
 def _objective_s(spec, queue):
     """Return the time from its acceptance within which a job should be done. Unit: seconds.
 
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -52,7 +52,9 @@
         for row in state.ended:
             value = self._decode_row(row, EndedJob)
             if value is not None:
-                self.scheduler.drop_job(row.key, JobState(value.state), self._now())
+                self.scheduler.drop_job(
+                    row.key, JobState(value.state), self._now(), owner=value.tenant
+                )
                 self.garbage_collector.add(row.key, value.ended_at)
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
@@ -113,6 +115,7 @@
             wall_now=self.context.wall_clock(),
             record=record,
             config_version=value.config_version,
+            tenant=value.tenant,
         )
         if added:
             self.relay_dispatcher.note_gateway(value.spec.job_id, value.entry)
@@ -120,6 +123,7 @@
                 "job taken on",
                 job=value.spec.job_id,
                 queue=value.queue.name,
+                tenant=value.owner,
                 version=version,
                 inherited=self.scheduler.jobs[value.spec.job_id].inherited,
                 tasks=sum(step.n_tasks for step in value.spec.steps),
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -10,12 +10,13 @@
 )
 
 from ..exceptions import (
+    JobIdTakenError,
     PlatformError,
     PlatformUnavailableError,
     PreconditionError,
     SlowWriteError,
 )
-from ..jobs import EndedJob, JobState
+from ..jobs import EndedJob, JobState, may_access
 from ..utils import decode
 from ._pending_result import PendingResult
 from ._tables import (
@@ -24,6 +25,7 @@
     JOB_PARTS,
     JOBS,
     PART,
+    JobRow,
     condition,
     job_part,
     job_writes,
@@ -86,6 +88,11 @@
 
     The row stays for a while after the job has ended, as a client may submit the same job again
     seconds later.
+
+    Raises
+    ------
+    JobIdTakenError
+        AF310: another tenant has a job with this id.
     """
     job_id = value.spec.job_id
     part = job_part(job_id)
@@ -95,11 +102,26 @@
             job_writes(value),
             timeout=timeout,
         )
-    except PreconditionError:
+    except PreconditionError as exc:
+        for row in exc.details["rows"]:
+            _check_owner(row, value)
         return 0
     return version
 
 
+def _check_owner(row, value):
+    if row.value is not None and not may_access(_owner_of(row), value.owner):
+        raise JobIdTakenError(f"the id {value.spec.job_id} is in use")
+
+
+def _owner_of(row):
+    """Return the name of the tenant of a job's row; empty if it has none or cannot be read."""
+    try:
+        return decode(row.value, JobRow, error=PlatformError).owner
+    except PlatformError:
+        return ""
+
+
 @inlineCallbacks
 def store_job_with_read_back(store, value, *, clock, read_back_after_s):
     """Write a job's row; until the write is answered, read back whether the row is stored.
@@ -139,6 +161,7 @@
                 f"the job's row is neither confirmed nor readable: {exc}"
             ) from exc
         if row is not None:
+            _check_owner(row, value)
             return row.version
         if clock.seconds() + _CLOCK_TOLERANCE_S >= until:
             raise SlowWriteError("the store has not stored the job's row in time")
@@ -155,28 +178,33 @@
 
 
 @inlineCallbacks
-def read_stored_job(store, job_id):
+def read_stored_job(store, job_id, caller=None):
     """Return a job's :class:`JobState` and its row from the store, or (None, None).
 
+    A job that the calling tenant may not access is treated as a missing one.
+
     A job that is marked as cancelled counts as running, and its row is not returned. Its last task
     may end before the leader reads the mark, and then the job is completed: a client that was shown
     the mark as the end would see first one final state and then another.
     """
     ended = yield store.read_row(ENDED, PART, job_id)
     if ended is not None:
-        return JobState(decode(ended.value, EndedJob).state), None
+        value = decode(ended.value, EndedJob, error=PlatformError)
+        return (JobState(value.state), None) if may_access(value.tenant, caller) else (None, None)
     end = job_id + CANCEL_MARK + "\0"
     rows, _ = yield store.read(JOBS, job_part(job_id), first=job_id, end=end)
     keys = {row.key: row for row in rows}
+    if job_id in keys and not may_access(_owner_of(keys[job_id]), caller):
+        return None, None
     if job_id + CANCEL_MARK in keys:
         return JobState.RUNNING, None
     return (JobState.RUNNING, keys[job_id]) if job_id in keys else (None, None)
 
 
 @inlineCallbacks
-def cancel_stored_job(store, job_id):
+def cancel_stored_job(store, job_id, caller=None):
     """Mark a job as cancelled, without the leader; return False if there is no such job."""
-    state, row = yield read_stored_job(store, job_id)
+    state, row = yield read_stored_job(store, job_id, caller)
     if row is not None:
         part = job_part(job_id)
         try:
--- a/anvilflow/cell/_leader_calls.py
+++ b/anvilflow/cell/_leader_calls.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
-from ..exceptions import PlatformError, PlatformRefusedError
+from ..exceptions import JobIdTakenError, PlatformError, PlatformRefusedError
 from ..peers.gen.ttypes import JobReply
 from ..utils import decode
 from ._job_store import store_job
@@ -46,11 +46,14 @@
                 self.leader.add_job(decode(call.body, JobRow), call.version)
                 return succeed(_reply("ok"))
             case "state":
-                state = self.scheduler.state_of(call.job_id)
+                is_visible = self.scheduler.may_access(call.job_id, call.tenant)
+                state = self.scheduler.state_of(call.job_id) if is_visible else None
                 return succeed(_reply(str(state) if state is not None else "unknown"))
             case "pending":
                 return succeed(_reply("ok", count=self.scheduler.n_waiting()[call.queue]))
             case "cancel":
+                if not self.scheduler.may_access(call.job_id, call.tenant):
+                    return succeed(_reply("unknown"))
                 return self._cancel(call.job_id)
             case "submit":
                 return self._submit(call)
@@ -83,6 +86,8 @@
         value = decode(call.body, JobRow)
         try:
             version = yield store_job(self.context.store, value)
+        except JobIdTakenError:
+            return _reply("taken")
         except PlatformRefusedError:
             return _reply("refused")
         except PlatformError:
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -353,7 +353,7 @@
         if not job.is_ended:
             self._progress_job_ids.add(job_id)
             return [_progress_write(job)]
-        writes = [ended_write(job_id, job.state, self.context.wall_clock())]
+        writes = [ended_write(job, self.context.wall_clock())]
         if job_id in self._progress_job_ids:
             writes.append(write(PROGRESS, job_id, None))
         return writes
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -12,6 +12,9 @@
 #: The only supported way in which workers receive commands: each command is a call to the worker.
 COMMANDS_BY_CALL = "invocation"
 
+#: Contract of a cell with tenants.
+TENANTS_CONTRACT = "tenants"
+
 #: Processor of an instance whose settings do not give it: such an instance ranks neither first nor
 #: last among the candidates for leader. Unit: thousandths of a core.
 DEFAULT_CPU_MILLI = 1000
@@ -58,6 +61,11 @@
         Time for which the state of an ended job is kept. Unit: seconds.
     config_apply_s : float, default=2.0
         Time within which a change of the configuration must be in force. Unit: seconds.
+    strict_revocation : bool, default=False
+        Whether a call with an API key is refused unless this instance knows that the key was in
+        force `revoke_s` ago. Otherwise, the newest configuration that it has read decides.
+    revoke_s : float, default=5.0
+        Time after which a key that was removed must not be accepted any more. Unit: seconds.
     """
 
     grace_s: float = 6.0
@@ -65,6 +73,8 @@
     stop_s: float = 0.9
     status_kept_s: float = 120.0
     config_apply_s: float = 2.0
+    strict_revocation: bool = False
+    revoke_s: float = 5.0
 
 
 class CellSettings(Struct, kw_only=True):
@@ -79,6 +89,9 @@
     bounds : Bounds
     orders : {"invocation"}
         How workers receive commands; only calls to the workers are supported.
+    contracts : list of str
+        Parts of the platform's contract that are in force. With ``tenants``, calls need API keys,
+        whatever the configuration contains.
     log_level : str
     link_mbps : float or None, default=None
         Bandwidth of the instance's own link; None: unknown. Unit: Mbit/s.
@@ -99,12 +112,18 @@
     advice: str = ""
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     orders: str = COMMANDS_BY_CALL
+    contracts: list[str] = []
     log_level: str = "info"
     link_mbps: float | None = None
     cpu_share: float | None = None
     cores: float | None = None
     scheduling: SchedulingPolicy = msgspec.field(default_factory=SchedulingPolicy)
 
+    @property
+    def has_tenants(self):
+        """Whether the cell has tenants, so that calls need API keys."""
+        return TENANTS_CONTRACT in self.contracts
+
     @property
     def cpu_milli(self):
         """Processor of the instance. Unit: thousandths of a core."""
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -5,7 +5,7 @@
 
 from msgspec import UNSET, Struct, structs
 
-from ..jobs import EndedJob, HandoverWorker, JobSpec, Queue
+from ..jobs import EndedJob, HandoverWorker, JobSpec, Queue, Tenant
 from ..platform import RowCondition, RowWrite
 from ..utils import encode
 
@@ -59,8 +59,9 @@
 
 
 class JobRow(Struct, kw_only=True):
-    """An accepted job, with its queue and the configuration version at the time of acceptance.
+    """An accepted job, with its queue, tenant and configuration version at the time of acceptance.
 
+    `tenant` is None for a job of a call without a key, and in rows of earlier releases.
     The row of an ended job may have no steps, see :func:`short_row`. `entry` names the gateway that
     keeps the payload, if the payload has a row of its own.
     """
@@ -69,6 +70,12 @@
     queue: Queue
     config_version: int = 0
     entry: str = ""
+    tenant: Tenant | None = None
+
+    @property
+    def owner(self):
+        """Name of the job's tenant; empty: none."""
+        return self.tenant.name if self.tenant is not None else ""
 
 
 def has_payload(spec):
@@ -84,9 +91,7 @@
     client's.
     """
     spec = structs.replace(value.spec, payload=UNSET)
-    return JobRow(
-        spec=spec, queue=value.queue, config_version=value.config_version, entry=value.entry
-    )
+    return structs.replace(value, spec=spec)
 
 
 def job_writes(value):
@@ -107,7 +112,7 @@
 def short_row(job):
     """Return the short row of an ended job: its id and its queue, without payload and steps."""
     spec = JobSpec(job_id=job.job_id, queue=job.spec.queue, payload="", steps=())
-    return JobRow(spec=spec, queue=job.queue)
+    return JobRow(spec=spec, queue=job.queue, tenant=job.tenant)
 
 
 #: Number of parts of the jobs table. In a store a hundred times as slow as usual each part takes
@@ -140,6 +145,7 @@
     return RowWrite(table=table, part=part, key=key, value=body)
 
 
-def ended_write(job_id, state, wall_now):
+def ended_write(job, wall_now):
     """Return the write of a job's final state."""
-    return write(ENDED, job_id, EndedJob(state=str(state), ended_at=round(wall_now, 3)))
+    row = EndedJob(state=str(job.state), ended_at=round(wall_now, 3), tenant=job.owner)
+    return write(ENDED, job.job_id, row)
--- a/anvilflow/cell/tests/test_cancel_marks.py
+++ b/anvilflow/cell/tests/test_cancel_marks.py
@@ -38,7 +38,7 @@
 
 
 @inlineCallbacks
-def _mark_as_end(store, job_id):
+def _mark_as_end(store, job_id, caller=None):
     mark = yield store.read_row(JOBS, job_part(job_id), job_id + CANCEL_MARK)
-    state, row = yield read_stored_job(store, job_id)
+    state, row = yield read_stored_job(store, job_id, caller)
     return (JobState.CANCELLED, None) if mark is not None else (state, row)
--- a/anvilflow/cell/tests/test_cancelling.py
+++ b/anvilflow/cell/tests/test_cancelling.py
@@ -253,7 +253,9 @@
     2xx for a cancellation that the next leader has no record of.
     """
     if not safeguard:
-        monkeypatch.setattr(_gateway, "cancel_stored_job", lambda store, job_id: succeed(True))
+        monkeypatch.setattr(
+            _gateway, "cancel_stored_job", lambda store, job_id, caller: succeed(True)
+        )
     cell = make_cell(n_instances=3, n_workers=2)
     cell.submit(cell.other(), JOB, STEP, spec=LONG_TASK)
     cell.advance(1.0)
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -11,6 +11,7 @@
     "DeclarationError",
     "FrameError",
     "JobGoneError",
+    "JobIdTakenError",
     "NotFoundError",
     "NotReadyError",
     "OverloadedError",
@@ -26,8 +27,11 @@
     "SlowWriteError",
     "StartTimeError",
     "TaskCrashesWorkersError",
+    "TenantLimitError",
     "TooLargeError",
+    "UnauthorizedError",
     "UnknownOutcomeError",
+    "UnprovenConfigError",
     "WorkerGoneError",
     "WorkerRefusedError",
     "WorkerUnreachableError",
@@ -112,6 +116,15 @@
     exit_status = 8
 
 
+class UnprovenConfigError(NotReadyError):
+    """Whether an API key is still in force is not known: this instance is cut off from the store.
+
+    Send the call again over a new connection, which may reach another instance.
+    """
+
+    code = "AF205"
+
+
 class CallError(AnvilflowError):
     """A call is malformed: it has an unknown field, a wrong type or a value out of range."""
 
@@ -158,6 +171,29 @@
     exit_status = 9
 
 
+class JobIdTakenError(AnvilflowError):
+    """A job was not accepted: another tenant has a job with this id."""
+
+    code = "AF310"
+    http_status = 409
+    exit_status = 6
+
+
+class UnauthorizedError(AnvilflowError):
+    """A call has no API key, a malformed one, or one that no tenant has."""
+
+    code = "AF308"
+    http_status = 401
+    exit_status = 4
+
+
+class TenantLimitError(RequestError):
+    """A job was not accepted: one of its tasks or gangs exceeds its tenant's maximum by itself."""
+
+    code = "AF309"
+    http_status = 429
+
+
 class TooLargeError(AnvilflowError):
     """The body of a request or reply exceeds the stated limit."""
 
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -18,6 +18,7 @@
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
+from ._tenants import ApiKeys, Tenant, demand_of, may_access
 from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 from ._worker_id import make_worker_id
 
@@ -26,6 +27,7 @@
     "ENDED_STATES",
     "LONG_REQUEST_S",
     "AdviceRules",
+    "ApiKeys",
     "CellConfig",
     "CrashHistory",
     "EndedJob",
@@ -52,10 +54,13 @@
     "StepSpec",
     "StopRun",
     "TaskState",
+    "Tenant",
     "Worker",
     "WorkerInfo",
     "WorkerReport",
+    "demand_of",
     "longest_chain_s",
     "make_handover",
     "make_worker_id",
+    "may_access",
 ]
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -153,6 +153,8 @@
         Progress that an earlier leader made durable.
     inherited : bool, default=False
         Whether an earlier leader may have started tasks of the job.
+    tenant : Tenant, default=None
+        Tenant that submitted the job.
 
     Notes
     -----
@@ -180,12 +182,25 @@
         "starts_delayed_until",
         "state",
         "steps",
+        "tenant",
         "version",
     )
 
-    def __init__(self, *, spec, queue, version, now, wall_now, record=None, inherited=False):
+    def __init__(
+        self,
+        *,
+        spec,
+        queue,
+        version,
+        now,
+        wall_now,
+        record=None,
+        inherited=False,
+        tenant=None,
+    ):
         self.spec = spec
         self.queue = queue
+        self.tenant = tenant
         self.version = version
         self.accepted_at = now
         self.starts_delayed_until = 0.0
@@ -215,6 +230,11 @@
         """Identifier under which clients refer to the job."""
         return self.spec.job_id
 
+    @property
+    def owner(self):
+        """Name of the job's tenant; empty: none."""
+        return self.tenant.name if self.tenant is not None else ""
+
     def urgency(self, now):
         """Return the sort key of the job in a plan: its priority, then its target completion time.
 
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -34,8 +34,12 @@
     lost_runs: dict[str, list[LostRun]] = {}
 
 
-class EndedJob(Struct, kw_only=True):
-    """Row of a job that has ended: its final state and the time of its end. Unit: seconds."""
+class EndedJob(Struct, kw_only=True, omit_defaults=True):
+    """Row of a job that has ended: its final state, its tenant and the time of its end.
+
+    Unit: seconds.
+    """
 
     state: str
     ended_at: float = 0.0
+    tenant: str = ""
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -12,6 +12,7 @@
 from ._reservations import Reservations
 from ._run_tracker import RunTracker
 from ._stalled_runs import SLOW_RUN_SLOWNESS, find_stalled_runs, has_copy
+from ._tenants import may_access
 
 #: Minimum time between two checks of all jobs and runs for what becomes due by time alone:
 #: occurrences, lapsed leases, leaving workers, stalled and slow runs. A plan is made after each
@@ -75,15 +76,20 @@
         self.config = config
         for job in self.jobs.values():
             job.queue = config.queue_named(job.queue.name) or job.queue
+            if job.tenant is not None:
+                job.tenant = config.tenant_named(job.tenant.name) or job.tenant
             job.wake()
 
-    def add_job(self, spec, queue, *, version, now, wall_now, record=None, config_version=0):
+    def add_job(
+        self, spec, queue, *, version, now, wall_now, record=None, config_version=0, tenant=None
+    ):
         """Add an accepted job; return False if the job is already present."""
         if self.has_job(spec.job_id):
             return False
         self.jobs[spec.job_id] = JobRun(
             spec=spec,
             queue=self._newer_queue(queue, config_version),
+            tenant=self._newer_tenant(tenant, config_version),
             version=version,
             now=now,
             wall_now=wall_now,
@@ -106,6 +112,16 @@
             return queue
         return self.config.queue_named(queue.name) or queue
 
+    def _newer_tenant(self, tenant, config_version):
+        """Return the job's tenant by the newer configuration, as for its queue.
+
+        A tenant that the configuration does not name any more keeps the values that it had when the
+        job was accepted.
+        """
+        if tenant is None or self.config is None or self.config.version < config_version:
+            return tenant
+        return self.config.tenant_named(tenant.name) or tenant
+
     def jobs_read(self, requested_at):
         """Note that all jobs accepted before `requested_at` have been read. Unit: seconds."""
         self._jobs_known_at = requested_at
@@ -117,10 +133,10 @@
             return []
         return self._finish(job, JobState.CANCELLED, now)
 
-    def drop_job(self, job_id, state, now):
+    def drop_job(self, job_id, state, now, *, owner=""):
         """Drop a job whose end another instance made durable; return the stops of its runs."""
         job = self.jobs.pop(job_id, None)
-        self._note_end(job_id, state)
+        self._note_end(job_id, state, owner)
         if job is None:
             return []
         return self._stop_all(job, now, "cancelled")
@@ -140,12 +156,21 @@
                     actions += self._stop(run, now, why)
         return actions
 
-    def _note_end(self, job_id, state):
+    def _note_end(self, job_id, state, owner):
         self.ended[job_id] = state
+        if owner:
+            self.ended_owners[job_id] = owner
 
     def drop_ended_job(self, job_id):
         """Drop an ended job whose rows are deleted, so that the job cannot be read again."""
         self.ended.pop(job_id, None)
+        self.ended_owners.pop(job_id, None)
+
+    def may_access(self, job_id, caller):
+        """Whether a calling tenant may know of a job and cancel it; see :func:`may_access`."""
+        job = self.jobs.get(job_id)
+        owner = self.ended_owners.get(job_id, "") if job is None else job.owner
+        return may_access(owner, caller)
 
     def state_of(self, job_id):
         """Return the job's durable state, or None for an unknown job."""
@@ -179,7 +204,7 @@
         if not job.is_ended or job.recorded_change < job.change:
             return False
         del self.jobs[job_id]
-        self._note_end(job_id, job.state)
+        self._note_end(job_id, job.state, job.owner)
         return True
 
     def acknowledged(self, worker):
--- a/anvilflow/jobs/_spec.py
+++ b/anvilflow/jobs/_spec.py
@@ -4,6 +4,8 @@
 
 from msgspec import UNSET, Struct, UnsetType
 
+from ._tenants import ApiKeys, Tenant
+
 
 class StepSpec(Struct, kw_only=True, frozen=True, omit_defaults=True):
     """One step of a job: a number of identical tasks.
@@ -125,6 +127,8 @@
         Timeout of one call of a client. Unit: seconds.
     advice : AdviceRules or None
         Set where the advice service must allow a worker before a step may run on it.
+    public : bool
+        Whether calls need no API key.
     """
 
     name: str
@@ -137,6 +141,7 @@
     target_latency_s: float = 0.0
     timeout_s: float = 3.0
     advice: AdviceRules | None = None
+    public: bool = False
 
 
 class Limits(Struct, kw_only=True, frozen=True):
@@ -153,7 +158,8 @@
 
     Notes
     -----
-    `services` lists the configured services; those that a queue names count, too.
+    `services` lists the configured services; those that a queue names count, too. `tenants` is None
+    in a cell without tenants, where calls need no API key.
 
     The indexes are built once per version. With 4,200 queues, a linear search took 0.97 ms in each
     call of a client and 0.48 ms in each plan of an urgent step; an indexed lookup takes 1 us.
@@ -163,6 +169,20 @@
     queues: tuple[Queue, ...]
     limits: Limits = Limits()
     services: tuple[str, ...] = ()
+    tenants: tuple[Tenant, ...] | None = None
+    keys: ApiKeys = ApiKeys()
+
+    @cached_property
+    def _tenants_by_name(self):
+        return {tenant.name: tenant for tenant in self.tenants or ()}
+
+    def tenant_named(self, name):
+        """Return the :class:`Tenant` called `name`, or None."""
+        return self._tenants_by_name.get(name)
+
+    def tenant_with_key(self, key):
+        """Return the :class:`Tenant` that an API key identifies, or None."""
+        return self._tenants_by_name.get(self.keys.owner_of(key))
 
     @cached_property
     def _by_name(self):
--- /dev/null
+++ b/anvilflow/jobs/_tenants.py
@@ -0,0 +1,134 @@
+"""Tenants, and the digests of their API keys."""
+
+import hashlib
+from collections import defaultdict
+
+from msgspec import Struct
+
+
+class Tenant(Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """A tenant of the cell, without its keys.
+
+    Parameters
+    ----------
+    name : str
+    weight : float, default=1.0
+        Share of the cell relative to other tenants when all capacity is in use.
+    max_cpu_milli, max_memory_mb, max_accelerators : int, default=0
+        Resources that the tenant's runs may occupy in total; 0: no limit. Units: thousandths of a
+        core, megabytes, devices.
+    """
+
+    name: str
+    weight: float = 1.0
+    max_cpu_milli: int = 0
+    max_memory_mb: int = 0
+    max_accelerators: int = 0
+
+    @property
+    def maxima(self):
+        """The three limits, in the order of :func:`demand_of`."""
+        return (self.max_cpu_milli, self.max_memory_mb, self.max_accelerators)
+
+    def n_allowed(self, step, used=(0, 0, 0)):
+        """Return how many tasks of a step the tenant's maximum allows beside what is in use.
+
+        Parameters
+        ----------
+        step : StepSpec
+        used : tuple of int, default=(0, 0, 0)
+            Resources that the tenant occupies already, in the order of :func:`demand_of`.
+
+        Examples
+        --------
+        >>> from anvilflow.jobs import StepSpec
+        >>> tenant = Tenant(name="a", max_cpu_milli=4000)
+        >>> tenant.n_allowed(StepSpec(n_tasks=9, cpu_milli=1500), used=(500, 0, 0))
+        2
+        """
+        n_allowed = step.n_tasks
+        for maximum, taken, demand in zip(self.maxima, used, demand_of(step), strict=True):
+            if maximum and demand:
+                n_allowed = min(n_allowed, (maximum - taken) // demand)
+        return max(0, n_allowed)
+
+    def can_ever_run(self, step):
+        """Whether one task of a step, or all tasks of a gang, are within the tenant's maximum."""
+        return self.n_allowed(step) >= (step.n_tasks if step.gang else 1)
+
+
+def may_access(owner, caller):
+    """Whether a caller may know of a job and change it.
+
+    Parameters
+    ----------
+    owner : str
+        Name of the job's tenant; empty: none.
+    caller : str or None
+        Name of the calling tenant; empty: a call without a key. None: the caller was checked
+        elsewhere.
+
+    Examples
+    --------
+    >>> may_access("a", "b"), may_access("a", ""), may_access("", "b")
+    (False, False, True)
+    """
+    return caller is None or not owner or owner == caller
+
+
+def demand_of(step):
+    """Return the processor, memory and accelerators of one task of a step.
+
+    Background tasks count in full, although they only use what other tasks leave.
+    """
+    return (step.cpu_milli, step.memory_mb, step.accelerators)
+
+
+def key_digest(key):
+    """Return the digest under which an API key is kept and compared."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+class ApiKeys:
+    """Owners of the API keys of one configuration, by digest.
+
+    Parameters
+    ----------
+    keys_by_tenant : iterable of (str, iterable of str)
+        Each tenant's name and keys.
+
+    Notes
+    -----
+    A key that several tenants have identifies none of them. `ambiguous_owners` are the names of
+    such tenants.
+    """
+
+    __slots__ = ("_owners", "ambiguous_owners")
+
+    def __init__(self, keys_by_tenant=()):
+        owners = defaultdict(set)
+        for tenant, keys in keys_by_tenant:
+            for key in keys:
+                owners[key_digest(key)].add(tenant)
+        self._owners = {
+            digest: next(iter(each)) for digest, each in owners.items() if len(each) == 1
+        }
+        self.ambiguous_owners = sorted(
+            {name for each in owners.values() if len(each) > 1 for name in each}
+        )
+
+    def __eq__(self, other):
+        return isinstance(other, ApiKeys) and self._owners == other._owners
+
+    def __hash__(self):
+        return hash(frozenset(self._owners))
+
+    def __len__(self):
+        return len(self._owners)
+
+    def __repr__(self):
+        return f"<ApiKeys: {len(self)}>"
+
+    def owner_of(self, key):
+        """Return the name of the tenant that a key identifies, or None."""
+        return self._owners.get(key_digest(key))
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -28,10 +28,10 @@
     Notes
     -----
     `jobs` holds each :class:`JobRun` by job id, `ended` the states of ended jobs whose end is
-    durable, `workers` each :class:`Worker` by the identity of its incarnation. `registry_version`
-    is the version up to which the leader has read the registry. `nameless` are the keys of the
-    registry entries that name no worker; if an entry becomes a worker's, its key is the worker's id
-    in the registry.
+    durable, `ended_owners` the names of the tenants of those that have one, `workers` each
+    :class:`Worker` by the identity of its incarnation. `registry_version` is the version up to
+    which the leader has read the registry. `nameless` are the keys of the registry entries that
+    name no worker; if an entry becomes a worker's, its key is the worker's id in the registry.
 
     `freed` are the workers whose free capacity has grown since the last plan. `needs_full_plan`
     means that a change may affect any step, `last_full_plan_at` is the time of the last plan of all
@@ -48,6 +48,7 @@
         self.stop_s = stop_s
         self.jobs = {}
         self.ended = {}
+        self.ended_owners = {}
         self.workers = {}
         self.advice_in_flight = {}
         self.deferred_advice_steps = {}
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -29,6 +29,7 @@
     "malformed_messages": ("Messages of instances that were dropped.", ()),
     "bytes": ("Bytes sent and received, with heads.", ("service", "direction")),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
+    "unproven_refusals": ("Calls refused as their API keys could not be checked.", ()),
     "store_calls": ("Calls to the store.", ("kind",)),
 }
 
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -2007,6 +2007,7 @@
      - queue
      - version
      - body
+     - tenant
 
     """
 
@@ -2017,16 +2018,18 @@
         'queue',
         'version',
         'body',
+        'tenant',
     )
 
 
-    def __init__(self, call=None, verb=None, job_id=None, queue=None, version=None, body=None,):
+    def __init__(self, call=None, verb=None, job_id=None, queue=None, version=None, body=None, tenant=None,):
         self.call = call
         self.verb = verb
         self.job_id = job_id
         self.queue = queue
         self.version = version
         self.body = body
+        self.tenant = tenant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2067,6 +2070,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2101,6 +2109,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 7)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3674,6 +3686,7 @@
     (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
     (5, TType.I64, 'version', None, None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.STRING, 'tenant', 'UTF8', None, ),  # 7
 )
 all_structs.append(JobReply)
 JobReply.thrift_spec = (
--- a/anvilflow/platform/_config.py
+++ b/anvilflow/platform/_config.py
@@ -1,12 +1,18 @@
 """Decoding of the operator's configuration."""
 
-from msgspec import field
+from typing import Annotated
+
+from msgspec import Meta, field
 
 from ..exceptions import PlatformError
-from ..jobs import AdviceRules, CellConfig, Limits, Queue
+from ..jobs import AdviceRules, ApiKeys, CellConfig, Limits, Queue, Tenant
 from ..utils import decode
 from ._wire import Wire
 
+_Name = Annotated[str, Meta(min_length=1, max_length=200)]
+_Weight = Annotated[float, Meta(ge=0.0, le=1e6)]
+_Amount = Annotated[int, Meta(ge=0, le=2**50)]
+
 
 class _WireAdvice(Wire):
     decide_ms: float = 0.0
@@ -27,6 +33,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _WireAdvice | None = None
+    public: bool = False
 
 
 class _WireLimits(Wire):
@@ -40,17 +47,33 @@
     name: str
 
 
+class _WireMaximum(Wire):
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
+class _WireTenant(Wire):
+    name: _Name
+    api_keys: list[str] = []
+    weight: _Weight = 1.0
+    maximum: _WireMaximum = field(default_factory=_WireMaximum)
+
+
 class _WireConfig(Wire):
     version: int
     services: list[_WireService] = []
     routes: list[_WireRoute] = []
     limits: _WireLimits = field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] | None = None
 
 
 def decode_config(body):
     """Return the :class:`CellConfig` in a row's value; AF401 if the value is malformed."""
     wire = decode(body, _WireConfig, error=PlatformError)
     limits = wire.limits
+    tenants = wire.tenants or ()
+    _check_names(tenants)
     return CellConfig(
         version=wire.version,
         queues=tuple(_queue(route) for route in wire.routes),
@@ -61,6 +84,26 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        tenants=None if wire.tenants is None else tuple(_tenant(tenant) for tenant in tenants),
+        keys=ApiKeys((tenant.name, tenant.api_keys) for tenant in tenants),
+    )
+
+
+def _check_names(tenants):
+    names = set()
+    for tenant in tenants:
+        if tenant.name in names:
+            raise PlatformError(f"tenants: the name {tenant.name!r} is given twice")
+        names.add(tenant.name)
+
+
+def _tenant(wire):
+    return Tenant(
+        name=wire.name,
+        weight=wire.weight,
+        max_cpu_milli=wire.maximum.cpu,
+        max_memory_mb=wire.maximum.mem_mb,
+        max_accelerators=wire.maximum.gpu,
     )
 
 
@@ -76,6 +119,7 @@
         target_latency_s=route.target_latency_ms / 1000,
         timeout_s=route.timeout_ms / 1000,
         advice=_advice_rules(route.advice),
+        public=route.public,
     )
 
 
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -5,10 +5,20 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from ..exceptions import AnvilflowError, CallError, NotFoundError, TooLargeError
+from ..exceptions import (
+    AnvilflowError,
+    CallError,
+    NotFoundError,
+    TooLargeError,
+    UnauthorizedError,
+    UnprovenConfigError,
+)
 from ..utils import encode
 from ._jobs import JOB_ID, decode_job
 
+#: Largest API key that is looked up. Unit: characters.
+MAX_KEY_CHARS = 512
+
 _log = Logger("front")
 
 
@@ -39,9 +49,11 @@
     Parameters
     ----------
     gateway : object
-        Provides ``config`` and ``closing``; ``submit(spec, queue)``, ``state(queue, job_id)``,
-        ``cancel(queue, job_id)`` and ``pending(queue)``, which return Deferreds; ``not_ready()``,
-        ``answered(verb, status)`` and ``refused(verb, path, status, error)``.
+        Provides ``config``, ``closing`` and ``uses_keys``; ``authorize(queue, key)``, which returns
+        a Deferred of the calling :class:`Tenant` or None; ``submit(spec, queue, tenant)``,
+        ``state(queue, job_id, tenant)``, ``cancel(queue, job_id, tenant)`` and ``pending(queue)``,
+        which return Deferreds; ``not_ready()``, ``answered(verb, status)`` and
+        ``refused(verb, path, status, error)``.
 
     Notes
     -----
@@ -79,56 +91,64 @@
         queue = config.queue_for(request.getRequestHostname().decode("utf-8", "replace"), path)
         if queue is None:
             raise NotFoundError(f"no queue for the host and path of the request: {path}")
+        key = _bearer_key(request) if self.gateway.uses_keys else None
+        done = maybeDeferred(self.gateway.authorize, queue, key)
+        return done.addCallback(
+            lambda tenant: self._serve(request, queue, path[len(queue.prefix) :].strip("/"), tenant)
+        )
+
+    def _serve(self, request, queue, job_id, tenant):
         verb = self._verbs.get(request.method)
         if verb is None:
             raise CallError(
                 f"method {request.method.decode()} is not allowed; allowed: POST, GET, DELETE"
             )
-        return verb(request, queue, path[len(queue.prefix) :].strip("/"))
+        return verb(request, queue, job_id, tenant)
 
-    def _submit(self, request, queue, job_id):
+    def _submit(self, request, queue, job_id, tenant):
         _check_job_id(job_id)
         limit = self.gateway.config.limits.max_body_bytes
         body = request.content.read(limit + 1)
         if len(body) > limit:
             raise TooLargeError(f"the body is longer than {limit} bytes")
-        done = self.gateway.submit(decode_job(job_id, queue.name, body), queue)
+        done = self.gateway.submit(decode_job(job_id, queue.name, body), queue, tenant)
         return done.addCallback(lambda _: {})
 
-    def _get(self, request, queue, job_id):
+    def _get(self, request, queue, job_id, tenant):
         if not job_id:
             return self.gateway.pending(queue).addCallback(lambda n_jobs: {"pending": n_jobs})
         _check_job_id(job_id)
-        return self.gateway.state(queue, job_id).addCallback(lambda state: {"state": str(state)})
+        done = self.gateway.state(queue, job_id, tenant)
+        return done.addCallback(lambda state: {"state": str(state)})
 
-    def _cancel(self, request, queue, job_id):
+    def _cancel(self, request, queue, job_id, tenant):
         _check_job_id(job_id)
-        return self.gateway.cancel(queue, job_id).addCallback(lambda _: {})
+        return self.gateway.cancel(queue, job_id, tenant).addCallback(lambda _: {})
 
     def _respond(self, value, request, disconnected):
-        self._write(request, disconnected, 200, value, None)
+        self._write(request, disconnected, 200, value)
 
     def _fail(self, failure, request, disconnected):
         error = failure.value
         if not isinstance(error, AnvilflowError):
             _log.error("call failed", trace=failure.getTraceback()[-1500:])
             error = AnvilflowError("internal error; see the log")
-        retry_after = (error.details or {}).get("retry_after_s")
         verb, path = request.method.decode("latin-1"), request.path.decode("utf-8", "replace")
         self.gateway.refused(verb, path, error.http_status, error)
-        self._write(
-            request, disconnected, error.http_status, {"error": error.to_dict()}, retry_after
-        )
+        self._write(request, disconnected, error.http_status, {"error": error.to_dict()}, error)
 
-    def _write(self, request, disconnected, status, value, retry_after):
+    def _write(self, request, disconnected, status, value, error=None):
         if disconnected:
             return
         self.gateway.answered(request.method.decode("latin-1"), status)
         request.setResponseCode(status)
         request.setHeader(b"content-type", b"application/json")
+        retry_after = (error.details or {}).get("retry_after_s") if error is not None else None
         if retry_after is not None:
             request.setHeader(b"retry-after", str(max(1, round(retry_after))).encode())
-        if self.gateway.closing:
+        if isinstance(error, UnauthorizedError):
+            request.setHeader(b"www-authenticate", b"Bearer")
+        if self.gateway.closing or isinstance(error, UnprovenConfigError):
             # The client then sends its next call to another instance.
             request.setHeader(b"connection", b"close")
         body = encode(value)
@@ -137,6 +157,24 @@
         request.finish()
 
 
+def _bearer_key(request):
+    """Return the API key that a call carries, or None without an ``Authorization`` header.
+
+    A header that cannot be read is not taken for a missing one: the call is refused also where no
+    key is needed.
+    """
+    headers = request.requestHeaders.getRawHeaders(b"authorization") or []
+    if not headers:
+        return None
+    if len(headers) > 1:
+        raise UnauthorizedError("more than one Authorization header")
+    scheme, _, key = headers[0].decode("utf-8", "replace").strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != "bearer" or not key or len(key) > MAX_KEY_CHARS:
+        raise UnauthorizedError("Authorization: not of the form Bearer KEY")
+    return key
+
+
 def _check_job_id(job_id):
     if not JOB_ID.match(job_id):
         raise CallError(f"invalid job id {job_id!r}; allowed: 16 characters of 0-9 and a-f")
--- a/anvilflow/standins/_front_call.py
+++ b/anvilflow/standins/_front_call.py
@@ -3,6 +3,7 @@
 from io import BytesIO
 
 from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
 
 from ..utils import decode_lenient
 
@@ -10,10 +11,12 @@
 class FrontCall:
     """The part of Twisted's request interface that a front resource uses.
 
-    `answers` receives ``(status, value, headers)`` when the resource finishes the response.
+    `headers` are the request's headers, each with the list of its values. `answers` receives
+    ``(status, value, headers)`` when the resource finishes the response.
     """
 
-    def __init__(self, *, method, host, path, body):
+    def __init__(self, *, method, host, path, body, headers=()):
+        self.requestHeaders = Headers(dict(headers))
         self.method = method.encode()
         self.path = path.encode()
         self.content = BytesIO(body)
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import maybeDeferred
 
-from ..cell import CellContext, CellDaemon, CellSettings
+from ..cell import Bounds, CellContext, CellDaemon, CellSettings
 from ..cell import ListenSettings as CellListen
 from ..jobs import SchedulingPolicy
 from ..platform import AdviceClient, StoreClient, WorkerCalls
@@ -45,7 +45,7 @@
 EPOCH_S = 1_700_000_000.0
 
 
-def make_platform_config(version=1, *, queues=None, advice=None, attempts=3):
+def make_platform_config(version=1, *, queues=None, advice=None, attempts=3, tenants=None):
     """Return an operator's configuration, by default with an urgent queue and a bulk queue.
 
     Parameters
@@ -57,6 +57,8 @@
         Advice rules of the default queues.
     attempts : int
         Maximum attempts per task.
+    tenants : list of dict, default=None
+        Tenants; None for a cell without any.
     """
     if queues is None:
         extra = {"advice": advice} if advice else {}
@@ -75,7 +77,8 @@
         }
         for queue in queues
     ]
-    return {"version": version, "routes": routes, "services": [{"name": "desk"}]}
+    config = {"version": version, "routes": routes, "services": [{"name": "desk"}]}
+    return config if tenants is None else {**config, "tenants": tenants}
 
 
 def make_job_body(*steps, **values):
@@ -103,6 +106,8 @@
         Names of the instances whose settings give only `LOW_CPU_SHARE` of a core.
     policy : SchedulingPolicy, default=None
         Policy of all instances.
+    bounds : Bounds, default=None
+        Bounds in the settings of all instances.
     """
 
     def __init__(
@@ -118,8 +123,10 @@
         slow=(),
         weak=(),
         policy=None,
+        bounds=None,
     ):
         self.policy = policy or SchedulingPolicy()
+        self.bounds = bounds or Bounds()
         self.slow = frozenset(slow)
         self.weak = frozenset(weak)
         self.n_instances = n_instances
@@ -200,6 +207,7 @@
             cpu_share=LOW_CPU_SHARE if name in self.weak else 1.0,
             cores=1.0,
             scheduling=self.policy,
+            bounds=self.bounds,
         )
         if name in self.slow:
             self.wire.slow_link(name, SLOW_LINK_MBPS * BYTES_PER_MBIT)
@@ -342,21 +350,27 @@
         """Return the name of an instance that is not the leader."""
         return next(name for name in self.daemons if name != self.leader())
 
-    def call(self, instance, method, path, body=b""):
-        """Make a client's call; return a list that receives ``(status, value, headers)``."""
+    def call(self, instance, method, path, body=b"", *, key=None, headers=()):
+        """Make a client's call, with an API key if one is given.
+
+        Returns a list that receives ``(status, value, headers)``.
+        """
         gateway = self.daemons[instance].supervisor.part("entry")
-        request = FrontCall(method=method, host="desk.example", path=path, body=body)
+        headers = {"authorization": [f"Bearer {key}"]} if key is not None else headers
+        request = FrontCall(
+            method=method, host="desk.example", path=path, body=body, headers=headers
+        )
         maybeDeferred(gateway.front.render, request)
         return request.answers
 
-    def submit(self, instance, job_id, *steps, queue="urgent", **values):
+    def submit(self, instance, job_id, *steps, queue="urgent", key=None, **values):
         """Submit a job; return a list that receives ``(status, value, headers)``."""
         body = make_job_body(*steps, **values)
-        return self.call(instance, "POST", f"/{queue}/{job_id}", body)
+        return self.call(instance, "POST", f"/{queue}/{job_id}", body, key=key)
 
-    def state(self, instance, job_id, *, queue="urgent"):
+    def state(self, instance, job_id, *, queue="urgent", key=None):
         """Return the job state that a client gets, an error status, or None without an answer."""
-        answers = self.call(instance, "GET", f"/{queue}/{job_id}")
+        answers = self.call(instance, "GET", f"/{queue}/{job_id}", key=key)
         self.advance(1.0)
         if not answers:
             return None
