Maxima of tenants: an account of what their runs may occupy, exact under any leader

Change: `TenantUsage` counts each run of a tenant, in processor, memory and accelerators, from the decision to start it until its end is certain: starts without an answer, stops that have not ended, copies, gangs (all members or none), background and long-running tasks, runs on workers that do not answer. A step starts as many tasks as the maximum leaves; a step that may start nothing gets no advice, reserves nothing and preempts nothing, and its job is planned again when a run of the tenant ends. Starts that are decided and not sent are dropped when the maximum falls below.

Change of leaders: until all runs are known, each inherited job counts with the most that it can have running (a chain of steps with its widest one, tasks that allow copies twice). Runs of jobs that have ended count with what the former leader recorded with the end, or with the job's bound, until no worker lists them. While a worker lists a run of an unknown job, no tenant with a maximum starts anything. Cost: a tenant near its maximum waits for the last worker's answer or the grace period.

--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -5,6 +5,10 @@
 from ..utils import decode
 from ._tables import CANCEL_MARK, JobRow
 
+#: Time after the end of a job after which all its runs have certainly ended: a lease, the time that
+#: a stop takes, and a difference between the clocks of two leaders. Unit: seconds.
+MAX_LEFTOVER_S = 15.0
+
 
 class JobIntake:
     """Passes accepted jobs and cancel marks to the scheduler.
@@ -56,6 +60,8 @@
                     row.key, JobState(value.state), self._now(), owner=value.tenant
                 )
                 self.garbage_collector.add(row.key, value.ended_at)
+                if self.context.wall_clock() - value.ended_at < MAX_LEFTOVER_S:
+                    self.scheduler.usage.add_leftover(value.tenant, value.held)
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
             if not row.key.endswith(CANCEL_MARK):
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -353,7 +353,8 @@
         if not job.is_ended:
             self._progress_job_ids.add(job_id)
             return [_progress_write(job)]
-        writes = [ended_write(job, self.context.wall_clock())]
+        held = self.scheduler.held_by(job) if job.owner else (0, 0, 0)
+        writes = [ended_write(job, self.context.wall_clock(), held=held)]
         if job_id in self._progress_job_ids:
             writes.append(write(PROGRESS, job_id, None))
         return writes
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -145,7 +145,12 @@
     return RowWrite(table=table, part=part, key=key, value=body)
 
 
-def ended_write(job, wall_now):
-    """Return the write of a job's final state."""
-    row = EndedJob(state=str(job.state), ended_at=round(wall_now, 3), tenant=job.owner)
+def ended_write(job, wall_now, *, held=(0, 0, 0)):
+    """Return the write of a job's final state; `held` is as in :class:`EndedJob`."""
+    row = EndedJob(
+        state=str(job.state),
+        ended_at=round(wall_now, 3),
+        tenant=job.owner,
+        held=held,
+    )
     return write(ENDED, job.job_id, row)
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -116,6 +116,11 @@
         State of the step's advice request: ``none``, ``in flight`` or ``deferred``.
     deferred_s : float
         Time for which the request has been deferred. Unit: seconds.
+    tenant : str
+        Tenant of the job; empty: none.
+    limited_by : str
+        Resources of which the tenant's maximum leaves too little for a task, with the amounts in
+        use and the maximum; empty: none.
     """
 
     step: str
@@ -127,3 +132,5 @@
     n_tickets: int = 0
     advice: str = "none"
     deferred_s: float = 0.0
+    tenant: str = ""
+    limited_by: str = ""
--- a/anvilflow/jobs/_advice.py
+++ b/anvilflow/jobs/_advice.py
@@ -125,6 +125,8 @@
 def _n_places_needed(scheduler, step):
     """Return the number of task places that a request for the step should find."""
     n_missing = len(step.waiting()) if step.ready_at is not None else len(step.tasks)
+    if not step.spec.gang:
+        n_missing = min(n_missing, scheduler.n_allowed(step) or n_missing)
     return scheduler.policy.ask_times * max(1, n_missing) + scheduler.policy.ask_more
 
 
--- a/anvilflow/jobs/_advice_queue.py
+++ b/anvilflow/jobs/_advice_queue.py
@@ -115,7 +115,9 @@
     """Return the deferred steps with requests of this kind; drop those that need none any more."""
     found = []
     for step in list(scheduler.deferred_advice_steps.values()):
-        if step.job.is_ended or step.job.job_id not in scheduler.jobs or not step.waiting():
+        is_limited = step.ready_at is not None and not scheduler.n_allowed(step)
+        is_over = step.job.is_ended or step.job.job_id not in scheduler.jobs
+        if is_over or is_limited or not step.waiting():
             del scheduler.deferred_advice_steps[step.key]
         elif (step.job.queue.advice.base_s > LONG_REQUEST_S) == is_long:
             found.append(step)
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -4,6 +4,7 @@
 
 from ._crash_history import CrashHistory
 from ._record import JobRecord
+from ._tenants import add_demands, demand_of
 
 #: Longest time that a long-running task waits behind more urgent jobs. Unit: seconds.
 MAX_DOWNTIME_S = 2.0
@@ -337,6 +338,15 @@
         if self.changed_at is None:
             self.changed_at = now
 
+    def held(self):
+        """Return what the job's runs occupy that have not ended, as :func:`demand_of`."""
+        held = (0, 0, 0)
+        for step in self.steps.values():
+            for task in step.tasks:
+                for run in task.runs.values():
+                    held = add_demands(held, demand_of(run.step))
+        return held
+
     def finish(self, state, now):
         """Set the job's final state."""
         self.state = state
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -12,6 +12,7 @@
 from ._job import TaskState
 from ._ranking import Ranking
 from ._reservations import Reservations
+from ._tenants import RESOURCE_NAMES, demand_of
 
 #: Time for which tasks wait before the reason is logged, and least time between two such logs.
 #: Unit: seconds.
@@ -89,6 +90,12 @@
         waiting = scheduler.startable(step, step.waiting(), now) + _tasks_to_copy(step)
         if not waiting:
             continue
+        allowed = scheduler.within_maximum(step, waiting)
+        if not allowed:
+            scheduler.reservations.release(step)
+            actions += _note_wait(scheduler, step, len(waiting), [], now)
+            continue
+        waiting = allowed
         if not scheduler.may_start(job, now):
             # The job's starts are still delayed, for example until all workers have responded to a
             # new leader. Advice that is requested now is there when the starts are due.
@@ -113,6 +120,7 @@
         workers = [worker for worker in workers if _is_eligible(scheduler, step, worker, now)]
         workers = [worker for worker in workers if worker.fits(step.spec)]
         waiting = scheduler.startable(step, step.waiting(), now) if workers else ()
+        waiting = scheduler.within_maximum(step, waiting) if waiting else ()
         if not waiting or not scheduler.may_start(job, now):
             continue
         if step.spec.gang:
@@ -203,10 +211,28 @@
         n_tickets=sum(has_ticket(step, worker_id, now) for worker_id in step.tickets),
         advice=advice,
         deferred_s=round(deferred_s, 3),
+        tenant=step.job.owner,
+        limited_by=_limits_reached(scheduler, step),
     )
     return [note]
 
 
+def _limits_reached(scheduler, step):
+    """Return the resources of which the tenant's maximum leaves too little, as text."""
+    if scheduler.n_allowed(step) or step.job.tenant is None:
+        return ""
+    tenant = step.job.tenant
+    used = scheduler.usage.used(tenant.name)
+    n_needed = len(step.tasks) if step.spec.gang else 1
+    return ", ".join(
+        f"{name} {taken} of {maximum}"
+        for name, taken, maximum, demand in zip(
+            RESOURCE_NAMES, used, tenant.maxima, demand_of(step.spec), strict=True
+        )
+        if maximum and taken + n_needed * demand > maximum
+    )
+
+
 def _start_gang(scheduler, step, waiting, now):
     """Return the starts of all tasks of a gang, or of none if they do not all fit.
 
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -37,9 +37,11 @@
 class EndedJob(Struct, kw_only=True, omit_defaults=True):
     """Row of a job that has ended: its final state, its tenant and the time of its end.
 
-    Unit: seconds.
+    `held` is what its runs that had not ended at that time occupied, as in :func:`demand_of`. Unit
+    of the time: seconds.
     """
 
     state: str
     ended_at: float = 0.0
     tenant: str = ""
+    held: tuple[int, int, int] = (0, 0, 0)
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -128,6 +128,8 @@
         orphan = worker.orphan_runs.setdefault(
             (item.task, item.run_id), OrphanRun(item=item, now=now)
         )
+        if step is not None:
+            orphan.note_step(step)
         waits = self._may_become_known(item.task) and now - orphan.first_listed_at < UNKNOWN_JOB_S
         if orphan.stopped or waits:
             return []
@@ -381,8 +383,9 @@
         run = self._find_run(worker_id, task, run_id)
         if run is None or run.state != "starting" or not run.worker.accepts(now):
             return False
-        # The worker's capacity may have been reduced since the start was decided.
-        if run.worker.is_over_capacity(run.step):
+        # The worker's capacity or the tenant's maximum may have been reduced since the start was
+        # decided.
+        if run.worker.is_over_capacity(run.step) or self.is_over_maximum(run.job):
             return False
         step, _ = self.find_task(task)
         return step is not None and (
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -12,7 +12,8 @@
 from ._reservations import Reservations
 from ._run_tracker import RunTracker
 from ._stalled_runs import SLOW_RUN_SLOWNESS, find_stalled_runs, has_copy
-from ._tenants import may_access
+from ._tenant_usage import max_concurrent_demand
+from ._tenants import add_demands, demand_of, may_access
 
 #: Minimum time between two checks of all jobs and runs for what becomes due by time alone:
 #: occurrences, lapsed leases, leaving workers, stalled and slow runs. A plan is made after each
@@ -66,6 +67,7 @@
         self._last_periodic_check_at = now - PERIODIC_CHECK_INTERVAL_S
         self.starts_deferred_since = None
         self._jobs_known_at = float("-inf")
+        self._unlisted_use = {}
 
     # Configuration and jobs
 
@@ -79,6 +81,7 @@
             if job.tenant is not None:
                 job.tenant = config.tenant_named(job.tenant.name) or job.tenant
             job.wake()
+        self.limited_jobs.clear()
 
     def add_job(
         self, spec, queue, *, version, now, wall_now, record=None, config_version=0, tenant=None
@@ -86,7 +89,7 @@
         """Add an accepted job; return False if the job is already present."""
         if self.has_job(spec.job_id):
             return False
-        self.jobs[spec.job_id] = JobRun(
+        job = self.jobs[spec.job_id] = JobRun(
             spec=spec,
             queue=self._newer_queue(queue, config_version),
             tenant=self._newer_tenant(tenant, config_version),
@@ -96,9 +99,17 @@
             record=record,
             inherited=self.grace_period.may_have_begun(version),
         )
+        # A new leader adds the stored jobs before it knows any worker: the next plan finds out
+        # whether all runs are known.
+        if job.inherited and job.owner and not self.grace_period.is_over(now):
+            self.usage.assume(
+                spec.job_id,
+                job.owner,
+                max_concurrent_demand(step for step in job.steps.values() if not step.is_done),
+            )
         # The job has no runs here yet, so that the ends reported early cannot cause any stops.
-        self._apply_early_reports(self.jobs[spec.job_id], now)
-        self.restore_suspects(self.jobs[spec.job_id])
+        self._apply_early_reports(job, now)
+        self.restore_suspects(job)
         return True
 
     def _newer_queue(self, queue, config_version):
@@ -204,6 +215,7 @@
         if not job.is_ended or job.recorded_change < job.change:
             return False
         del self.jobs[job_id]
+        self.usage.job_ended(job_id)
         self._note_end(job_id, job.state, job.owner)
         return True
 
@@ -251,6 +263,8 @@
         if now >= self._last_periodic_check_at + PERIODIC_CHECK_INTERVAL_S:
             self._last_periodic_check_at = now
             actions = self._run_periodic_checks(now, wall_now)
+        self._drop_bounds_of_use(now)
+        self._unlisted_use = self._use_of_orphan_runs()
         actions += self.take_recorded_starts(now)
         return actions + self.hold_unrecorded_starts(plan_starts(self, now, n_wanted), now)
 
@@ -345,8 +359,94 @@
         """
         if now < job.starts_delayed_until:
             return False
-        if not job.inherited or self.grace_period.is_over(now):
+        return not job.inherited or self.are_all_runs_known(now)
+
+    def are_all_runs_known(self, now):
+        """Whether all runs that earlier leaders have started are listed or have ended."""
+        if self.grace_period.is_over(now):
             return True
         return self.grace_period.all_workers_known and all(
             worker.confirmed or worker.runs_known for worker in self.workers.values()
         )
+
+    # Maxima of tenants
+
+    def _drop_bounds_of_use(self, now):
+        """Count known runs only, once nothing else can be left of earlier leaders."""
+        usage = self.usage
+        if usage.has_assumptions and self.are_all_runs_known(now):
+            usage.drop_assumptions()
+        elif not usage.has_leftovers or not self._have_stray_runs_ended(now):
+            return
+        else:
+            usage.drop_leftovers()
+        for tenant in list(self.limited_jobs):
+            self.wake_limited_jobs(tenant)
+
+    def _have_stray_runs_ended(self, now):
+        """Whether no worker can have runs of earlier leaders that no task accounts for."""
+        if self.grace_period.is_over(now):
+            return True
+        return self.grace_period.all_workers_known and all(
+            worker.confirmed and not worker.orphan_runs for worker in self.workers.values()
+        )
+
+    def n_allowed(self, step):
+        """Return how many tasks of a step the maximum of its tenant allows to start now.
+
+        0 where only a part of a gang would be allowed. While a worker lists a run of a job that is
+        not known, the job's tenant is not known either, and no tenant with a maximum starts tasks.
+        """
+        tenant = step.job.tenant
+        if tenant is None or not any(tenant.maxima):
+            return len(step.tasks)
+        if None in self._unlisted_use:
+            return 0
+        used = self.usage.used(tenant.name)
+        orphans = self._unlisted_use.get(tenant.name)
+        if orphans is not None:
+            used = add_demands(used, orphans)
+        n_allowed = tenant.n_allowed(step.spec, used)
+        return 0 if step.spec.gang and n_allowed < len(step.tasks) else n_allowed
+
+    def within_maximum(self, step, tasks):
+        """Return the first of the given tasks, as many as the tenant's maximum allows.
+
+        The job is planned again when the tenant's use decreases.
+        """
+        n_allowed = self.n_allowed(step)
+        if n_allowed < len(tasks):
+            self.limited_jobs.setdefault(step.job.owner, set()).add(step.job.job_id)
+        return tasks[:n_allowed]
+
+    def is_over_maximum(self, job):
+        """Whether a tenant's runs exceed its maximum, as after it was lowered."""
+        tenant = job.tenant
+        return tenant is not None and any(
+            maximum and used > maximum
+            for maximum, used in zip(tenant.maxima, self.usage.used(tenant.name), strict=True)
+        )
+
+    def _use_of_orphan_runs(self):
+        """Return by tenant what runs occupy that workers list and that no task accounts for.
+
+        The key None stands for runs of jobs that are not known.
+        """
+        used = {}
+        for orphan in self._orphan_runs():
+            if orphan.step is not None:
+                used[orphan.owner] = add_demands(used.get(orphan.owner), demand_of(orphan.step))
+            elif self._may_become_known(orphan.item.task):
+                used[None] = None
+        return used
+
+    def _orphan_runs(self):
+        return [run for worker in self.workers.values() for run in worker.orphan_runs.values()]
+
+    def held_by(self, job):
+        """Return what a job's runs may occupy that have not ended, as :func:`demand_of`."""
+        held = job.held()
+        for orphan in self._orphan_runs():
+            if orphan.job_id == job.job_id and orphan.step is not None:
+                held = add_demands(held, demand_of(orphan.step))
+        return tuple(map(max, held, self.usage.bound_of(job.job_id)))
--- a/anvilflow/jobs/_tenants.py
+++ b/anvilflow/jobs/_tenants.py
@@ -5,6 +5,9 @@
 
 from msgspec import Struct
 
+#: Names of the resources in the order of :func:`demand_of`.
+RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
+
 
 class Tenant(Struct, kw_only=True, frozen=True, omit_defaults=True):
     """A tenant of the cell, without its keys.
@@ -89,6 +92,13 @@
     return hashlib.sha256(key.encode()).digest()
 
 
+def add_demands(one, other):
+    """Return the sum of two amounts in the order of :func:`demand_of`; None counts as nothing."""
+    if one is None or other is None:
+        return one or other or (0, 0, 0)
+    return (one[0] + other[0], one[1] + other[1], one[2] + other[2])
+
+
 class ApiKeys:
     """Owners of the API keys of one configuration, by digest.
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -101,7 +101,8 @@
 class OrphanRun:
     """A run that a worker lists and no task accounts for: of an unknown job, or out of date.
 
-    `stopped` means that its stop was sent.
+    `stopped` means that its stop was sent. `owner` and `step` are the tenant and the step of its
+    task, None while its job is not known; both are kept when the job has ended.
 
     Parameters
     ----------
@@ -110,12 +111,24 @@
         When the run was first listed. Unit: seconds.
     """
 
-    __slots__ = ("first_listed_at", "item", "stopped")
+    __slots__ = ("first_listed_at", "item", "owner", "step", "stopped")
 
     def __init__(self, *, item, now):
         self.item = item
         self.first_listed_at = now
         self.stopped = False
+        self.owner = None
+        self.step = None
+
+    @property
+    def job_id(self):
+        """Id of the job of the run."""
+        return self.item.task.split(".", 1)[0]
+
+    def note_step(self, step):
+        """Note the :class:`StepRun` of the run's task."""
+        self.owner = step.job.owner
+        self.step = step.spec
 
 
 class PendingEnd:
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -4,6 +4,7 @@
 from ._advice import AllowedShares
 from ._grace_period import GracePeriod
 from ._job import TaskState
+from ._tenant_usage import TenantUsage
 from ._worker import Run, Worker, lease_end
 
 _NEVER = float("inf")
@@ -29,9 +30,11 @@
     -----
     `jobs` holds each :class:`JobRun` by job id, `ended` the states of ended jobs whose end is
     durable, `ended_owners` the names of the tenants of those that have one, `workers` each
-    :class:`Worker` by the identity of its incarnation. `registry_version` is the version up to
-    which the leader has read the registry. `nameless` are the keys of the registry entries that
-    name no worker; if an entry becomes a worker's, its key is the worker's id in the registry.
+    :class:`Worker` by the identity of its incarnation. `usage` accounts for what the runs of each
+    tenant occupy, `limited_jobs` are by tenant the jobs that wait for its maximum.
+    `registry_version` is the version up to which the leader has read the registry. `nameless` are
+    the keys of the registry entries that name no worker; if an entry becomes a worker's, its key is
+    the worker's id in the registry.
 
     `freed` are the workers whose free capacity has grown since the last plan. `needs_full_plan`
     means that a change may affect any step, `last_full_plan_at` is the time of the last plan of all
@@ -50,6 +53,8 @@
         self.ended = {}
         self.ended_owners = {}
         self.workers = {}
+        self.usage = TenantUsage()
+        self.limited_jobs = {}
         self.advice_in_flight = {}
         self.deferred_advice_steps = {}
         self.short_advice_needed_at = now
@@ -178,6 +183,7 @@
             task=task.name, run_id=run_id, worker=worker, job=step.job, step=step.spec, now=now
         )
         worker.add_run(run)
+        self.usage.add(step.job, step.spec)
         task.runs[worker.info.worker_id] = run
         task.run_id = max(task.run_id, run_id)
         task.state = TaskState.RUNNING
@@ -196,9 +202,20 @@
         ]
 
     def _free(self, run):
-        """Release a run's capacity; the next plan considers the worker again."""
+        """Release a run's capacity; the next plan considers the worker again.
+
+        It also considers the jobs that waited for their tenant's maximum.
+        """
         run.worker.remove_run(run)
+        self.usage.remove(run.job, run.step)
         self.freed.add(run.worker.info.worker_id)
+        self.wake_limited_jobs(run.job.owner)
+
+    def wake_limited_jobs(self, tenant):
+        """Include the jobs in the next plan that wait for their tenant's maximum."""
+        for job_id in self.limited_jobs.pop(tenant, ()):
+            if job_id in self.jobs:
+                self.jobs[job_id].wake()
 
     def _take_orphan_run(self, step, task, now):
         """Assign an orphan run to its task, which has no other run left.
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -18,6 +18,9 @@
     "store answers again": "the store answers {instance} again, after {after_s} s",
 }
 
+#: Event of tasks that wait for their tenant's maximum, which has a text of its own.
+_LIMITED = "tasks wait for a maximum"
+
 #: Events of a single job, with their texts.
 _JOB_EVENTS = {
     "job accepted": "accepted: its row is durable at version {version}",
@@ -37,6 +40,8 @@
         "with a valid ticket, {n_open} take work, {n_with_room} have room; its request for advice "
         "is {advice}, for {deferred_s} s"
     ),
+    _LIMITED: "{n_waiting} tasks of {step} wait for the maximum of tenant {tenant}: {limited_by}",
+
     "advice": (
         "{good} of {asked} workers allowed for {step} after {took_s} s; the request had waited for "
         "{waited_s} s"
@@ -121,7 +126,8 @@
 
 
 def _format_line(line):
-    text = _JOB_EVENTS.get(line.event) or _CELL_EVENTS.get(line.event) or line.event
+    event = _LIMITED if line.values.get("limited_by") else line.event
+    text = _JOB_EVENTS.get(event) or _CELL_EVENTS.get(line.event) or line.event
     return text.format_map(_Fields(line.values))
 
 
@@ -157,6 +163,8 @@
                 yield f"{pause:.2f} s around a change of homes"
             case ("job accepted" | "home not told"), "job taken on":
                 yield f"{pause:.2f} s until the home heard of it"
+            case _, "start" if any(line.values.get("limited_by") for line in between):
+                yield f"{pause:.2f} s until the next start: its tenant was at its maximum"
             case "job taken on", "start":
                 yield f"{pause:.2f} s until its first start: room or advice was waited for"
             case ("task ended" | "stop"), "start":
