--- a/anvilflow/cell/_diagnostics.py
+++ b/anvilflow/cell/_diagnostics.py
@@ -55,8 +55,8 @@
     def _metrics(self):
         context = self.context
         store = context.store
-        context.meters.counts["store_calls", ("read",)] = store.n_reads
-        context.meters.counts["store_calls", ("write",)] = store.n_writes
+        for labels, n in store.calls.items():
+            context.meters.counts["store_calls", labels] = n
         for service, n_bytes in context.bytes_by_service().items():
             for direction, n in zip(("out", "in"), n_bytes, strict=True):
                 context.meters.counts["bytes", (service, direction)] = n
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -30,7 +30,7 @@
     "bytes": ("Bytes sent and received, with heads.", ("service", "direction")),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "unproven_refusals": ("Calls refused as their API keys could not be checked.", ()),
-    "store_calls": ("Calls to the store.", ("kind",)),
+    "store_calls": ("Calls to the store, by kind and table.", ("kind", "table")),
 }
 
 #: Help text of each duration, by name. Unit: seconds.
--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the metadata store: versioned rows, conditional transactions and change feeds."""
 
 import base64
+from collections import Counter
 from urllib.parse import urlencode
 
 from msgspec import Struct, field
@@ -103,6 +104,8 @@
     link of 5 Mbit/s a complete response takes seconds. Every attempt would exceed a timeout for the
     whole response; a timeout for its pauses still detects a connection that delivers nothing.
 
+    `calls` counts the calls by kind and table; a transaction counts under its last row's table.
+
     :class:`PlatformRefusedError` means that nothing was done. :class:`PlatformUnavailableError`
     means that a write may have taken effect, or may take effect seconds later.
     """
@@ -111,8 +114,17 @@
         self.http = http
         self.address = address
         self.timeout = timeout
-        self.n_reads = 0
-        self.n_writes = 0
+        self.calls = Counter()
+
+    @property
+    def n_reads(self):
+        """Number of reads and feeds so far."""
+        return sum(n for (kind, _), n in self.calls.items() if kind != "write")
+
+    @property
+    def n_writes(self):
+        """Number of transactions so far."""
+        return sum(n for (kind, _), n in self.calls.items() if kind == "write")
 
     @inlineCallbacks
     def commit(self, conditions, writes, *, timeout=None):
@@ -130,7 +142,7 @@
         PreconditionError
             AF403; its ``details["rows"]`` are the current rows of the conditions.
         """
-        self.n_writes += 1
+        self.calls["write", (writes or conditions)[-1].table] += 1
         body = {
             "expected-rev": [_wire_condition(item) for item in conditions],
             "writes": [_wire_write(item) for item in writes if item.value is not None],
@@ -157,7 +169,7 @@
         rows = []
         version = None
         while True:
-            self.n_reads += 1
+            self.calls["read", table] += 1
             query = {"table": table, "part": part, "limit": PAGE_ROWS}
             if first:
                 query["from"] = first
@@ -201,7 +213,7 @@
         RevisionGoneError
             AF203, if the store no longer keeps the changes after `version`: read the table again.
         """
-        self.n_reads += 1
+        self.calls["follow", table] += 1
         query = urlencode({"table": table, "after": version, "wait-ms": int(wait_s * 1000)})
         answer_s = self.timeout + FEED_GRACE_S if answer_s is None else answer_s
         status, body = yield self._call(
