--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -271,10 +271,10 @@
             version=config.version,
             source=source,
             bytes=len(body),
-            tenants=len(config.tenants or ()),
+            accounts=len(config.accounts or ()),
             keys=len(config.keys),
         )
         if config.keys.ambiguous_owners:
-            self.log.warning("API keys of several tenants", tenants=config.keys.ambiguous_owners)
+            self.log.warning("API keys of several accounts", accounts=config.keys.ambiguous_owners)
         self.post(ConfigChanged(version=config.version))
         return True
--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -150,8 +150,8 @@
     @property
     def uses_keys(self):
         """Whether calls need API keys."""
-        has_tenants = self.config is not None and self.config.tenants is not None
-        return has_tenants or self.settings.has_tenants
+        has_accounts = self.config is not None and self.config.accounts is not None
+        return has_accounts or self.settings.has_accounts
 
     @property
     def keys_checkable_s(self):
--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -6,6 +6,7 @@
 from twisted.web.server import Site
 
 from ..exceptions import (
+    AccountLimitError,
     AnvilflowError,
     JobGoneError,
     JobIdTakenError,
@@ -15,7 +16,6 @@
     PlatformRefusedError,
     RequestError,
     SlowWriteError,
-    TenantLimitError,
     TooLargeError,
     UnauthorizedError,
     UnknownOutcomeError,
@@ -177,7 +177,7 @@
 
     @inlineCallbacks
     def authorize(self, queue, key):
-        """Return the :class:`Tenant` that makes a call, None for a call without a key.
+        """Return the :class:`ClientAccount` that makes a call, None for a call without a key.
 
         Where revocation is strict, a key counts only while the configuration is proven: a call that
         was read later than `revoke_s` after the time as of which it is proven is refused.
@@ -190,7 +190,7 @@
         Raises
         ------
         UnauthorizedError
-            AF308: the key is missing, or no tenant has it.
+            AF308: the key is missing, or no account has it.
         UnprovenConfigError
             AF205: this instance cannot check the key.
         """
@@ -207,23 +207,23 @@
                 "whether the API key is in force is not known",
                 details={"retry_after_s": MIN_RETRY_AFTER_S},
             )
-        tenant = self.config.tenant_with_key(key)
-        if tenant is None:
-            raise UnauthorizedError("no tenant has the API key")
-        return tenant
+        account = self.config.account_with_key(key)
+        if account is None:
+            raise UnauthorizedError("no account has the API key")
+        return account
 
     # Submission
 
     @inlineCallbacks
-    def submit(self, spec, queue, tenant=None):
+    def submit(self, spec, queue, account=None):
         """Accept a job durably.
 
         Raises
         ------
         JobIdTakenError
-            AF310: another tenant has a job with this id.
-        TenantLimitError
-            AF309: the tenant's maximum does not allow one of the job's tasks or gangs.
+            AF310: another account has a job with this id.
+        AccountLimitError
+            AF309: the account's maximum does not allow one of the job's tasks or gangs.
         RequestError
             AF302: the job was certainly not accepted.
         UnknownOutcomeError
@@ -237,7 +237,7 @@
             queue=queue,
             config_version=self.config.version,
             entry=gateway,
-            tenant=tenant,
+            account=account,
         )
         if len(encode(value)) > MAX_ROW_BYTES:
             # The store refuses such a row every time. If that refusal counted as a write of unknown
@@ -245,7 +245,7 @@
             # count the store as unavailable each time.
             raise TooLargeError(f"the job's row exceeds {MAX_ROW_BYTES} bytes")
         job_id = spec.job_id
-        yield self._refuse_if_above_maximum(spec, tenant)
+        yield self._refuse_if_above_maximum(spec, account)
         yield self._refuse_if_late(spec, queue)
         in_doubt = False
         # No write is tried in an outage: it would get no answer, and its client could not determine
@@ -268,7 +268,7 @@
                     "job accepted",
                     job=job_id,
                     queue=queue.name,
-                    tenant=value.owner,
+                    account=value.owner,
                     version=version,
                 )
                 if version:
@@ -291,20 +291,20 @@
         )
 
     @inlineCallbacks
-    def _refuse_if_above_maximum(self, spec, tenant):
-        """Refuse a job that can never run as its tenant's maximum is too low.
+    def _refuse_if_above_maximum(self, spec, account):
+        """Refuse a job that can never run as its account's maximum is too low.
 
         A copy of a job that was accepted under a higher maximum is not refused.
         """
-        if tenant is None or all(tenant.can_ever_run(step) for step in spec.steps):
+        if account is None or all(account.can_ever_run(step) for step in spec.steps):
             return
         try:
-            state, _ = yield read_stored_job(self.context.store, spec.job_id, tenant.name)
+            state, _ = yield read_stored_job(self.context.store, spec.job_id, account.name)
         except PlatformError as exc:
             raise UnknownOutcomeError("whether the job was accepted before is not known") from exc
         if state is None:
-            raise TenantLimitError(
-                f"the job was not accepted: a task or gang exceeds the maximum of {tenant.name}"
+            raise AccountLimitError(
+                f"the job was not accepted: a task or gang exceeds the maximum of {account.name}"
             )
 
     @inlineCallbacks
@@ -395,18 +395,18 @@
 
     def _call_leader(self, verb, job_id, queue, body=b"", timeout=LEADER_TIMEOUT_S, *, caller=None):
         return self.context.links.call_leader(
-            timeout, verb=verb, job_id=job_id, queue=queue, version=0, body=body, tenant=caller
+            timeout, verb=verb, job_id=job_id, queue=queue, version=0, body=body, account=caller
         )
 
     # States, counts and cancellation
 
     @inlineCallbacks
-    def state(self, queue, job_id, tenant=None):
-        """Return a job's state; raise AF304 if the calling tenant has no such job.
+    def state(self, queue, job_id, account=None):
+        """Return a job's state; raise AF304 if the calling account has no such job.
 
-        A job of another tenant is treated as a missing one, so that its existence is not revealed.
+        A job of another account is treated as a missing one, so that its existence is not revealed.
         """
-        caller = _name_of(tenant)
+        caller = _name_of(account)
         known = self._final_states.get((job_id, caller))
         if known is not None:
             return known
@@ -468,9 +468,9 @@
         return reply.count if reply.outcome == "ok" else None
 
     @inlineCallbacks
-    def cancel(self, queue, job_id, tenant=None):
-        """Cancel a job durably; raise AF304 if the calling tenant has no such job."""
-        caller = _name_of(tenant)
+    def cancel(self, queue, job_id, account=None):
+        """Cancel a job durably; raise AF304 if the calling account has no such job."""
+        caller = _name_of(account)
         try:
             reply = yield self._call_leader(
                 "cancel", job_id, queue.name, timeout=CANCEL_TIMEOUT_S, caller=caller
@@ -491,9 +491,9 @@
             raise JobGoneError(f"there is no job {job_id}")
 
 
-def _name_of(tenant):
+def _name_of(account):
     """Return the name under which a call is made to the leader; empty for one without a key."""
-    return tenant.name if tenant is not None else ""
+    return account.name if account is not None else ""
 
 
 def _objective_s(spec, queue):
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -57,11 +57,11 @@
             value = self._decode_row(row, EndedJob)
             if value is not None:
                 self.scheduler.drop_job(
-                    row.key, JobState(value.state), self._now(), owner=value.tenant
+                    row.key, JobState(value.state), self._now(), owner=value.account
                 )
                 self.garbage_collector.add(row.key, value.ended_at)
                 if self.context.wall_clock() - value.ended_at < MAX_LEFTOVER_S:
-                    self.scheduler.usage.add_leftover(value.tenant, value.held)
+                    self.scheduler.usage.add_leftover(value.account, value.held)
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
             if not row.key.endswith(CANCEL_MARK):
@@ -121,7 +121,7 @@
             wall_now=self.context.wall_clock(),
             record=record,
             config_version=value.config_version,
-            tenant=value.tenant,
+            account=value.account,
         )
         if added:
             self.relay_dispatcher.note_gateway(value.spec.job_id, value.entry)
@@ -129,7 +129,7 @@
                 "job taken on",
                 job=value.spec.job_id,
                 queue=value.queue.name,
-                tenant=value.owner,
+                account=value.owner,
                 version=version,
                 inherited=self.scheduler.jobs[value.spec.job_id].inherited,
                 tasks=sum(step.n_tasks for step in value.spec.steps),
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -92,7 +92,7 @@
     Raises
     ------
     JobIdTakenError
-        AF310: another tenant has a job with this id.
+        AF310: another account has a job with this id.
     """
     job_id = value.spec.job_id
     part = job_part(job_id)
@@ -115,7 +115,7 @@
 
 
 def _owner_of(row):
-    """Return the name of the tenant of a job's row; empty if it has none or cannot be read."""
+    """Return the name of the account of a job's row; empty if it has none or cannot be read."""
     try:
         return decode(row.value, JobRow, error=PlatformError).owner
     except PlatformError:
@@ -181,7 +181,7 @@
 def read_stored_job(store, job_id, caller=None):
     """Return a job's :class:`JobState` and its row from the store, or (None, None).
 
-    A job that the calling tenant may not access is treated as a missing one.
+    A job that the calling account may not access is treated as a missing one.
 
     A job that is marked as cancelled counts as running, and its row is not returned. Its last task
     may end before the leader reads the mark, and then the job is completed: a client that was shown
@@ -190,7 +190,7 @@
     ended = yield store.read_row(ENDED, PART, job_id)
     if ended is not None:
         value = decode(ended.value, EndedJob, error=PlatformError)
-        return (JobState(value.state), None) if may_access(value.tenant, caller) else (None, None)
+        return (JobState(value.state), None) if may_access(value.account, caller) else (None, None)
     end = job_id + CANCEL_MARK + "\0"
     rows, _ = yield store.read(JOBS, job_part(job_id), first=job_id, end=end)
     keys = {row.key: row for row in rows}
--- a/anvilflow/cell/_leader_calls.py
+++ b/anvilflow/cell/_leader_calls.py
@@ -46,13 +46,13 @@
                 self.leader.add_job(decode(call.body, JobRow), call.version)
                 return succeed(_reply("ok"))
             case "state":
-                is_visible = self.scheduler.may_access(call.job_id, call.tenant)
+                is_visible = self.scheduler.may_access(call.job_id, call.account)
                 state = self.scheduler.state_of(call.job_id) if is_visible else None
                 return succeed(_reply(str(state) if state is not None else "unknown"))
             case "pending":
                 return succeed(_reply("ok", count=self.scheduler.n_waiting()[call.queue]))
             case "cancel":
-                if not self.scheduler.may_access(call.job_id, call.tenant):
+                if not self.scheduler.may_access(call.job_id, call.account):
                     return succeed(_reply("unknown"))
                 return self._cancel(call.job_id)
             case "submit":
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -12,8 +12,8 @@
 #: The only supported way in which workers receive commands: each command is a call to the worker.
 COMMANDS_BY_CALL = "invocation"
 
-#: Contract of a cell with tenants.
-TENANTS_CONTRACT = "tenants"
+#: Contract of a cell with accounts.
+ACCOUNTS_CONTRACT = "tenants"
 
 #: Processor of an instance whose settings do not give it: such an instance ranks neither first nor
 #: last among the candidates for leader. Unit: thousandths of a core.
@@ -90,7 +90,7 @@
     orders : {"invocation"}
         How workers receive commands; only calls to the workers are supported.
     contracts : list of str
-        Parts of the platform's contract that are in force. With ``tenants``, calls need API keys,
+        Parts of the platform's contract that are in force. With ``accounts``, calls need API keys,
         whatever the configuration contains.
     log_level : str
     link_mbps : float or None, default=None
@@ -120,9 +120,9 @@
     scheduling: SchedulingPolicy = msgspec.field(default_factory=SchedulingPolicy)
 
     @property
-    def has_tenants(self):
-        """Whether the cell has tenants, so that calls need API keys."""
-        return TENANTS_CONTRACT in self.contracts
+    def has_accounts(self):
+        """Whether the cell has accounts, so that calls need API keys."""
+        return ACCOUNTS_CONTRACT in self.contracts
 
     @property
     def cpu_milli(self):
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -5,7 +5,7 @@
 
 from msgspec import UNSET, Struct, structs
 
-from ..jobs import EndedJob, HandoverWorker, JobSpec, Queue, Tenant
+from ..jobs import ClientAccount, EndedJob, HandoverWorker, JobSpec, Queue
 from ..platform import RowCondition, RowWrite
 from ..utils import encode
 
@@ -59,9 +59,9 @@
 
 
 class JobRow(Struct, kw_only=True):
-    """An accepted job, with its queue, tenant and configuration version at the time of acceptance.
+    """An accepted job, with its queue, account and configuration version at the time of acceptance.
 
-    `tenant` is None for a job of a call without a key, and in rows of earlier releases.
+    `account` is None for a job of a call without a key, and in rows of earlier releases.
     The row of an ended job may have no steps, see :func:`short_row`. `entry` names the gateway that
     keeps the payload, if the payload has a row of its own.
     """
@@ -70,12 +70,12 @@
     queue: Queue
     config_version: int = 0
     entry: str = ""
-    tenant: Tenant | None = None
+    account: ClientAccount | None = None
 
     @property
     def owner(self):
-        """Name of the job's tenant; empty: none."""
-        return self.tenant.name if self.tenant is not None else ""
+        """Name of the job's account; empty: none."""
+        return self.account.name if self.account is not None else ""
 
 
 def has_payload(spec):
@@ -112,7 +112,7 @@
 def short_row(job):
     """Return the short row of an ended job: its id and its queue, without payload and steps."""
     spec = JobSpec(job_id=job.job_id, queue=job.spec.queue, payload="", steps=())
-    return JobRow(spec=spec, queue=job.queue, tenant=job.tenant)
+    return JobRow(spec=spec, queue=job.queue, account=job.account)
 
 
 #: Number of parts of the jobs table. In a store a hundred times as slow as usual each part takes
@@ -150,7 +150,7 @@
     row = EndedJob(
         state=str(job.state),
         ended_at=round(wall_now, 3),
-        tenant=job.owner,
+        account=job.owner,
         held=held,
     )
     return write(ENDED, job.job_id, row)
--- a/anvilflow/cell/tests/test_api_keys.py
+++ b/anvilflow/cell/tests/test_api_keys.py
@@ -1,11 +1,11 @@
-"""API keys of tenants: which calls are served, and what one tenant learns of another's jobs."""
+"""API keys of accounts: which calls are served, and what one account learns of another's jobs."""
 
 import json
 
 import pytest
 
 from anvilflow.cell import _gateway
-from anvilflow.jobs import ApiKeys, CellConfig, Tenant
+from anvilflow.jobs import ApiKeys, CellConfig, ClientAccount
 from anvilflow.platform import _front, decode_config
 from anvilflow.standins import make_platform_config
 from anvilflow.utils import encode
@@ -14,22 +14,22 @@
 
 KEY = "first-key-0123456789"
 OTHER_KEY = "other-key-0123456789"
-NO_KEY = "no-tenants-key"
+NO_KEY = "no-accounts-key"
 
 
-def make_tenants(**keys):
-    """Return tenants in the wire format, each with the given list of keys."""
+def make_accounts(**keys):
+    """Return accounts in the wire format, each with the given list of keys."""
     return [{"name": name, "api-keys": each, "weight": 2} for name, each in keys.items()]
 
 
 def make_config(version=1, **keys):
-    """Return a configuration with a queue that needs keys, one that does not, and tenants."""
+    """Return a configuration with a queue that needs keys, one that does not, and accounts."""
     queues = [
         {"name": "urgent", "prefix": "/urgent/", "public": False},
         {"name": "open", "prefix": "/open/", "public": True},
     ]
-    tenants = make_tenants(**(keys or {"a": [KEY], "b": [OTHER_KEY]}))
-    return make_platform_config(version, queues=queues, tenants=tenants)
+    accounts = make_accounts(**(keys or {"a": [KEY], "b": [OTHER_KEY]}))
+    return make_platform_config(version, queues=queues, tenants=accounts)
 
 
 def call(cell, method="GET", path="/urgent/", **values):
@@ -43,16 +43,16 @@
 
 @pytest.fixture
 def cell():
-    """Return a started cell with two tenants."""
+    """Return a started cell with two accounts."""
     return make_cell(config=make_config())
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
 @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
-def test_call_with_a_key_that_no_tenant_has_is_refused(cell, monkeypatch, method, safeguard):
+def test_call_with_a_key_that_no_account_has_is_refused(cell, monkeypatch, method, safeguard):
     if not safeguard:
-        tenant = Tenant(name="a")
-        monkeypatch.setattr(CellConfig, "tenant_with_key", lambda self, key: tenant)
+        account = ClientAccount(name="a")
+        monkeypatch.setattr(CellConfig, "account_with_key", lambda self, key: account)
     body = encode({"spec": "", "steps": [STEP]})
     status = call(cell, method, f"/urgent/{JOB}", body=body, key=NO_KEY)
     assert (status == 401) is safeguard
@@ -101,13 +101,13 @@
     assert call(cell, path="/open/", key=NO_KEY) == 401
 
 
-def test_cell_without_tenants_ignores_keys():
+def test_cell_without_accounts_ignores_keys():
     cell = make_cell()
     assert call(cell) == call(cell, key=NO_KEY) == 200
     assert call(cell, headers={"authorization": ["Basic x"]}) == 200
 
 
-def test_missing_tenants_do_not_open_a_cell_whose_settings_demand_keys(cell):
+def test_missing_accounts_do_not_open_a_cell_whose_settings_demand_keys(cell):
     for daemon in cell.daemons.values():
         daemon.context.settings.contracts = ["base", "tenants"]
     cell.store.put("op", "config", make_platform_config(2))
@@ -116,10 +116,10 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_tenant_learns_nothing_of_the_job_of_another(cell, monkeypatch, safeguard):
-    """Guards against a tenant that reads or cancels the jobs of another, with its leader or not."""
+def test_account_learns_nothing_of_the_job_of_another(cell, monkeypatch, safeguard):
+    """Guards against an account that reads or cancels the jobs of another."""
     if not safeguard:
-        monkeypatch.setattr(_gateway, "_name_of", lambda tenant: None)
+        monkeypatch.setattr(_gateway, "_name_of", lambda account: None)
     cell.submit(cell.other(), JOB, STEP, key=KEY, spec="9.0 done 1000")
     cell.advance(0.5)
     assert cell.state(cell.other(), JOB, key=KEY) == "running"
@@ -136,7 +136,7 @@
         assert cell.state(name, JOB, key=KEY) == "running"
 
 
-def test_tenant_learns_nothing_of_an_ended_job_of_another(cell):
+def test_account_learns_nothing_of_an_ended_job_of_another(cell):
     cell.submit(cell.other(), JOB, STEP, key=KEY, spec="0.1 done 1000")
     cell.advance(2.0)
     for _ in range(2):
@@ -147,8 +147,8 @@
         cell.advance(6.0)
 
 
-def test_job_id_of_another_tenant_is_not_accepted(cell):
-    """Guards against the answer that a job was accepted before, while it is another tenant's."""
+def test_job_id_of_another_account_is_not_accepted(cell):
+    """Guards against the answer that a job was accepted before, while it is another account's."""
     cell.submit(cell.other(), JOB, STEP, key=KEY, spec="9.0 done 1000")
     cell.advance(0.5)
     for name in cell.daemons:
@@ -164,8 +164,8 @@
     return answers
 
 
-def test_rows_of_earlier_releases_have_no_tenant():
-    """Guards against jobs that nobody can read after an upgrade to a release with tenants."""
+def test_rows_of_earlier_releases_have_no_account():
+    """Guards against jobs that nobody can read after an upgrade to a release with accounts."""
     cell = make_cell()
     cell.submit(cell.other(), JOB, STEP, spec="9.0 done 1000")
     cell.advance(0.5)
@@ -206,7 +206,7 @@
 
 
 @pytest.mark.parametrize(
-    "tenants",
+    "accounts",
     [
         [{"name": ""}],
         [{"api-keys": ["x"]}],
@@ -220,8 +220,8 @@
         {"a": {}},
     ],
 )
-def test_malformed_tenants_leave_the_last_configuration_in_force(cell, tenants):
-    config = {**make_platform_config(2), "tenants": tenants}
+def test_malformed_accounts_leave_the_last_configuration_in_force(cell, accounts):
+    config = {**make_platform_config(2), "tenants": accounts}
     cell.store.put("op", "config", config)
     cell.advance(1.0)
     assert {daemon.context.config.version for daemon in cell.daemons.values()} == {1}
@@ -236,20 +236,20 @@
     assert KEY not in str(caught.value)
 
 
-def test_key_of_two_tenants_identifies_neither():
+def test_key_of_two_accounts_identifies_neither():
     keys = ApiKeys([("a", [KEY, "x"]), ("b", [KEY]), ("c", []), ("d", [KEY + "d", KEY + "d"])])
     assert [keys.owner_of(key) for key in (KEY, "x", KEY + "d")] == [None, "a", "d"]
     assert keys.ambiguous_owners == ["a", "b"]
 
 
 def test_thousands_of_keys_are_decoded():
-    tenants = [
+    accounts = [
         {"name": f"t{n}", "api-keys": [f"key-{n}-{i}" for i in range(40)]} for n in range(250)
     ]
-    config = decode_config(encode(make_platform_config(tenants=tenants)))
+    config = decode_config(encode(make_platform_config(tenants=accounts)))
     assert len(config.keys) == 10_000
-    assert config.tenant_with_key("key-249-39").name == "t249"
-    assert config.tenant_with_key("key-250-0") is None
+    assert config.account_with_key("key-249-39").name == "t249"
+    assert config.account_with_key("key-250-0") is None
 
 
 def test_longest_key_is_checked_at_the_boundary(cell):
--- a/anvilflow/cell/tests/test_drawn_maxima.py
+++ b/anvilflow/cell/tests/test_drawn_maxima.py
@@ -1,4 +1,4 @@
-"""Maxima of tenants, under random faults of commands, leaders, workers and the store.
+"""Maxima of accounts, under random faults of commands, leaders, workers and the store.
 
 Counted is what workers run, not what a leader believes: late starts, runs of former leaders and
 runs that are being stopped included.
@@ -27,16 +27,16 @@
 LATE_SHARE = 0.03
 LATE_RANGE_S = (0.5, 6.0)
 
-TENANTS = ("a", "b", "c")
+ACCOUNTS = ("a", "b", "c")
 
 
-def key_of(tenant):
-    """Return the API key of a tenant."""
-    return f"key-of-{tenant}"
+def key_of(account):
+    """Return the API key of an account."""
+    return f"key-of-{account}"
 
 
 class MaximumScenario:
-    """A cell whose tenants submit more than their maxima allow, under faults drawn from a seed.
+    """A cell whose accounts submit more than their maxima allow, under faults drawn from a seed.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
         self.cell = PlatformCell(
             n_instances=N_INSTANCES, n_workers=N_WORKERS, random_state=seed, config=False
         )
-        self._put_config(dict.fromkeys(TENANTS, 6000))
+        self._put_config(dict.fromkeys(ACCOUNTS, 6000))
         for worker in self.cell.workers.values():
             worker.draw_delay = self._draw_delay
         self.events = sorted(self._draw_events(), key=lambda event: event[0])
@@ -65,11 +65,11 @@
 
     def _put_config(self, maxima):
         self.version += 1
-        tenants = [
+        accounts = [
             {"name": name, "api-keys": [key_of(name)], "maximum": {"cpu": maximum}}
             for name, maximum in maxima.items()
         ]
-        self.cell.store.put("op", "config", make_platform_config(self.version, tenants=tenants))
+        self.cell.store.put("op", "config", make_platform_config(self.version, tenants=accounts))
         self.maxima.append((self.cell.clock.seconds(), maxima))
 
     def _draw_events(self):
@@ -101,24 +101,24 @@
         return cell.check() + self.find_excesses()
 
     def find_excesses(self):
-        """Return a text for each start that brought a tenant over its maximum."""
+        """Return a text for each start that brought an account over its maximum."""
         found = []
-        for tenant in TENANTS:
+        for account in ACCOUNTS:
             moments = []
             for span in self.cell.spans:
-                if self.owners[span.task.partition(".")[0]] == tenant:
+                if self.owners[span.task.partition(".")[0]] == account:
                     moments.append((span.began_at, 1, span.cpu))
                     if span.ended_at is not None:
                         moments.append((span.ended_at, 0, -span.cpu))
             used = 0
             for at, _, cpu in sorted(moments):
                 used += cpu
-                maximum = self._highest_maximum(tenant, at)
+                maximum = self._highest_maximum(account, at)
                 if cpu > 0 and used > maximum:
-                    found.append(f"{tenant} has {used} of {maximum} in use at {at:.3f}")
+                    found.append(f"{account} has {used} of {maximum} in use at {at:.3f}")
         return found
 
-    def _highest_maximum(self, tenant, at):
+    def _highest_maximum(self, account, at):
         """Return the highest maximum of the configurations that may be in force.
 
         A change made while the store is disturbed may come into force later, as no instance may be
@@ -126,7 +126,7 @@
         """
         ends = [self._in_force_by(put_at) for put_at, _ in self.maxima[1:]] + [float("inf")]
         return max(
-            maxima[tenant]
+            maxima[account]
             for (put_at, maxima), end in zip(self.maxima, ends, strict=True)
             if put_at <= at <= end
         )
@@ -141,13 +141,13 @@
         return self.random_state.choice(list(self.cell.daemons))
 
     def _submit(self, job_id):
-        tenant = self.random_state.choice(TENANTS)
-        self.owners[job_id] = tenant
+        account = self.random_state.choice(ACCOUNTS)
+        self.owners[job_id] = account
         n_tasks = self.random_state.choice([1, 3, 5])
         step = {"count": n_tasks, "cpu": 1000, "gang": self.random_state.random() < 0.2}
         steps = [step, {"count": 2, "cpu": 1000, "after": [0]}]
         spec = f"{self.random_state.uniform(0.3, 5.0):.2f} done 1000"
-        self.cell.submit(self._draw_instance(), job_id, *steps, spec=spec, key=key_of(tenant))
+        self.cell.submit(self._draw_instance(), job_id, *steps, spec=spec, key=key_of(account))
         if self.random_state.random() < 0.25:
             self.cell.clock.callLater(self.random_state.uniform(0.2, 3.0), self._cancel, job_id)
 
@@ -156,7 +156,7 @@
         self.cell.call(self._draw_instance(), "DELETE", f"/urgent/{job_id}", key=key)
 
     def _change_maxima(self, _):
-        self._put_config({name: self.random_state.choice([2000, 6000, 9000]) for name in TENANTS})
+        self._put_config({name: self.random_state.choice([2000, 6000, 9000]) for name in ACCOUNTS})
 
     def _lose_leader(self, _):
         name = self.cell.leader()
@@ -198,7 +198,7 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_drawn_faults_bring_no_tenant_over_its_maximum(seed):
+def test_drawn_faults_bring_no_account_over_its_maximum(seed):
     scenario = MaximumScenario(seed=seed)
     assert scenario.play() == []
     assert len(scenario.cell.spans) > 60
--- a/anvilflow/cell/tests/test_strict_revocation.py
+++ b/anvilflow/cell/tests/test_strict_revocation.py
@@ -17,7 +17,7 @@
 
 
 def make_strict_cell(**values):
-    """Return a started cell with two tenants and strict revocation."""
+    """Return a started cell with two accounts and strict revocation."""
     bounds = Bounds(strict_revocation=True, revoke_s=REVOKE_S, config_apply_s=3.0)
     return make_cell(config=make_config(), bounds=bounds, **values)
 
@@ -246,12 +246,12 @@
         return [call for call in self.calls if self._is_violation(*call)]
 
     def _change_keys(self):
-        tenant = self.random_state.choice(["a", "b"])
-        for key in self.keys[tenant][: self.random_state.choice([1, 1, 5])]:
-            self.keys[tenant].remove(key)
+        account = self.random_state.choice(["a", "b"])
+        for key in self.keys[account][: self.random_state.choice([1, 1, 5])]:
+            self.keys[account].remove(key)
             self.removed_at[key] = self.cell.clock.seconds()
         self.version += self.random_state.choice([1, 3])
-        self.keys[tenant].append(f"{tenant}-{self.version}")
+        self.keys[account].append(f"{account}-{self.version}")
         self.cell.store.put("op", "config", make_config(self.version, **self.keys))
 
     def _begin_fault(self):
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "AccountLimitError",
     "AnvilflowError",
     "CallError",
     "ConflictError",
@@ -27,7 +28,6 @@
     "SlowWriteError",
     "StartTimeError",
     "TaskCrashesWorkersError",
-    "TenantLimitError",
     "TooLargeError",
     "UnauthorizedError",
     "UnknownOutcomeError",
@@ -172,7 +172,7 @@
 
 
 class JobIdTakenError(AnvilflowError):
-    """A job was not accepted: another tenant has a job with this id."""
+    """A job was not accepted: another account has a job with this id."""
 
     code = "AF310"
     http_status = 409
@@ -180,15 +180,15 @@
 
 
 class UnauthorizedError(AnvilflowError):
-    """A call has no API key, a malformed one, or one that no tenant has."""
+    """A call has no API key, a malformed one, or one that no account has."""
 
     code = "AF308"
     http_status = 401
     exit_status = 4
 
 
-class TenantLimitError(RequestError):
-    """A job was not accepted: one of its tasks or gangs exceeds its tenant's maximum by itself."""
+class AccountLimitError(RequestError):
+    """A job was not accepted: one of its tasks or gangs exceeds its account's maximum by itself."""
 
     code = "AF309"
     http_status = 429
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs, workers and scheduling decisions of a cell, free of input and output."""
 
+from ._accounts import ApiKeys, ClientAccount, demand_of, may_access
 from ._actions import (
     NoteCrashingTask,
     NoteLostWorker,
@@ -18,7 +19,6 @@
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
-from ._tenants import ApiKeys, Tenant, demand_of, may_access
 from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 from ._worker_id import make_worker_id
 
@@ -29,6 +29,7 @@
     "AdviceRules",
     "ApiKeys",
     "CellConfig",
+    "ClientAccount",
     "CrashHistory",
     "EndedJob",
     "GracePeriod",
@@ -54,7 +55,6 @@
     "StepSpec",
     "StopRun",
     "TaskState",
-    "Tenant",
     "Worker",
     "WorkerInfo",
     "WorkerReport",
--- a/anvilflow/jobs/_tenant_usage.py
+++ b/anvilflow/jobs/_account_usage.py
@@ -1,14 +1,14 @@
-"""Resources that the runs of each tenant occupy in the whole cell."""
+"""Resources that the runs of each client account occupy in the whole cell."""
 
 from itertools import pairwise
 
-from ._tenants import add_demands, demand_of
+from ._accounts import add_demands, demand_of
 
 _NONE = (0, 0, 0)
 
 
-class TenantUsage:
-    """Accounts of what each tenant's runs occupy: processor, memory and accelerators.
+class AccountUsage:
+    """Keeps count of the processor, memory and accelerators that each account's runs occupy.
 
     A run counts from the decision to start it until its end is certain, on whatever worker.
 
@@ -24,10 +24,10 @@
 
     def __init__(self):
         self._used = {}
-        # By job with an assumption: its tenant and bound, and what its known runs occupy.
+        # By job with a bound: its account and bound, and what its known runs occupy.
         self._assumed = {}
         self._known = {}
-        # By tenant: what the bounds of its jobs exceed their known runs by.
+        # By account: by how much the bounds of its jobs exceed their known runs.
         self._hidden = {}
         self._leftover = {}
 
@@ -39,16 +39,16 @@
         """Count a run of a job's step no more."""
         self._change(job, step, -1)
 
-    def used(self, tenant):
-        """Return what a tenant's runs may occupy in total, in the order of :func:`demand_of`."""
-        used = self._used.get(tenant, _NONE)
+    def used(self, account):
+        """Return what an account's runs may occupy in total, in the order of :func:`demand_of`."""
+        used = self._used.get(account, _NONE)
         for bounds in (self._hidden, self._leftover):
-            if tenant in bounds:
-                used = add_demands(used, bounds[tenant])
+            if account in bounds:
+                used = add_demands(used, bounds[account])
         return used
 
-    def tenants(self):
-        """Return the names of the tenants whose runs may occupy anything."""
+    def accounts(self):
+        """Return the names of the accounts whose runs may occupy anything."""
         return sorted(self._used.keys() | self._hidden.keys() | self._leftover.keys())
 
     # Runs of earlier leaders
@@ -63,16 +63,16 @@
         """Whether runs of ended jobs are counted."""
         return bool(self._leftover)
 
-    def assume(self, job_id, tenant, bound):
+    def assume(self, job_id, account, bound):
         """Count a job with at least `bound`, as it may have runs that no worker has listed yet.
 
         Must be called before any run of the job is counted.
         """
         if job_id in self._assumed or bound == _NONE:
             return
-        self._assumed[job_id] = (tenant, bound)
+        self._assumed[job_id] = (account, bound)
         self._known[job_id] = _NONE
-        self._hidden[tenant] = add_demands(self._hidden.get(tenant, _NONE), bound)
+        self._hidden[account] = add_demands(self._hidden.get(account, _NONE), bound)
 
     def bound_of(self, job_id):
         """Return the upper bound with which a job counts; nothing without one."""
@@ -82,11 +82,11 @@
         """Count what exceeds the known runs of a job that has ended as left over."""
         if job_id not in self._assumed:
             return
-        tenant, bound = self._assumed.pop(job_id)
+        account, bound = self._assumed.pop(job_id)
         known = self._known.pop(job_id)
         hidden = tuple(max(0, most - now) for most, now in zip(bound, known, strict=True))
-        self._hidden[tenant] = add_demands(self._hidden[tenant], tuple(-each for each in hidden))
-        self.add_leftover(tenant, hidden)
+        self._hidden[account] = add_demands(self._hidden[account], tuple(-each for each in hidden))
+        self.add_leftover(account, hidden)
 
     def drop_assumptions(self):
         """Count known runs only from now on, as all runs are known."""
@@ -94,37 +94,37 @@
         self._known.clear()
         self._hidden.clear()
 
-    def add_leftover(self, tenant, held):
+    def add_leftover(self, account, held):
         """Count what the runs of an ended job held when an earlier leader recorded its end."""
-        if tenant and held != _NONE:
-            self._leftover[tenant] = add_demands(self._leftover.get(tenant, _NONE), held)
+        if account and held != _NONE:
+            self._leftover[account] = add_demands(self._leftover.get(account, _NONE), held)
 
     def drop_leftovers(self):
         """Count the runs of ended jobs no more, as they have ended."""
         self._leftover.clear()
 
     def _change(self, job, step, sign):
-        tenant = job.owner
-        if not tenant:
+        account = job.owner
+        if not account:
             return
         cpu, memory, accelerators = demand_of(step)
         change = (sign * cpu, sign * memory, sign * accelerators)
-        used = add_demands(self._used.get(tenant, _NONE), change)
+        used = add_demands(self._used.get(account, _NONE), change)
         if used == _NONE:
-            self._used.pop(tenant, None)
+            self._used.pop(account, None)
         else:
-            self._used[tenant] = used
+            self._used[account] = used
         if job.job_id in self._assumed:
             self._change_known(job.job_id, change)
 
     def _change_known(self, job_id, change):
-        tenant, bound = self._assumed[job_id]
+        account, bound = self._assumed[job_id]
         before = self._known[job_id]
         after = self._known[job_id] = add_demands(before, change)
-        self._hidden[tenant] = tuple(
+        self._hidden[account] = tuple(
             hidden + max(0, most - new) - max(0, most - old)
             for hidden, most, old, new in zip(
-                self._hidden[tenant], bound, before, after, strict=True
+                self._hidden[account], bound, before, after, strict=True
             )
         )
 
--- a/anvilflow/jobs/_tenants.py
+++ b/anvilflow/jobs/_accounts.py
@@ -1,4 +1,4 @@
-"""Tenants, and the digests of their API keys."""
+"""Client accounts, and the digests of their API keys."""
 
 import hashlib
 from collections import defaultdict
@@ -9,16 +9,16 @@
 RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
 
 
-class Tenant(Struct, kw_only=True, frozen=True, omit_defaults=True):
-    """A tenant of the cell, without its keys.
+class ClientAccount(Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """An account of the cell, without its keys.
 
     Parameters
     ----------
     name : str
     weight : float, default=1.0
-        Share of the cell relative to other tenants when all capacity is in use.
+        Share of the cell relative to other accounts when all capacity is in use.
     max_cpu_milli, max_memory_mb, max_accelerators : int, default=0
-        Resources that the tenant's runs may occupy in total; 0: no limit. Units: thousandths of a
+        Resources that the account's runs may occupy in total; 0: no limit. Units: thousandths of a
         core, megabytes, devices.
     """
 
@@ -34,19 +34,19 @@
         return (self.max_cpu_milli, self.max_memory_mb, self.max_accelerators)
 
     def n_allowed(self, step, used=(0, 0, 0)):
-        """Return how many tasks of a step the tenant's maximum allows beside what is in use.
+        """Return how many tasks of a step the account's maximum allows beside what is in use.
 
         Parameters
         ----------
         step : StepSpec
         used : tuple of int, default=(0, 0, 0)
-            Resources that the tenant occupies already, in the order of :func:`demand_of`.
+            Resources that the account occupies already, in the order of :func:`demand_of`.
 
         Examples
         --------
         >>> from anvilflow.jobs import StepSpec
-        >>> tenant = Tenant(name="a", max_cpu_milli=4000)
-        >>> tenant.n_allowed(StepSpec(n_tasks=9, cpu_milli=1500), used=(500, 0, 0))
+        >>> account = ClientAccount(name="a", max_cpu_milli=4000)
+        >>> account.n_allowed(StepSpec(n_tasks=9, cpu_milli=1500), used=(500, 0, 0))
         2
         """
         n_allowed = step.n_tasks
@@ -56,7 +56,7 @@
         return max(0, n_allowed)
 
     def can_ever_run(self, step):
-        """Whether one task of a step, or all tasks of a gang, are within the tenant's maximum."""
+        """Whether one task of a step, or all tasks of a gang, are within the account's maximum."""
         return self.n_allowed(step) >= (step.n_tasks if step.gang else 1)
 
 
@@ -66,9 +66,9 @@
     Parameters
     ----------
     owner : str
-        Name of the job's tenant; empty: none.
+        Name of the job's account; empty: none.
     caller : str or None
-        Name of the calling tenant; empty: a call without a key. None: the caller was checked
+        Name of the calling account; empty: a call without a key. None: the caller was checked
         elsewhere.
 
     Examples
@@ -104,22 +104,22 @@
 
     Parameters
     ----------
-    keys_by_tenant : iterable of (str, iterable of str)
-        Each tenant's name and keys.
+    keys_by_account : iterable of (str, iterable of str)
+        Each account's name and keys.
 
     Notes
     -----
-    A key that several tenants have identifies none of them. `ambiguous_owners` are the names of
-    such tenants.
+    A key that several accounts have identifies none of them. `ambiguous_owners` are the names of
+    such accounts.
     """
 
     __slots__ = ("_owners", "ambiguous_owners")
 
-    def __init__(self, keys_by_tenant=()):
+    def __init__(self, keys_by_account=()):
         owners = defaultdict(set)
-        for tenant, keys in keys_by_tenant:
+        for account, keys in keys_by_account:
             for key in keys:
-                owners[key_digest(key)].add(tenant)
+                owners[key_digest(key)].add(account)
         self._owners = {
             digest: next(iter(each)) for digest, each in owners.items() if len(each) == 1
         }
@@ -140,5 +140,5 @@
         return f"<ApiKeys: {len(self)}>"
 
     def owner_of(self, key):
-        """Return the name of the tenant that a key identifies, or None."""
+        """Return the name of the account that a key identifies, or None."""
         return self._owners.get(key_digest(key))
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -116,10 +116,10 @@
         State of the step's advice request: ``none``, ``in flight`` or ``deferred``.
     deferred_s : float
         Time for which the request has been deferred. Unit: seconds.
-    tenant : str
-        Tenant of the job; empty: none.
+    account : str
+        ClientAccount of the job; empty: none.
     limited_by : str
-        Resources of which the tenant's maximum leaves too little for a task, with the amounts in
+        Resources of which the account's maximum leaves too little for a task, with the amounts in
         use and the maximum; empty: none.
     """
 
@@ -132,5 +132,5 @@
     n_tickets: int = 0
     advice: str = "none"
     deferred_s: float = 0.0
-    tenant: str = ""
+    account: str = ""
     limited_by: str = ""
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -2,9 +2,9 @@
 
 from enum import StrEnum
 
+from ._accounts import add_demands, demand_of
 from ._crash_history import CrashHistory
 from ._record import JobRecord
-from ._tenants import add_demands, demand_of
 
 #: Longest time that a long-running task waits behind more urgent jobs. Unit: seconds.
 MAX_DOWNTIME_S = 2.0
@@ -154,8 +154,8 @@
         Progress that an earlier leader made durable.
     inherited : bool, default=False
         Whether an earlier leader may have started tasks of the job.
-    tenant : Tenant, default=None
-        Tenant that submitted the job.
+    account : ClientAccount, default=None
+        ClientAccount that submitted the job.
 
     Notes
     -----
@@ -168,6 +168,7 @@
 
     __slots__ = (
         "accepted_at",
+        "account",
         "begun",
         "change",
         "changed_at",
@@ -183,7 +184,6 @@
         "starts_delayed_until",
         "state",
         "steps",
-        "tenant",
         "version",
     )
 
@@ -197,11 +197,11 @@
         wall_now,
         record=None,
         inherited=False,
-        tenant=None,
+        account=None,
     ):
         self.spec = spec
         self.queue = queue
-        self.tenant = tenant
+        self.account = account
         self.version = version
         self.accepted_at = now
         self.starts_delayed_until = 0.0
@@ -233,8 +233,8 @@
 
     @property
     def owner(self):
-        """Name of the job's tenant; empty: none."""
-        return self.tenant.name if self.tenant is not None else ""
+        """Name of the job's account; empty: none."""
+        return self.account.name if self.account is not None else ""
 
     def urgency(self, now):
         """Return the sort key of the job in a plan: its priority, then its target completion time.
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks on workers, the most urgent jobs first."""
 
+from ._accounts import RESOURCE_NAMES, demand_of
 from ._actions import NoteWait, StartRun
 from ._advice import has_ticket
 from ._advice_queue import (
@@ -12,7 +13,6 @@
 from ._job import TaskState
 from ._ranking import Ranking
 from ._reservations import Reservations
-from ._tenants import RESOURCE_NAMES, demand_of
 
 #: Time for which tasks wait before the reason is logged, and least time between two such logs.
 #: Unit: seconds.
@@ -211,23 +211,23 @@
         n_tickets=sum(has_ticket(step, worker_id, now) for worker_id in step.tickets),
         advice=advice,
         deferred_s=round(deferred_s, 3),
-        tenant=step.job.owner,
+        account=step.job.owner,
         limited_by=_limits_reached(scheduler, step),
     )
     return [note]
 
 
 def _limits_reached(scheduler, step):
-    """Return the resources of which the tenant's maximum leaves too little, as text."""
-    if scheduler.n_allowed(step) or step.job.tenant is None:
+    """Return the resources of which the account's maximum leaves too little, as text."""
+    if scheduler.n_allowed(step) or step.job.account is None:
         return ""
-    tenant = step.job.tenant
-    used = scheduler.usage.used(tenant.name)
+    account = step.job.account
+    used = scheduler.usage.used(account.name)
     n_needed = len(step.tasks) if step.spec.gang else 1
     return ", ".join(
         f"{name} {taken} of {maximum}"
         for name, taken, maximum, demand in zip(
-            RESOURCE_NAMES, used, tenant.maxima, demand_of(step.spec), strict=True
+            RESOURCE_NAMES, used, account.maxima, demand_of(step.spec), strict=True
         )
         if maximum and taken + n_needed * demand > maximum
     )
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -35,7 +35,7 @@
 
 
 class EndedJob(Struct, kw_only=True, omit_defaults=True):
-    """Row of a job that has ended: its final state, its tenant and the time of its end.
+    """Row of a job that has ended: its final state, its account and the time of its end.
 
     `held` is what its runs that had not ended at that time occupied, as in :func:`demand_of`. Unit
     of the time: seconds.
@@ -43,5 +43,5 @@
 
     state: str
     ended_at: float = 0.0
-    tenant: str = ""
+    account: str = ""
     held: tuple[int, int, int] = (0, 0, 0)
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -383,7 +383,7 @@
         run = self._find_run(worker_id, task, run_id)
         if run is None or run.state != "starting" or not run.worker.accepts(now):
             return False
-        # The worker's capacity or the tenant's maximum may have been reduced since the start was
+        # The worker's capacity or the account's maximum may have been reduced since the start was
         # decided.
         if run.worker.is_over_capacity(run.step) or self.is_over_maximum(run.job):
             return False
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -5,6 +5,8 @@
 
 from collections import Counter
 
+from ._account_usage import max_concurrent_demand
+from ._accounts import add_demands, demand_of, may_access
 from ._evacuation import find_leaving_runs
 from ._job import JobRun, JobState
 from ._placement import plan_starts
@@ -12,8 +14,6 @@
 from ._reservations import Reservations
 from ._run_tracker import RunTracker
 from ._stalled_runs import SLOW_RUN_SLOWNESS, find_stalled_runs, has_copy
-from ._tenant_usage import max_concurrent_demand
-from ._tenants import add_demands, demand_of, may_access
 
 #: Minimum time between two checks of all jobs and runs for what becomes due by time alone:
 #: occurrences, lapsed leases, leaving workers, stalled and slow runs. A plan is made after each
@@ -78,13 +78,13 @@
         self.config = config
         for job in self.jobs.values():
             job.queue = config.queue_named(job.queue.name) or job.queue
-            if job.tenant is not None:
-                job.tenant = config.tenant_named(job.tenant.name) or job.tenant
+            if job.account is not None:
+                job.account = config.account_named(job.account.name) or job.account
             job.wake()
         self.limited_jobs.clear()
 
     def add_job(
-        self, spec, queue, *, version, now, wall_now, record=None, config_version=0, tenant=None
+        self, spec, queue, *, version, now, wall_now, record=None, config_version=0, account=None
     ):
         """Add an accepted job; return False if the job is already present."""
         if self.has_job(spec.job_id):
@@ -92,7 +92,7 @@
         job = self.jobs[spec.job_id] = JobRun(
             spec=spec,
             queue=self._newer_queue(queue, config_version),
-            tenant=self._newer_tenant(tenant, config_version),
+            account=self._newer_account(account, config_version),
             version=version,
             now=now,
             wall_now=wall_now,
@@ -123,15 +123,15 @@
             return queue
         return self.config.queue_named(queue.name) or queue
 
-    def _newer_tenant(self, tenant, config_version):
-        """Return the job's tenant by the newer configuration, as for its queue.
+    def _newer_account(self, account, config_version):
+        """Return the job's account by the newer configuration, as for its queue.
 
-        A tenant that the configuration does not name any more keeps the values that it had when the
-        job was accepted.
+        An account that the configuration does not name any more keeps the values that it had when
+        the job was accepted.
         """
-        if tenant is None or self.config is None or self.config.version < config_version:
-            return tenant
-        return self.config.tenant_named(tenant.name) or tenant
+        if account is None or self.config is None or self.config.version < config_version:
+            return account
+        return self.config.account_named(account.name) or account
 
     def jobs_read(self, requested_at):
         """Note that all jobs accepted before `requested_at` have been read. Unit: seconds."""
@@ -178,7 +178,7 @@
         self.ended_owners.pop(job_id, None)
 
     def may_access(self, job_id, caller):
-        """Whether a calling tenant may know of a job and cancel it; see :func:`may_access`."""
+        """Whether a calling account may know of a job and cancel it; see :func:`may_access`."""
         job = self.jobs.get(job_id)
         owner = self.ended_owners.get(job_id, "") if job is None else job.owner
         return may_access(owner, caller)
@@ -369,7 +369,7 @@
             worker.confirmed or worker.runs_known for worker in self.workers.values()
         )
 
-    # Maxima of tenants
+    # Maxima of accounts
 
     def _drop_bounds_of_use(self, now):
         """Count known runs only, once nothing else can be left of earlier leaders."""
@@ -380,8 +380,8 @@
             return
         else:
             usage.drop_leftovers()
-        for tenant in list(self.limited_jobs):
-            self.wake_limited_jobs(tenant)
+        for account in list(self.limited_jobs):
+            self.wake_limited_jobs(account)
 
     def _have_stray_runs_ended(self, now):
         """Whether no worker can have runs of earlier leaders that no task accounts for."""
@@ -392,27 +392,27 @@
         )
 
     def n_allowed(self, step):
-        """Return how many tasks of a step the maximum of its tenant allows to start now.
+        """Return how many tasks of a step the maximum of its account allows to start now.
 
         0 where only a part of a gang would be allowed. While a worker lists a run of a job that is
-        not known, the job's tenant is not known either, and no tenant with a maximum starts tasks.
+        not known, its account is not known either, and no account with a maximum starts tasks.
         """
-        tenant = step.job.tenant
-        if tenant is None or not any(tenant.maxima):
+        account = step.job.account
+        if account is None or not any(account.maxima):
             return len(step.tasks)
         if None in self._unlisted_use:
             return 0
-        used = self.usage.used(tenant.name)
-        orphans = self._unlisted_use.get(tenant.name)
+        used = self.usage.used(account.name)
+        orphans = self._unlisted_use.get(account.name)
         if orphans is not None:
             used = add_demands(used, orphans)
-        n_allowed = tenant.n_allowed(step.spec, used)
+        n_allowed = account.n_allowed(step.spec, used)
         return 0 if step.spec.gang and n_allowed < len(step.tasks) else n_allowed
 
     def within_maximum(self, step, tasks):
-        """Return the first of the given tasks, as many as the tenant's maximum allows.
+        """Return the first of the given tasks, as many as the account's maximum allows.
 
-        The job is planned again when the tenant's use decreases.
+        The job is planned again when the account's use decreases.
         """
         n_allowed = self.n_allowed(step)
         if n_allowed < len(tasks):
@@ -420,15 +420,15 @@
         return tasks[:n_allowed]
 
     def is_over_maximum(self, job):
-        """Whether a tenant's runs exceed its maximum, as after it was lowered."""
-        tenant = job.tenant
-        return tenant is not None and any(
+        """Whether an account's runs exceed its maximum, as after it was lowered."""
+        account = job.account
+        return account is not None and any(
             maximum and used > maximum
-            for maximum, used in zip(tenant.maxima, self.usage.used(tenant.name), strict=True)
+            for maximum, used in zip(account.maxima, self.usage.used(account.name), strict=True)
         )
 
     def _use_of_orphan_runs(self):
-        """Return by tenant what runs occupy that workers list and that no task accounts for.
+        """Return by account what runs occupy that workers list and that no task accounts for.
 
         The key None stands for runs of jobs that are not known.
         """
--- a/anvilflow/jobs/_spec.py
+++ b/anvilflow/jobs/_spec.py
@@ -4,7 +4,7 @@
 
 from msgspec import UNSET, Struct, UnsetType
 
-from ._tenants import ApiKeys, Tenant
+from ._accounts import ApiKeys, ClientAccount
 
 
 class StepSpec(Struct, kw_only=True, frozen=True, omit_defaults=True):
@@ -158,8 +158,8 @@
 
     Notes
     -----
-    `services` lists the configured services; those that a queue names count, too. `tenants` is None
-    in a cell without tenants, where calls need no API key.
+    `services` lists the configured services; those that a queue names count, too. `accounts` is
+    None in a cell without client accounts, where calls need no API key.
 
     The indexes are built once per version. With 4,200 queues, a linear search took 0.97 ms in each
     call of a client and 0.48 ms in each plan of an urgent step; an indexed lookup takes 1 us.
@@ -169,20 +169,20 @@
     queues: tuple[Queue, ...]
     limits: Limits = Limits()
     services: tuple[str, ...] = ()
-    tenants: tuple[Tenant, ...] | None = None
+    accounts: tuple[ClientAccount, ...] | None = None
     keys: ApiKeys = ApiKeys()
 
     @cached_property
-    def _tenants_by_name(self):
-        return {tenant.name: tenant for tenant in self.tenants or ()}
+    def _accounts_by_name(self):
+        return {account.name: account for account in self.accounts or ()}
 
-    def tenant_named(self, name):
-        """Return the :class:`Tenant` called `name`, or None."""
-        return self._tenants_by_name.get(name)
+    def account_named(self, name):
+        """Return the :class:`ClientAccount` called `name`, or None."""
+        return self._accounts_by_name.get(name)
 
-    def tenant_with_key(self, key):
-        """Return the :class:`Tenant` that an API key identifies, or None."""
-        return self._tenants_by_name.get(self.keys.owner_of(key))
+    def account_with_key(self, key):
+        """Return the :class:`ClientAccount` that an API key identifies, or None."""
+        return self._accounts_by_name.get(self.keys.owner_of(key))
 
     @cached_property
     def _by_name(self):
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -101,7 +101,7 @@
 class OrphanRun:
     """A run that a worker lists and no task accounts for: of an unknown job, or out of date.
 
-    `stopped` means that its stop was sent. `owner` and `step` are the tenant and the step of its
+    `stopped` means that its stop was sent. `owner` and `step` are the account and the step of its
     task, None while its job is not known; both are kept when the job has ended.
 
     Parameters
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -1,10 +1,10 @@
 """Tracking of the cell's workers: registration, reachability and expiry of their leases."""
 
+from ._account_usage import AccountUsage
 from ._actions import StopRun
 from ._advice import AllowedShares
 from ._grace_period import GracePeriod
 from ._job import TaskState
-from ._tenant_usage import TenantUsage
 from ._worker import Run, Worker, lease_end
 
 _NEVER = float("inf")
@@ -29,9 +29,9 @@
     Notes
     -----
     `jobs` holds each :class:`JobRun` by job id, `ended` the states of ended jobs whose end is
-    durable, `ended_owners` the names of the tenants of those that have one, `workers` each
+    durable, `ended_owners` the names of the accounts of those that have one, `workers` each
     :class:`Worker` by the identity of its incarnation. `usage` accounts for what the runs of each
-    tenant occupy, `limited_jobs` are by tenant the jobs that wait for its maximum.
+    account occupy, `limited_jobs` are by account the jobs that wait for its maximum.
     `registry_version` is the version up to which the leader has read the registry. `nameless` are
     the keys of the registry entries that name no worker; if an entry becomes a worker's, its key is
     the worker's id in the registry.
@@ -53,7 +53,7 @@
         self.ended = {}
         self.ended_owners = {}
         self.workers = {}
-        self.usage = TenantUsage()
+        self.usage = AccountUsage()
         self.limited_jobs = {}
         self.advice_in_flight = {}
         self.deferred_advice_steps = {}
@@ -204,16 +204,16 @@
     def _free(self, run):
         """Release a run's capacity; the next plan considers the worker again.
 
-        It also considers the jobs that waited for their tenant's maximum.
+        It also considers the jobs that waited for their account's maximum.
         """
         run.worker.remove_run(run)
         self.usage.remove(run.job, run.step)
         self.freed.add(run.worker.info.worker_id)
         self.wake_limited_jobs(run.job.owner)
 
-    def wake_limited_jobs(self, tenant):
-        """Include the jobs in the next plan that wait for their tenant's maximum."""
-        for job_id in self.limited_jobs.pop(tenant, ()):
+    def wake_limited_jobs(self, account):
+        """Include the jobs in the next plan that wait for their account's maximum."""
+        for job_id in self.limited_jobs.pop(account, ()):
             if job_id in self.jobs:
                 self.jobs[job_id].wake()
 
--- a/anvilflow/jobs/tests/test_tenant_maximum.py
+++ b/anvilflow/jobs/tests/test_account_maximum.py
@@ -1,4 +1,4 @@
-"""Maxima of tenants: what a tenant has running never exceeds them, under any leader."""
+"""Maxima of accounts: what an account has running never exceeds them, under any leader."""
 
 import pytest
 from hypothesis import given, settings
@@ -7,6 +7,7 @@
 from anvilflow.jobs import (
     AdviceRules,
     CellConfig,
+    ClientAccount,
     GracePeriod,
     JobSpec,
     NoteWait,
@@ -18,10 +19,9 @@
     StartRun,
     StepSpec,
     StopRun,
-    Tenant,
 )
+from anvilflow.jobs._account_usage import AccountUsage, max_concurrent_demand
 from anvilflow.jobs._scheduler import Scheduler as _Scheduler
-from anvilflow.jobs._tenant_usage import TenantUsage, max_concurrent_demand
 from anvilflow.jobs._worker_tracker import WorkerTracker
 
 from .test_scheduler import make_report, make_worker_info
@@ -36,9 +36,9 @@
     advice=AdviceRules(base_s=0.05, per_worker_s=0.001, valid_s=2.0),
 )
 
-#: Limits of the tenant in these tests: four tasks of one core.
-LIMITED = Tenant(name="a", max_cpu_milli=4000, max_memory_mb=4000)
-OTHER = Tenant(name="b")
+#: Limits of the account in these tests: four tasks of one core.
+LIMITED = ClientAccount(name="a", max_cpu_milli=4000, max_memory_mb=4000)
+OTHER = ClientAccount(name="b")
 
 TASK = {"cpu_milli": 1000, "memory_mb": 100, "estimate_s": 1.0}
 
@@ -46,20 +46,20 @@
 class Cell:
     """A scheduler whose workers carry out and report what it plans."""
 
-    def __init__(self, *, n_workers=4, term=1, now=0.0, tenants=(LIMITED, OTHER), **values):
+    def __init__(self, *, n_workers=4, term=1, now=0.0, accounts=(LIMITED, OTHER), **values):
         self.now = now
         self.scheduler = Scheduler(term=term, lease_s=3.0, now=now, **values)
         self.version = 0
-        self.configure(*tenants)
+        self.configure(*accounts)
         self.n_jobs = 0
         for number in range(n_workers):
             self.scheduler.worker_listed(make_worker_info(number), now)
 
-    def configure(self, *tenants):
-        """Apply a configuration with these tenants."""
+    def configure(self, *accounts):
+        """Apply a configuration with these accounts."""
         self.version += 1
         self.scheduler.configure(
-            CellConfig(version=self.version, queues=(URGENT, BULK, ADVISED), tenants=tenants)
+            CellConfig(version=self.version, queues=(URGENT, BULK, ADVISED), accounts=accounts)
         )
 
     def report_all(self):
@@ -68,7 +68,7 @@
             self.scheduler.report(worker_id, make_report(), requested_at=self.now, now=self.now)
         return self
 
-    def add(self, *steps, tenant=LIMITED, queue=URGENT, job_id=None, version=1, record=None):
+    def add(self, *steps, account=LIMITED, queue=URGENT, job_id=None, version=1, record=None):
         """Add a job; return its id."""
         self.n_jobs += 1
         job_id = job_id or f"{self.n_jobs:016x}"
@@ -79,7 +79,7 @@
             version=version,
             now=self.now,
             wall_now=self.now,
-            tenant=tenant,
+            account=account,
             record=record,
         )
         return job_id
@@ -135,17 +135,17 @@
         assert len(cell.starts(0.0)) == 1
 
 
-def test_other_tenants_and_jobs_without_one_are_not_limited():
+def test_other_accounts_and_jobs_without_one_are_not_limited():
     cell = make_cell()
     cell.add(StepSpec(n_tasks=9, **TASK))
-    cell.add(StepSpec(n_tasks=9, **TASK), tenant=OTHER)
-    cell.add(StepSpec(n_tasks=9, **TASK), tenant=None)
+    cell.add(StepSpec(n_tasks=9, **TASK), account=OTHER)
+    cell.add(StepSpec(n_tasks=9, **TASK), account=None)
     assert len(cell.starts()) == 4 + 9 + 9
 
 
 @pytest.mark.parametrize("resource", ["cpu_milli", "memory_mb", "accelerators"])
 def test_each_resource_is_limited(resource):
-    cell = make_cell(tenants=(Tenant(name="a", **{f"max_{resource}": 5}),))
+    cell = make_cell(accounts=(ClientAccount(name="a", **{f"max_{resource}": 5}),))
     cell.scheduler.workers["w0"].update_info(make_worker_info(0, accelerators=10))
     cell.add(StepSpec(n_tasks=4, **{resource: 2}))
     assert len(cell.starts()) == 2
@@ -213,12 +213,12 @@
     cell = make_cell()
     job_id = cell.add(StepSpec(n_tasks=9, **TASK))
     starts = cell.starts()
-    cell.configure(Tenant(name="a", max_cpu_milli=2000))
+    cell.configure(ClientAccount(name="a", max_cpu_milli=2000))
     cell.end(starts[0])
     assert cell.starts() == []
-    cell.configure(Tenant(name="a", max_cpu_milli=5000))
+    cell.configure(ClientAccount(name="a", max_cpu_milli=5000))
     assert len(cell.starts(0.0)) == 2
-    cell.configure(Tenant(name="a"))
+    cell.configure(ClientAccount(name="a"))
     assert len(cell.starts(0.0)) == 3
     assert cell.scheduler.jobs[job_id].steps[0, 0].waiting() == []
 
@@ -227,7 +227,7 @@
     cell = make_cell()
     cell.add(StepSpec(n_tasks=4, **TASK))
     starts = [action for action in cell.plan() if isinstance(action, StartRun)]
-    cell.configure(Tenant(name="a", max_cpu_milli=2000))
+    cell.configure(ClientAccount(name="a", max_cpu_milli=2000))
     may_be_sent = []
     for start in starts:
         values = (start.worker_id, start.task, start.run_id)
@@ -237,22 +237,22 @@
     assert may_be_sent == [False, False, True, True]
 
 
-def test_job_of_a_tenant_that_the_configuration_does_not_name_keeps_its_maximum():
-    """Guards against a removed tenant whose accepted jobs become unlimited, or never run."""
+def test_job_of_a_account_that_the_configuration_does_not_name_keeps_its_maximum():
+    """Guards against a removed account whose accepted jobs become unlimited, or never run."""
     cell = make_cell()
     cell.configure(OTHER)
     cell.add(StepSpec(n_tasks=9, **TASK))
     assert len(cell.starts()) == 4
 
 
-def test_step_of_a_tenant_at_its_maximum_takes_nothing_from_others():
+def test_step_of_a_account_at_its_maximum_takes_nothing_from_others():
     """Guards against tickets, reservations and preemption for tasks that must not start."""
     cell = make_cell(n_workers=1)
     cell.add(StepSpec(n_tasks=4, checkpointing=True, **TASK), queue=BULK)
     starts = cell.starts()
     assert len(starts) == 4
     victim = {"cpu_milli": 5000, "estimate_s": 60.0}
-    cell.add(StepSpec(n_tasks=1, checkpointing=True, **victim), queue=BULK, tenant=OTHER)
+    cell.add(StepSpec(n_tasks=1, checkpointing=True, **victim), queue=BULK, account=OTHER)
     cell.add(StepSpec(n_tasks=1, cpu_milli=2000, estimate_s=1.0))
     cell.add(StepSpec(n_tasks=1, **TASK), queue=ADVISED)
     for _ in range(12):
@@ -266,7 +266,7 @@
     cell.add(StepSpec(n_tasks=9, **TASK))
     cell.starts()
     notes = [action for action in cell.plan(2.0) if isinstance(action, NoteWait)]
-    assert [(note.tenant, note.limited_by) for note in notes] == [("a", "cpu_milli 4000 of 4000")]
+    assert [(note.account, note.limited_by) for note in notes] == [("a", "cpu_milli 4000 of 4000")]
 
 
 # Change of the leader
@@ -291,7 +291,7 @@
 def test_inherited_job_counts_as_a_whole_until_all_workers_have_answered(monkeypatch, safeguard):
     """Guards against starts beside runs of the former leader that no worker has listed yet."""
     if not safeguard:
-        monkeypatch.setattr(TenantUsage, "assume", lambda *_: None)
+        monkeypatch.setattr(AccountUsage, "assume", lambda *_: None)
     cell = make_next_leader()
     inherited = cell.add(StepSpec(n_tasks=3, **TASK))
     cell.scheduler.grace_period.commands_expired_version = 1
@@ -332,7 +332,7 @@
 def test_runs_of_an_ended_job_count_until_they_have_ended(monkeypatch, safeguard):
     """Guards against starts beside the runs of a cancelled job that its leader was stopping."""
     if not safeguard:
-        monkeypatch.setattr(TenantUsage, "add_leftover", lambda *_: None)
+        monkeypatch.setattr(AccountUsage, "add_leftover", lambda *_: None)
     cell = make_next_leader()
     cell.scheduler.usage.add_leftover("a", (3000, 300, 0))
     cell.scheduler.drop_job("f" * 16, "cancelled", cell.now, owner="a")
@@ -348,29 +348,29 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_no_tenant_with_a_maximum_starts_tasks_beside_a_run_of_an_unknown_job(
+def test_no_account_with_a_maximum_starts_tasks_beside_a_run_of_an_unknown_job(
     monkeypatch, safeguard
 ):
-    """The job was accepted during the change of leaders, and its tenant is not known yet."""
+    """The job was accepted during the change of leaders, and its account is not known yet."""
     if not safeguard:
         monkeypatch.setattr(_Scheduler, "_may_become_known", lambda self, name: False)
     cell = make_next_leader()
     unknown = "f" * 16
     cell.scheduler.grace_period.commands_expired_version = 1
     cell.add(StepSpec(n_tasks=4, **TASK), version=5)
-    cell.add(StepSpec(n_tasks=4, **TASK), version=5, tenant=OTHER)
+    cell.add(StepSpec(n_tasks=4, **TASK), version=5, account=OTHER)
     for worker_id in ("w0", "w1", "w2"):
         answer(cell, worker_id)
     answer(cell, "w3", *((f"{unknown}.0.0.{index}", 1) for index in range(3)))
-    tenants = [_tenant_of(cell, start) for start in cell.starts()]
-    assert tenants.count("b") == 4
-    assert (tenants.count("a") == 0) is safeguard
+    accounts = [_account_of(cell, start) for start in cell.starts()]
+    assert accounts.count("b") == 4
+    assert (accounts.count("a") == 0) is safeguard
     if safeguard:
         cell.add(StepSpec(n_tasks=3, **TASK), job_id=unknown)
         assert len(cell.starts()) == 1
 
 
-def _tenant_of(cell, start):
+def _account_of(cell, start):
     return cell.scheduler.jobs[start.task.partition(".")[0]].owner
 
 
@@ -420,7 +420,7 @@
 @settings(max_examples=300, deadline=None)
 @given(_OPERATIONS)
 def test_accounts_agree_with_a_slow_model(operations):
-    usage = TenantUsage()
+    usage = AccountUsage()
     jobs = [_Job(number) for number in range(6)]
     steps = [
         StepSpec(n_tasks=1, cpu_milli=n, memory_mb=7 * n, accelerators=n % 2) for n in range(4)
@@ -450,14 +450,14 @@
             case "drop_leftovers":
                 usage.drop_leftovers()
                 leftovers = []
-        for tenant in ("a", "b"):
-            assert usage.used(tenant) == _model(tenant, jobs, runs, bounds, leftovers)
+        for account in ("a", "b"):
+            assert usage.used(account) == _model(account, jobs, runs, bounds, leftovers)
 
 
-def _model(tenant, jobs, runs, bounds, leftovers):
+def _model(account, jobs, runs, bounds, leftovers):
     total = [0, 0, 0]
     for job in jobs:
-        if job.owner != tenant:
+        if job.owner != account:
             continue
         known = [0, 0, 0]
         for each, step in runs:
@@ -467,13 +467,13 @@
         bound = bounds.get(job.job_id, (0, 0, 0))
         total = [sum(pair) for pair in zip(total, map(max, known, bound), strict=True)]
     for owner, held in leftovers:
-        if owner == tenant:
+        if owner == account:
             total = [sum(pair) for pair in zip(total, held, strict=True)]
     return tuple(total)
 
 
 def test_accounts_are_balanced_by_every_end_of_a_run(monkeypatch):
-    """Guards against an end that is not subtracted: the tenant would never start tasks again."""
+    """Guards against an end that is not subtracted: the account would never start tasks again."""
     frees = []
     free = WorkerTracker._free
     monkeypatch.setattr(
@@ -493,4 +493,4 @@
         answer(cell, worker_id)
         answer(cell, worker_id)
     assert frees
-    assert cell.scheduler.usage.tenants() == []
+    assert cell.scheduler.usage.accounts() == []
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -18,7 +18,7 @@
     "store answers again": "the store answers {instance} again, after {after_s} s",
 }
 
-#: Event of tasks that wait for their tenant's maximum, which has a text of its own.
+#: Event of tasks that wait for their account's maximum, which has a text of its own.
 _LIMITED = "tasks wait for a maximum"
 
 #: Events of a single job, with their texts.
@@ -40,8 +40,7 @@
         "with a valid ticket, {n_open} take work, {n_with_room} have room; its request for advice "
         "is {advice}, for {deferred_s} s"
     ),
-    _LIMITED: "{n_waiting} tasks of {step} wait for the maximum of tenant {tenant}: {limited_by}",
-
+    _LIMITED: "{n_waiting} tasks of {step} wait for the maximum of account {account}: {limited_by}",
     "advice": (
         "{good} of {asked} workers allowed for {step} after {took_s} s; the request had waited for "
         "{waited_s} s"
@@ -164,7 +163,7 @@
             case ("job accepted" | "home not told"), "job taken on":
                 yield f"{pause:.2f} s until the home heard of it"
             case _, "start" if any(line.values.get("limited_by") for line in between):
-                yield f"{pause:.2f} s until the next start: its tenant was at its maximum"
+                yield f"{pause:.2f} s until the next start: its account was at its maximum"
             case "job taken on", "start":
                 yield f"{pause:.2f} s until its first start: room or advice was waited for"
             case ("task ended" | "stop"), "start":
--- a/anvilflow/logs/tests/test_explain.py
+++ b/anvilflow/logs/tests/test_explain.py
@@ -33,7 +33,7 @@
     line(5.0, "a3", "job handed to the home", job=JOB, outcome="refused", unsure=False)
 ]
 
-#: A job that waited for the end of another one of its tenant.
+#: A job that waited for the end of another one of its account.
 LIMITED_LINES = [
     line(5.0, "a1", "job taken on", job=JOB, inherited=False),
     line(
@@ -42,7 +42,7 @@
         "tasks wait",
         step=f"{JOB}.0.0",
         n_waiting=4,
-        tenant="a",
+        account="a",
         limited_by="memory_mb 9000 of 9500",
     ),
     line(8.0, "a1", "start", task=TASK, run=1, worker="i-4"),
@@ -69,10 +69,10 @@
 
 
 def test_wait_for_a_maximum_is_explained():
-    """An operator reads which tenant is at its maximum, and how much of what is in use."""
+    """An operator reads which account is at its maximum, and how much of what is in use."""
     lines = explain(LIMITED_LINES)
-    assert any("the maximum of tenant a: memory_mb 9000 of 9500" in line for line in lines)
-    assert "=> 1.00 s until the next start: its tenant was at its maximum" in lines
+    assert any("the maximum of account a: memory_mb 9000 of 9500" in line for line in lines)
+    assert "=> 1.00 s until the next start: its account was at its maximum" in lines
 
 
 @pytest.mark.parametrize(
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -2007,7 +2007,7 @@
      - queue
      - version
      - body
-     - tenant
+     - account
 
     """
 
@@ -2018,18 +2018,18 @@
         'queue',
         'version',
         'body',
-        'tenant',
+        'account',
     )
 
 
-    def __init__(self, call=None, verb=None, job_id=None, queue=None, version=None, body=None, tenant=None,):
+    def __init__(self, call=None, verb=None, job_id=None, queue=None, version=None, body=None, account=None,):
         self.call = call
         self.verb = verb
         self.job_id = job_id
         self.queue = queue
         self.version = version
         self.body = body
-        self.tenant = tenant
+        self.account = account
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2072,7 +2072,7 @@
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.STRING:
-                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2109,9 +2109,9 @@
             oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
-        if self.tenant is not None:
-            oprot.writeFieldBegin('tenant', TType.STRING, 7)
-            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 7)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3686,7 +3686,7 @@
     (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
     (5, TType.I64, 'version', None, None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
-    (7, TType.STRING, 'tenant', 'UTF8', None, ),  # 7
+    (7, TType.STRING, 'account', 'UTF8', None, ),  # 7
 )
 all_structs.append(JobReply)
 JobReply.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -152,8 +152,8 @@
   4: string queue,
   5: i64 version,
   6: binary body,
-  // Name of the calling tenant, empty for a call without a key.
-  7: optional string tenant,
+  // Name of the calling account, empty for a call without a key.
+  7: optional string account,
 }
 
 struct JobReply {
--- a/anvilflow/platform/_config.py
+++ b/anvilflow/platform/_config.py
@@ -5,7 +5,7 @@
 from msgspec import Meta, field
 
 from ..exceptions import PlatformError
-from ..jobs import AdviceRules, ApiKeys, CellConfig, Limits, Queue, Tenant
+from ..jobs import AdviceRules, ApiKeys, CellConfig, ClientAccount, Limits, Queue
 from ..utils import decode
 from ._wire import Wire
 
@@ -84,7 +84,7 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
-        tenants=None if wire.tenants is None else tuple(_tenant(tenant) for tenant in tenants),
+        accounts=None if wire.tenants is None else tuple(_account(tenant) for tenant in tenants),
         keys=ApiKeys((tenant.name, tenant.api_keys) for tenant in tenants),
     )
 
@@ -97,8 +97,8 @@
         names.add(tenant.name)
 
 
-def _tenant(wire):
-    return Tenant(
+def _account(wire):
+    return ClientAccount(
         name=wire.name,
         weight=wire.weight,
         max_cpu_milli=wire.maximum.cpu,
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -50,9 +50,9 @@
     ----------
     gateway : object
         Provides ``config``, ``closing`` and ``uses_keys``; ``authorize(queue, key)``, which returns
-        a Deferred of the calling :class:`Tenant` or None; ``submit(spec, queue, tenant)``,
-        ``state(queue, job_id, tenant)``, ``cancel(queue, job_id, tenant)`` and ``pending(queue)``,
-        which return Deferreds; ``not_ready()``, ``answered(verb, status)`` and
+        a Deferred of the calling :class:`ClientAccount` or None; ``submit(spec, queue, account)``,
+        ``state(queue, job_id, account)``, ``cancel(queue, job_id, account)`` and
+        ``pending(queue)``, which return Deferreds; ``not_ready()``, ``answered(verb, status)`` and
         ``refused(verb, path, status, error)``.
 
     Notes
@@ -94,36 +94,38 @@
         key = _bearer_key(request) if self.gateway.uses_keys else None
         done = maybeDeferred(self.gateway.authorize, queue, key)
         return done.addCallback(
-            lambda tenant: self._serve(request, queue, path[len(queue.prefix) :].strip("/"), tenant)
+            lambda account: self._serve(
+                request, queue, path[len(queue.prefix) :].strip("/"), account
+            )
         )
 
-    def _serve(self, request, queue, job_id, tenant):
+    def _serve(self, request, queue, job_id, account):
         verb = self._verbs.get(request.method)
         if verb is None:
             raise CallError(
                 f"method {request.method.decode()} is not allowed; allowed: POST, GET, DELETE"
             )
-        return verb(request, queue, job_id, tenant)
+        return verb(request, queue, job_id, account)
 
-    def _submit(self, request, queue, job_id, tenant):
+    def _submit(self, request, queue, job_id, account):
         _check_job_id(job_id)
         limit = self.gateway.config.limits.max_body_bytes
         body = request.content.read(limit + 1)
         if len(body) > limit:
             raise TooLargeError(f"the body is longer than {limit} bytes")
-        done = self.gateway.submit(decode_job(job_id, queue.name, body), queue, tenant)
+        done = self.gateway.submit(decode_job(job_id, queue.name, body), queue, account)
         return done.addCallback(lambda _: {})
 
-    def _get(self, request, queue, job_id, tenant):
+    def _get(self, request, queue, job_id, account):
         if not job_id:
             return self.gateway.pending(queue).addCallback(lambda n_jobs: {"pending": n_jobs})
         _check_job_id(job_id)
-        done = self.gateway.state(queue, job_id, tenant)
+        done = self.gateway.state(queue, job_id, account)
         return done.addCallback(lambda state: {"state": str(state)})
 
-    def _cancel(self, request, queue, job_id, tenant):
+    def _cancel(self, request, queue, job_id, account):
         _check_job_id(job_id)
-        return self.gateway.cancel(queue, job_id, tenant).addCallback(lambda _: {})
+        return self.gateway.cancel(queue, job_id, account).addCallback(lambda _: {})
 
     def _respond(self, value, request, disconnected):
         self._write(request, disconnected, 200, value)
