--- a/anvilflow/cell/_diagnostics.py
+++ b/anvilflow/cell/_diagnostics.py
@@ -55,6 +55,12 @@
     def _metrics(self):
         context = self.context
         store = context.store
+        proof_age_s = context.config_proof.age_s(context.clock.seconds())
+        context.meters.set_gauge(
+            "config_proof_age_seconds", proof_age_s if proof_age_s < float("inf") else -1
+        )
+        leader = context.leader
+        context.meters.set_gauge("account_use", leader.max_account_use() if leader else 0.0)
         for labels, n in store.calls.items():
             context.meters.counts["store_calls", labels] = n
         for service, n_bytes in context.bytes_by_service().items():
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -301,6 +301,10 @@
         """Return the full heartbeat: the leader's state, pending jobs and start delays."""
         return self._leader_heartbeat.full_heartbeat()
 
+    def max_account_use(self):
+        """Return the largest share of its maximum that any account's runs occupy."""
+        return self._scheduler.max_account_use() if self._scheduler is not None else 0.0
+
     def pending_counts(self):
         """Return the counts of pending jobs by queue, for the other instances."""
         return PendingCounts(counts=self._scheduler.n_waiting(), version=self._intake.version)
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -419,6 +419,18 @@
             self.limited_jobs.setdefault(step.job.owner, set()).add(step.job.job_id)
         return tasks[:n_allowed]
 
+    def max_account_use(self):
+        """Return the largest share of its maximum that any account's runs occupy."""
+        shares = [0.0]
+        for account in self.config.accounts or () if self.config is not None else ():
+            used = self.usage.used(account.name)
+            shares += [
+                taken / maximum
+                for taken, maximum in zip(used, account.maxima, strict=True)
+                if maximum
+            ]
+        return round(max(shares), 3)
+
     def is_over_maximum(self, job):
         """Whether an account's runs exceed its maximum, as after it was lowered."""
         account = job.account
--- a/anvilflow/jobs/tests/test_account_maximum.py
+++ b/anvilflow/jobs/tests/test_account_maximum.py
@@ -494,3 +494,11 @@
         answer(cell, worker_id)
     assert frees
     assert cell.scheduler.usage.accounts() == []
+
+
+def test_largest_use_of_a_maximum_is_reported():
+    cell = make_cell()
+    assert cell.scheduler.max_account_use() == 0.0
+    cell.add(StepSpec(n_tasks=3, **TASK))
+    cell.starts()
+    assert cell.scheduler.max_account_use() == 0.75
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -48,6 +48,8 @@
 #: Help text of each gauge, by name.
 GAUGES = {
     "deferred_advice_steps": "Steps that wait to request advice, at the home.",
+    "account_use": "Largest share of its maximum that any account's runs occupy, at the home.",
+    "config_proof_age_seconds": "Time since which the configuration may be outdated; -1: unknown.",
 }
 
 
