A configuration that cannot be confirmed counts as a failure of the store

Each further call waited for a read of its own before it was refused; now the next ones are refused at once until the store answers. The wait is 0.3 s at most. The plan lists workers with orphan runs only.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -38,7 +38,7 @@
 RETRY_S = 0.25
 
 #: Timeout of a read that a client's call waits for. Unit: seconds.
-CONFIRM_TIMEOUT_S = 0.4
+CONFIRM_TIMEOUT_S = 0.3
 
 
 def feed_wait_s(apply_s):
@@ -140,6 +140,7 @@
 
     def _confirm_failed(self, failure):
         failure.trap(PlatformError)
+        self.context.store_health.record_failure()
         self.log.info("configuration not confirmed", error=str(failure.value))
 
     def _confirm_ended(self, _):
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -453,7 +453,12 @@
         return used
 
     def _orphan_runs(self):
-        return [run for worker in self.workers.values() for run in worker.orphan_runs.values()]
+        return [
+            run
+            for worker in self.workers.values()
+            if worker.orphan_runs
+            for run in worker.orphan_runs.values()
+        ]
 
     def held_by(self, job):
         """Return what a job's runs may occupy that have not ended, as :func:`demand_of`."""
