Pause between reads of the workers' registry

Each of 176 workers rewrites its entry every 1.5 s, and a read returns as soon as one entry has changed.

Change: a pause of 0.1 s between two reads. A worker that drains or appears is known 0.1 s later; the bound is 2 to 3 s.

The test fails without the pause (200 changes in 2 s: 21 reads at most).

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -47,6 +47,11 @@
 #: Longest wait for changes in one read of the workers' registry. Unit: seconds.
 WORKERS_FEED_S = 2.0
 
+#: Pause between two of these reads. Each worker rewrites its entry every 1.5 s: without a pause a
+#: read returns at once with the next few entries, 70 times a second with 176 workers. Unit:
+#: seconds.
+WORKERS_FEED_PAUSE_S = 0.1
+
 #: Time for which the leader's own calls to the store may stay unanswered before the leader asks
 #: another instance to take over. Unit: seconds.
 MAX_STORE_OUTAGE_S = 0.1
@@ -367,6 +372,7 @@
                 read=lambda: store.read(REGISTRY_TABLE, ""),
                 on_rows=self._process_worker_rows,
                 wait_s=WORKERS_FEED_S,
+                pause_s=WORKERS_FEED_PAUSE_S,
             ),
         ]
         for follower, version in zip(self._followers, (jobs_version, workers_version), strict=True):
--- a/anvilflow/cell/tests/test_registry.py
+++ b/anvilflow/cell/tests/test_registry.py
@@ -3,7 +3,7 @@
 import pytest
 from logbook import TestHandler as LogRecorder
 
-from anvilflow.cell import _leader_state, _registry
+from anvilflow.cell import _leader, _leader_state, _registry
 from anvilflow.standins import PlatformCell, make_platform_config
 
 from ._helpers import JOB, STEP, make_cell
@@ -141,3 +141,28 @@
     cell.store.put("op", "config", {**config, "services": [*config["services"], {"name": "new"}]})
     cell.advance(0.5)
     assert workers[early.identity].info.service == "new"
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_reads_of_the_registry_are_bounded_however_often_entries_change(monkeypatch, safeguard):
+    """Guards against a read for each heartbeat of each worker; a draining one is still found."""
+    if not safeguard:
+        monkeypatch.setattr(_leader, "WORKERS_FEED_PAUSE_S", 0.0)
+    cell = make_cell(n_workers=4)
+    calls = cell.daemons[cell.leader()].context.store.calls
+    cell.advance(2.0)
+    before = calls["follow", "servers"]
+    for sequence in range(200):
+        worker_id = f"i-{sequence % 4}"
+        entry = {**cell.workers[worker_id].entry(), "sequence": sequence}
+        cell.store.put("servers", worker_id, entry)
+        cell.advance(0.01)
+    assert (calls["follow", "servers"] - before <= 21) is safeguard
+    if safeguard:
+        cell.store.put("servers", "i-0", cell.workers["i-0"].entry(state="draining"))
+        cell.advance(0.2)
+        assert (
+            cell.daemons[cell.leader()]
+            .context.leader._scheduler.find_incarnation("i-0")
+            .info.draining
+        )
