--- a/anvilflow/jobs/tests/test_load.py
+++ b/anvilflow/jobs/tests/test_load.py
@@ -9,6 +9,7 @@
     make_accelerator_workers,
     make_wide_kinds,
     make_wide_workers,
+    simulate_load,
 )
 
 N_SEEDS = 8
@@ -78,3 +79,8 @@
         assert median(now["order"].waits_s) < 0.7 * median(before["order"].waits_s)
         assert now["quick"].share >= before["quick"].share
         assert now["order"].share >= before["order"].share
+
+
+def test_callers_get_most_of_the_worth_where_memory_binds():
+    """Guards against placement that leaves workers with processor and no memory."""
+    assert mean(simulate_load("memory", SchedulingPolicy(), seed) for seed in range(3)) > 0.87
--- a/anvilflow/standins/_load_kinds.py
+++ b/anvilflow/standins/_load_kinds.py
@@ -21,6 +21,7 @@
     estimate_off : float
         Largest relative error of the estimates, in either direction.
     cpu_milli, memory_mb : int
+        Of a task; means if `demand_spread` is set, their standard deviation relative to them.
     accelerators : tuple of int
         Numbers of accelerators per task, of which one is drawn for each job.
     checkpointing : float
@@ -43,6 +44,7 @@
     estimate_off: float = 0.5
     cpu_milli: int = 1000
     memory_mb: int = 1000
+    demand_spread: float = 0.0
     accelerators: tuple[int, ...] = (0,)
     checkpointing: float = 0.0
     good: float = 1.0
--- a/anvilflow/standins/_load_simulation.py
+++ b/anvilflow/standins/_load_simulation.py
@@ -88,7 +88,7 @@
     n_advice_callers : int, default=7
         Instances that make advice requests, one at a time each.
     speeds : dict of str to float, default=None
-        Speeds of slow workers, relative to a normal worker.
+        Speeds of slow or fast workers, relative to a normal worker.
     random_state : int, default=0
     """
 
@@ -118,7 +118,11 @@
         self._n_ended = Counter()
         self._free_at = [0.0] * n_advice_callers
         self.scheduler = Scheduler(
-            term=1, lease_s=_LEASE_S, now=0.0, n_advice_callers=n_advice_callers, policy=policy
+            term=1,
+            lease_s=_LEASE_S,
+            now=0.0,
+            n_advice_callers=n_advice_callers,
+            policy=policy,
         )
         queues = tuple(kind.queue for kind in kinds)
         self.scheduler.configure(CellConfig(version=1, queues=queues))
@@ -163,6 +167,7 @@
         accelerators = random.choice(kind.accelerators)
         can_resume = random.random() < kind.checkpointing
         speculative = kind.speculative > 0 and random.random() < kind.speculative
+        cpu_milli, memory_mb = _draw_demand(kind, random)
         steps = []
         for number in range(kind.n_steps):
             n_tasks = max(1, round(random.expovariate(1 / kind.n_tasks)))
@@ -178,8 +183,8 @@
             steps.append(
                 StepSpec(
                     n_tasks=n_tasks,
-                    cpu_milli=kind.cpu_milli,
-                    memory_mb=kind.memory_mb,
+                    cpu_milli=cpu_milli,
+                    memory_mb=memory_mb,
                     accelerators=accelerators,
                     estimate_s=max(0.05, mean_s * error_factor),
                     after=(number - 1,) if number else (),
@@ -341,6 +346,15 @@
         self._plan()
 
 
+def _draw_demand(kind, random):
+    """Return the processor and memory of a job's tasks; at most three times the mean."""
+    if not kind.demand_spread:
+        return kind.cpu_milli, kind.memory_mb
+    spread = kind.demand_spread
+    factors = [min(3.0, exp(random.gauss(-(spread**2) / 2, spread))) for _ in range(2)]
+    return int(kind.cpu_milli * factors[0]), int(kind.memory_mb * factors[1])
+
+
 def make_workers(n_workers, *, service, cpu_milli, memory_mb, accelerators=0):
     """Return workers of equal capacity, four in each rack."""
     return [
--- a/anvilflow/standins/_loads.py
+++ b/anvilflow/standins/_loads.py
@@ -1,4 +1,6 @@
-"""Loads to simulate: usual, heavy and with slow workers on two services, and on many workers."""
+"""Loads to simulate: usual, heavy and with slow workers, on many workers, and bound by memory."""
+
+from msgspec import structs
 
 from ..jobs import AdviceRules, Queue
 from ._load_kinds import LoadKind
@@ -12,6 +14,12 @@
 SLOW_WORKERS = ("cpu-0", "cpu-1", "accelerators-0")
 SLOW_SPEED = 1 / 6
 
+#: Workers of the loads "memory" and "memory heavy", their relative sizes, and the speed of the fast
+#: ones.
+N_MEMORY = 44
+WORKER_SIZES = (1.0, 1.0, 0.5, 2.0)
+FAST_SPEED = 1.3
+
 #: Job rate of the heavy load, relative to the usual load.
 HEAVY_LOAD_FACTOR = 1.3
 
@@ -129,6 +137,67 @@
     )
 
 
+def make_memory_kinds(load_factor):
+    """Return quick jobs and orders that need as much memory as processor; estimates are poor."""
+    return (
+        LoadKind(
+            queue=_queue("quick", "memory", 0, 1.5, 0.3, 0.048, 0.00043),
+            per_s=3.6 * load_factor,
+            n_tasks=9.5,
+            work_s=0.8,
+            worth=0.635,
+            estimate_off=0.2,
+            cpu_milli=4_500,
+            memory_mb=8_200,
+            demand_spread=0.5,
+            good=0.7,
+            speculative=0.3,
+        ),
+        LoadKind(
+            queue=_queue("order", "memory", 2, 2.2, 1.2, 0.79, 0.007),
+            per_s=0.75 * load_factor,
+            n_tasks=14,
+            n_steps=2,
+            work_s=6.0,
+            worth=3.01,
+            estimate_off=0.9,
+            cpu_milli=9_000,
+            memory_mb=17_000,
+            demand_spread=0.45,
+            checkpointing=0.8,
+            good=0.35,
+        ),
+    )
+
+
+def make_memory_workers():
+    """Return workers of four sizes and two kinds; those of kind ``b`` are fast."""
+    return [
+        structs.replace(
+            worker,
+            cpu_milli=int(worker.cpu_milli * WORKER_SIZES[number % len(WORKER_SIZES)]),
+            memory_mb=int(worker.memory_mb * WORKER_SIZES[number % len(WORKER_SIZES)]),
+            kind="b" if number % 3 == 2 else "a",
+        )
+        for number, worker in enumerate(
+            make_workers(N_MEMORY, service="memory", cpu_milli=32_000, memory_mb=65_536)
+        )
+    ]
+
+
+def _make_memory_load(policy, seed, load_factor):
+    workers = make_memory_workers()
+    return LoadSimulation(
+        kinds=make_memory_kinds(load_factor),
+        workers=workers,
+        policy=policy,
+        n_advice_callers=18,
+        length_s=LENGTH_S,
+        speeds={each.worker_id: FAST_SPEED for each in workers if each.kind == "b"},
+        random_state=seed,
+    )
+
+
 def make_wide_workers():
     """Return the workers of the wide load, which uses about four fifths of their capacity."""
     return make_workers(N_WIDE, service="wide", cpu_milli=16_000, memory_mb=65_536)
@@ -150,12 +219,15 @@
 
     Parameters
     ----------
-    load : {"usual", "heavy", "slow workers", "wide"}
+    load : {"usual", "heavy", "slow workers", "wide", "memory", "memory heavy"}
     policy : SchedulingPolicy
     seed : int
     """
     if load == "wide":
         return _earned_share(_make_wide_load(policy, seed), WIDE_SIMULATED_S)
+    if load.startswith("memory"):
+        load_factor = HEAVY_LOAD_FACTOR if load.endswith("heavy") else 1.0
+        return _earned_share(_make_memory_load(policy, seed, load_factor), SIMULATED_S)
     load_factor = HEAVY_LOAD_FACTOR if load == "heavy" else 1.0
     workers = make_workers(N_CPU, service="cpu", cpu_milli=64_000, memory_mb=131_072)
     simulation = LoadSimulation(
--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -39,7 +39,7 @@
     "limit on long asks": {"long_ask_share": 2.0},
 }
 
-LOADS = ("usual", "heavy", "slow workers", "wide")
+LOADS = ("usual", "heavy", "slow workers", "wide", "memory", "memory heavy")
 
 #: Scenarios that the kit runs in turn, each time with another seed, counted from `FIRST_SEED`.
 SCENARIOS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
