Split the maxima from the scheduler and the access check from the gateway

New tests: a job above its account's maximum by itself is refused (fails without the check), and a copy of an accepted job is not, after the maximum was lowered.

--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -6,7 +6,6 @@
 from twisted.web.server import Site
 
 from ..exceptions import (
-    AccountLimitError,
     AnvilflowError,
     JobGoneError,
     JobIdTakenError,
@@ -17,14 +16,13 @@
     RequestError,
     SlowWriteError,
     TooLargeError,
-    UnauthorizedError,
     UnknownOutcomeError,
-    UnprovenConfigError,
 )
 from ..jobs import ENDED_STATES, JobState, longest_chain_s
 from ..platform import JobsResource, ReadyResource
 from ..runtime import Part
 from ..utils import encode
+from ._access import authorize, refuse_if_above_maximum
 from ._context import Claimed, LeaderChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job_with_read_back
 from ._recorder import answer_timeout
@@ -175,42 +173,9 @@
         """Whether calls need API keys."""
         return self.context.uses_keys
 
-    @inlineCallbacks
     def authorize(self, queue, key):
-        """Return the :class:`ClientAccount` that makes a call, None for a call without a key.
-
-        Where revocation is strict, a key counts only while the configuration is proven: a call that
-        was read later than `revoke_s` after the time as of which it is proven is refused.
-
-        Parameters
-        ----------
-        queue : Queue
-        key : str or None
-
-        Raises
-        ------
-        UnauthorizedError
-            AF308: the key is missing, or no account has it.
-        UnprovenConfigError
-            AF205: this instance cannot check the key.
-        """
-        context = self.context
-        if not context.uses_keys or (key is None and queue.public):
-            return None
-        if key is None:
-            raise UnauthorizedError("the call has no API key")
-        if context.keys_checkable_s < 0 and not context.store_health.is_failing:
-            yield context.config_part.confirm()
-        if context.keys_checkable_s < 0:
-            context.meters.count("unproven_refusals")
-            raise UnprovenConfigError(
-                "whether the API key is in force is not known",
-                details={"retry_after_s": MIN_RETRY_AFTER_S},
-            )
-        account = self.config.account_with_key(key)
-        if account is None:
-            raise UnauthorizedError("no account has the API key")
-        return account
+        """Return a Deferred of the account that makes a call; see :func:`authorize`."""
+        return authorize(self.context, queue, key)
 
     # Submission
 
@@ -245,7 +210,7 @@
             # count the store as unavailable each time.
             raise TooLargeError(f"the job's row exceeds {MAX_ROW_BYTES} bytes")
         job_id = spec.job_id
-        yield self._refuse_if_above_maximum(spec, account)
+        yield refuse_if_above_maximum(self.context.store, spec, account)
         yield self._refuse_if_late(spec, queue)
         in_doubt = False
         # No write is tried in an outage: it would get no answer, and its client could not determine
@@ -290,23 +255,6 @@
             details={"retry_after_s": self._retry_after()},
         )
 
-    @inlineCallbacks
-    def _refuse_if_above_maximum(self, spec, account):
-        """Refuse a job that can never run as its account's maximum is too low.
-
-        A copy of a job that was accepted under a higher maximum is not refused.
-        """
-        if account is None or all(account.can_ever_run(step) for step in spec.steps):
-            return
-        try:
-            state, _ = yield read_stored_job(self.context.store, spec.job_id, account.name)
-        except PlatformError as exc:
-            raise UnknownOutcomeError("whether the job was accepted before is not known") from exc
-        if state is None:
-            raise AccountLimitError(
-                f"the job was not accepted: a task or gang exceeds the maximum of {account.name}"
-            )
-
     @inlineCallbacks
     def _refuse_if_late(self, spec, queue):
         """Refuse a job that would start too late to meet its latency objective.
--- a/anvilflow/cell/tests/test_api_keys.py
+++ b/anvilflow/cell/tests/test_api_keys.py
@@ -164,6 +164,40 @@
     return answers
 
 
+def make_limited_config(version, cpu):
+    """Return a configuration whose first account has a maximum of processor."""
+    config = make_config(version)
+    config["tenants"][0]["maximum"] = {"cpu": cpu}
+    return config
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_above_the_maximum_by_itself_is_refused_at_once(monkeypatch, gang, safeguard):
+    """Guards against an accepted job that can never run."""
+    if not safeguard:
+        monkeypatch.setattr(ClientAccount, "can_ever_run", lambda self, step: True)
+    cell = make_cell(config=make_limited_config(1, 3000))
+    step = {"count": 4, "cpu": 1000, "gang": True} if gang else {"count": 1, "cpu": 3001}
+    answers = cell.submit(cell.other(), JOB, step, key=KEY)
+    cell.advance(0.5)
+    assert (answers[0][0] == 429) is safeguard
+    assert cell.spans == []
+    other = cell.submit(cell.other(), "f" * 16, step, key=OTHER_KEY)
+    cell.advance(0.5)
+    assert other[0][0] == 200
+
+
+def test_copy_of_an_accepted_job_is_not_refused_after_its_maximum_was_lowered(cell):
+    """Guards against the answer that a job never runs, for one that was accepted and runs."""
+    cell.submit(cell.other(), JOB, STEP, key=KEY, spec="9.0 done 1000")
+    cell.advance(0.5)
+    cell.store.put("op", "config", make_limited_config(2, 500))
+    cell.advance(1.0)
+    assert _submit(cell, cell.other(), KEY)[0][0] == 200
+    assert len(cell.spans) == STEP["count"]
+
+
 def test_rows_of_earlier_releases_have_no_account():
     """Guards against jobs that nobody can read after an upgrade to a release with accounts."""
     cell = make_cell()
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -5,14 +5,13 @@
 
 from collections import Counter
 
-from ._account_usage import max_concurrent_demand
-from ._accounts import add_demands, demand_of, may_access
+from ._account_tracker import AccountTracker
+from ._accounts import may_access
 from ._evacuation import find_leaving_runs
 from ._job import JobRun, JobState
 from ._placement import plan_starts
 from ._policy import SchedulingPolicy
 from ._reservations import Reservations
-from ._run_tracker import RunTracker
 from ._stalled_runs import SLOW_RUN_SLOWNESS, find_stalled_runs, has_copy
 
 #: Minimum time between two checks of all jobs and runs for what becomes due by time alone:
@@ -22,7 +21,7 @@
 PERIODIC_CHECK_INTERVAL_S = 0.1
 
 
-class Scheduler(RunTracker):
+class Scheduler(AccountTracker):
     """Scheduling state and decisions of a cell, held by its leader.
 
     Each method takes an event and its time, and returns a list of actions for the leader to carry
@@ -67,7 +66,6 @@
         self._last_periodic_check_at = now - PERIODIC_CHECK_INTERVAL_S
         self.starts_deferred_since = None
         self._jobs_known_at = float("-inf")
-        self._unlisted_use = {}
 
     # Configuration and jobs
 
@@ -99,14 +97,7 @@
             record=record,
             inherited=self.grace_period.may_have_begun(version),
         )
-        # A new leader adds the stored jobs before it knows any worker: the next plan finds out
-        # whether all runs are known.
-        if job.inherited and job.owner and not self.grace_period.is_over(now):
-            self.usage.assume(
-                spec.job_id,
-                job.owner,
-                max_concurrent_demand(step for step in job.steps.values() if not step.is_done),
-            )
+        self._bound_inherited_job(job, now)
         # The job has no runs here yet, so that the ends reported early cannot cause any stops.
         self._apply_early_reports(job, now)
         self.restore_suspects(job)
@@ -263,8 +254,7 @@
         if now >= self._last_periodic_check_at + PERIODIC_CHECK_INTERVAL_S:
             self._last_periodic_check_at = now
             actions = self._run_periodic_checks(now, wall_now)
-        self._drop_bounds_of_use(now)
-        self._unlisted_use = self._use_of_orphan_runs()
+        self._update_use(now)
         actions += self.take_recorded_starts(now)
         return actions + self.hold_unrecorded_starts(plan_starts(self, now, n_wanted), now)
 
@@ -360,110 +350,3 @@
         if now < job.starts_delayed_until:
             return False
         return not job.inherited or self.are_all_runs_known(now)
-
-    def are_all_runs_known(self, now):
-        """Whether all runs that earlier leaders have started are listed or have ended."""
-        if self.grace_period.is_over(now):
-            return True
-        return self.grace_period.all_workers_known and all(
-            worker.confirmed or worker.runs_known for worker in self.workers.values()
-        )
-
-    # Maxima of accounts
-
-    def _drop_bounds_of_use(self, now):
-        """Count known runs only, once nothing else can be left of earlier leaders."""
-        usage = self.usage
-        if usage.has_assumptions and self.are_all_runs_known(now):
-            usage.drop_assumptions()
-        elif not usage.has_leftovers or not self._have_stray_runs_ended(now):
-            return
-        else:
-            usage.drop_leftovers()
-        for account in list(self.limited_jobs):
-            self.wake_limited_jobs(account)
-
-    def _have_stray_runs_ended(self, now):
-        """Whether no worker can have runs of earlier leaders that no task accounts for."""
-        if self.grace_period.is_over(now):
-            return True
-        return self.grace_period.all_workers_known and all(
-            worker.confirmed and not worker.orphan_runs for worker in self.workers.values()
-        )
-
-    def n_allowed(self, step):
-        """Return how many tasks of a step the maximum of its account allows to start now.
-
-        0 where only a part of a gang would be allowed. While a worker lists a run of a job that is
-        not known, its account is not known either, and no account with a maximum starts tasks.
-        """
-        account = step.job.account
-        if account is None or not any(account.maxima):
-            return len(step.tasks)
-        if None in self._unlisted_use:
-            return 0
-        used = self.usage.used(account.name)
-        orphans = self._unlisted_use.get(account.name)
-        if orphans is not None:
-            used = add_demands(used, orphans)
-        n_allowed = account.n_allowed(step.spec, used)
-        return 0 if step.spec.gang and n_allowed < len(step.tasks) else n_allowed
-
-    def within_maximum(self, step, tasks):
-        """Return the first of the given tasks, as many as the account's maximum allows.
-
-        The job is planned again when the account's use decreases.
-        """
-        n_allowed = self.n_allowed(step)
-        if n_allowed < len(tasks):
-            self.limited_jobs.setdefault(step.job.owner, set()).add(step.job.job_id)
-        return tasks[:n_allowed]
-
-    def max_account_use(self):
-        """Return the largest share of its maximum that any account's runs occupy."""
-        shares = [0.0]
-        for account in self.config.accounts or () if self.config is not None else ():
-            used = self.usage.used(account.name)
-            shares += [
-                taken / maximum
-                for taken, maximum in zip(used, account.maxima, strict=True)
-                if maximum
-            ]
-        return round(max(shares), 3)
-
-    def is_over_maximum(self, job):
-        """Whether an account's runs exceed its maximum, as after it was lowered."""
-        account = job.account
-        return account is not None and any(
-            maximum and used > maximum
-            for maximum, used in zip(account.maxima, self.usage.used(account.name), strict=True)
-        )
-
-    def _use_of_orphan_runs(self):
-        """Return by account what runs occupy that workers list and that no task accounts for.
-
-        The key None stands for runs of jobs that are not known.
-        """
-        used = {}
-        for orphan in self._orphan_runs():
-            if orphan.step is not None:
-                used[orphan.owner] = add_demands(used.get(orphan.owner), demand_of(orphan.step))
-            elif self._may_become_known(orphan.item.task):
-                used[None] = None
-        return used
-
-    def _orphan_runs(self):
-        return [
-            run
-            for worker in self.workers.values()
-            if worker.orphan_runs
-            for run in worker.orphan_runs.values()
-        ]
-
-    def held_by(self, job):
-        """Return what a job's runs may occupy that have not ended, as :func:`demand_of`."""
-        held = job.held()
-        for orphan in self._orphan_runs():
-            if orphan.job_id == job.job_id and orphan.step is not None:
-                held = add_demands(held, demand_of(orphan.step))
-        return tuple(map(max, held, self.usage.bound_of(job.job_id)))
