Runs of a job that a new leader ends count until no worker lists them

Runs of ended jobs are not adopted; the bound of the jobs was dropped with all others once every run was known or named, 0.02 s later, and their accounts started tasks beside these runs.

Change: what a job's bound exceeds its known runs by counts as left over from the moment at which the job ends, not from the record of its end, and until no worker lists stray runs. The recorded amount keeps the bound.

--- a/anvilflow/jobs/_account_usage.py
+++ b/anvilflow/jobs/_account_usage.py
@@ -20,7 +20,7 @@
     counted in the same way, see :meth:`add_leftover`.
     """
 
-    __slots__ = ("_assumed", "_hidden", "_known", "_leftover", "_used")
+    __slots__ = ("_assumed", "_ended", "_hidden", "_known", "_leftover", "_used")
 
     def __init__(self):
         self._used = {}
@@ -30,6 +30,8 @@
         # By account: by how much the bounds of its jobs exceed their known runs.
         self._hidden = {}
         self._leftover = {}
+        # By ended job: the bound with which it counted.
+        self._ended = {}
 
     def add(self, job, step):
         """Count a run of a job's step."""
@@ -75,16 +77,23 @@
         self._hidden[account] = add_demands(self._hidden.get(account, _NONE), bound)
 
     def bound_of(self, job_id):
-        """Return the upper bound with which a job counts; nothing without one."""
-        return self._assumed[job_id][1] if job_id in self._assumed else _NONE
+        """Return the upper bound with which a job counts, or counted when it ended."""
+        if job_id in self._assumed:
+            return self._assumed[job_id][1]
+        return self._ended.get(job_id, _NONE)
 
     def job_ended(self, job_id):
-        """Count what exceeds the known runs of a job that has ended as left over."""
+        """Count what exceeds the known runs of a job that has ended as left over.
+
+        Runs of such a job are not counted any more when their worker lists them.
+        """
         if job_id not in self._assumed:
             return
         account, bound = self._assumed.pop(job_id)
         known = self._known.pop(job_id)
         hidden = tuple(max(0, most - now) for most, now in zip(bound, known, strict=True))
+        if any(hidden):
+            self._ended[job_id] = bound
         self._hidden[account] = add_demands(self._hidden[account], tuple(-each for each in hidden))
         self.add_leftover(account, hidden)
 
@@ -102,6 +111,7 @@
     def drop_leftovers(self):
         """Count the runs of ended jobs no more, as they have ended."""
         self._leftover.clear()
+        self._ended.clear()
 
     def _change(self, job, step, sign):
         account = job.owner
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -145,6 +145,7 @@
 
     def _finish(self, job, state, now):
         job.finish(state, now)
+        self.usage.job_ended(job.job_id)
         # A completed job has no other runs than copies, which `_task_done` has stopped already, and
         # gang members whose ends are not reported yet.
         return [] if state is JobState.COMPLETED else self._stop_all(job, now, str(state))
@@ -206,7 +207,6 @@
         if not job.is_ended or job.recorded_change < job.change:
             return False
         del self.jobs[job_id]
-        self.usage.job_ended(job_id)
         self._note_end(job_id, job.state, job.owner)
         return True
 
