Explain: a number of tasks is not a list of tasks

`anvilflow explain` ended with a TypeError on every real log: the event of a job that the leader takes on has the number of its tasks in the field in which the event of a lost worker has their names. The event was missing from the test's lines; with it the test failed.

--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -95,7 +95,10 @@
 
 def _belongs_to_job(line, job_id):
     values = line.values
-    names = [values.get("task", ""), values.get("step", ""), *(values.get("tasks") or ())]
+    # In some events, "tasks" is a number.
+    tasks = values.get("tasks")
+    names = [values.get("task", ""), values.get("step", "")]
+    names += tasks if isinstance(tasks, list) else []
     return job_id == values.get("job") or any(str(name).startswith(f"{job_id}.") for name in names)
 
 
--- a/anvilflow/logs/tests/test_explain.py
+++ b/anvilflow/logs/tests/test_explain.py
@@ -19,7 +19,7 @@
 DELAYED_LINES = [
     line(9.8, "a2", "home ends", term=1),
     line(10.0, "a3", "job accepted", job=JOB, version=7),
-    line(10.002, "a1", "job taken on", job=JOB, inherited=False),
+    line(10.002, "a1", "job taken on", job=JOB, inherited=False, tasks=4),
     line(10.1, "a1", "start", task=TASK, run=1, worker="i-4"),
     line(10.9, "a1", "stop", task=TASK, run=1, worker="i-4", why="stands still"),
     line(11.3, "a2", "claimed", why="home gone", token=9, term=2),
