Tests: names of the rule table, "an account"

Cause: a mechanical rename left "a_account" in names, so that the table in docs/design/shifted-work.md named tests that do not exist.

--- a/anvilflow/jobs/tests/test_account_maximum.py
+++ b/anvilflow/jobs/tests/test_account_maximum.py
@@ -237,7 +237,7 @@
     assert may_be_sent == [False, False, True, True]
 
 
-def test_job_of_a_account_that_the_configuration_does_not_name_keeps_its_maximum():
+def test_job_of_an_account_that_the_configuration_does_not_name_keeps_its_maximum():
     """Guards against a removed account whose accepted jobs become unlimited, or never run."""
     cell = make_cell()
     cell.configure(OTHER)
@@ -245,7 +245,7 @@
     assert len(cell.starts()) == 4
 
 
-def test_step_of_a_account_at_its_maximum_takes_nothing_from_others():
+def test_step_of_an_account_at_its_maximum_takes_nothing_from_others():
     """Guards against tickets, reservations and preemption for tasks that must not start."""
     cell = make_cell(n_workers=1)
     cell.add(StepSpec(n_tasks=4, checkpointing=True, **TASK), queue=BULK)
