--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -353,6 +353,17 @@
         if not self.closed:
             self.scheduler.stop_answered(action.worker_id, action.task, action.run_id, self._now())
 
+    def stop_unanswered(self, action, exc):
+        """Log a stop without an answer; its session sends it again."""
+        self.context.meters.count("unanswered_stops")
+        self.log.info(
+            "stop unanswered",
+            task=action.task,
+            run=action.run_id,
+            worker=action.worker_id,
+            error=str(exc),
+        )
+
     def pace_failed(self, action, exc):
         """Log a change of pace that failed."""
         self.log.info("pace not set", task=action.task, worker=action.worker_id, error=str(exc))
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -49,10 +49,11 @@
         Length of the leases. Unit: seconds.
     fleet : object
         Receives answers and failures: ``worker_reported``, ``worker_failed``,
-        ``incarnation_ended``, ``fenced``, ``start_answered``, ``stop_answered``, ``pace_failed``;
-        each lease before it is sent: ``lease_sent``; the round trip of each answer:
-        ``call_answered``; calls without an answer: ``call_unanswered``; and starts that are
-        answered or late, whose places in the send window become free: ``release_start``.
+        ``incarnation_ended``, ``fenced``, ``start_answered``, ``stop_answered``,
+        ``stop_unanswered``, ``pace_failed``; each lease before it is sent: ``lease_sent``; the
+        round trip of each answer: ``call_answered``; calls without an answer: ``call_unanswered``;
+        and starts that are answered or late, whose places in the send window become free:
+        ``release_start``.
 
         Provides the state that the session depends on: ``last_acknowledged_end(worker_id)`` is the
         number of the last durable end, ``has_unrecorded_ends(worker_id)`` whether there are later
@@ -273,6 +274,7 @@
                 if (exc.details or {}).get("reason") == "fenced":
                     self._failed(exc)
                     return
+                self.fleet.stop_unanswered(action, exc)
                 yield deferLater(self.clock, pause_s, lambda: None)
                 pause_s = min(MAX_RETRY_DELAY_S, 2 * pause_s)
                 continue
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -18,6 +18,7 @@
     "starts": ("Orders to start a task, by the worker's answer.", ("answer",)),
     "ends": ("Ends of tasks that workers told, by how they ended.", ("how",)),
     "stops": ("Orders to stop a run, by reason.", ("why",)),
+    "unanswered_stops": ("Orders to stop a run that had no answer; they are sent again.", ()),
     "worker_crashes": ("Workers that were lost, by how the loss was detected.", ("known_by",)),
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
