Keep few connections to a worker, and close idle ones

Cause: each instance kept up to 16 idle connections to each worker, for good. A worker accepts 64 of all instances together and resets further ones; it also counts those of instances that have lost power. After the loss of all instances the connections of both lives were more than 64. The lease renewals of a worker went on over a connection that was open, so that it counted as healthy and was chosen; starts from other instances, and stops beside a renewal that waits for an end, needed a new connection, which was reset.

Change: at most four open connections of an instance to a worker, closed after 1 s without a call; further calls wait for one of them. A call that times out while it waits is known not to have been sent.

--- a/anvilflow/cell/_daemon.py
+++ b/anvilflow/cell/_daemon.py
@@ -29,6 +29,12 @@
 #: Timeout of a command to a worker. Unit: seconds.
 WORKER_TIMEOUT_S = 0.4
 
+#: Maximum number of connections of an instance to one worker, and time after which an idle one is
+#: closed. A worker accepts 64 in total and resets further ones, and those of instances that have
+#: lost power count too. Unit of the time: seconds.
+MAX_WORKER_CONNECTIONS = 4
+MAX_IDLE_S = 1.0
+
 #: Timeout of an advice request. The longest requests take 0.9 s, and one may queue behind another.
 #: Unit: seconds.
 ADVICE_TIMEOUT_S = 2.8
@@ -149,10 +155,20 @@
         return deferLater(clock, max(0.0, at - clock.seconds()), lambda: None)
 
 
+def make_worker_http(clock):
+    """Return the HTTP client for calls to workers."""
+    return HttpClient(
+        clock=clock,
+        connections=MAX_WORKER_CONNECTIONS,
+        max_open=MAX_WORKER_CONNECTIONS,
+        max_idle_s=MAX_IDLE_S,
+    )
+
+
 def make_cell_daemon(settings, *, reactor, give_up):
     """Return the :class:`CellDaemon` of `settings` with real sockets."""
     store_http = HttpClient(clock=reactor, connections=8)
-    worker_http = HttpClient(clock=reactor, connections=16)
+    worker_http = make_worker_http(reactor)
     advice_http = HttpClient(clock=reactor, connections=2)
     advice = None
     if settings.advice:
--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -1,5 +1,6 @@
 """HTTP client with timeouts and persistent connections."""
 
+from collections import Counter, deque
 from functools import lru_cache
 from urllib.parse import urlsplit
 
@@ -46,6 +47,11 @@
         The reactor.
     connections : int, default=8
         Maximum number of idle connections kept per address.
+    max_open : int, default=None
+        Maximum number of open connections per address; further calls wait for one of them. None:
+        no limit.
+    max_idle_s : float, default=None
+        Time after which an idle connection is closed; None: it is kept. Unit: seconds.
     connect_timeout : float, default=1.0
         Timeout for opening a connection. Unit: seconds.
 
@@ -55,16 +61,27 @@
     calls, which was most of the leader's CPU time. A request that fails on a kept connection is not
     sent again by the client: the server may have processed it, and only the caller can decide
     whether it may be processed twice.
+
+    A server with a limit on its connections resets those beyond it, of whatever client. It also
+    counts the connections of clients that have lost power, for as long as it does not notice.
+    `max_open` and `max_idle_s` keep the connections of many clients to such a server few.
     """
 
-    def __init__(self, *, clock, connections=8, connect_timeout=1.0):
+    def __init__(
+        self, *, clock, connections=8, max_open=None, max_idle_s=None, connect_timeout=1.0
+    ):
         self.clock = clock
         self.connections = connections
+        self.max_open = max_open
+        self.max_idle_s = max_idle_s
         self.connect_timeout = connect_timeout
         self.n_calls = 0
         self.n_bytes_out = 0
         self.n_bytes_in = 0
         self._idle = {}
+        self._n_open = Counter()
+        self._waiting = {}
+        self._idle_check = None
 
     def post(self, url, body, *, timeout, held_s=0.0, headers=None, peer=None):
         """Send a POST request, see :meth:`call`."""
@@ -119,7 +136,7 @@
         call = limit.watch(exchange.done)
         self.n_calls += 1
         self.n_bytes_out += len(body) + HEAD_BYTES
-        call.addCallback(self._count_response)
+        call.addCallbacks(self._count_response, _raise_if_not_sent, errbackArgs=(exchange,))
         due_at = self.clock.seconds() + held_s
         if self._send((host, port), request, exchange, peer):
             call.addErrback(self._close_stale_connections, (host, port), due_at)
@@ -149,6 +166,16 @@
         if idle:
             idle.pop().send(request, exchange)
             return True
+        if self.max_open is not None and self._n_open[address] >= self.max_open:
+            self._waiting.setdefault(address, deque()).append((request, exchange, peer))
+            return False
+        self._open(address, request, exchange, peer)
+        return False
+
+    def _open(self, address, request, exchange, peer):
+        """Open a connection, and send a request over it."""
+        name = peer.name if peer is not None else None
+        self._n_open[address] += 1
         factory = Factory.forProtocol(
             lambda: HttpConnection(
                 on_idle=lambda connection: self._keep(address, connection),
@@ -159,11 +186,35 @@
         )
         endpoint = TCP4ClientEndpoint(self.clock, *address, timeout=self.connect_timeout)
         connecting = endpoint.connect(factory)
+        connecting.addErrback(self._not_connected, address)
         connecting.addCallback(self._connected, request, exchange, peer)
         connecting.addErrback(exchange.fail)
         # A call that is cancelled while the connection opens must not be sent afterwards.
         exchange.connection = _PendingConnection(connecting)
-        return False
+
+    def _not_connected(self, failure, address):
+        self._connection_ended(address)
+        return failure
+
+    def _connection_ended(self, address):
+        """Note that a connection is closed; send a waiting call over a new one."""
+        self._n_open[address] -= 1
+        if not self._n_open[address]:
+            del self._n_open[address]
+        call = self._next_waiting(address)
+        if call is not None:
+            self._open(address, *call)
+
+    def _next_waiting(self, address):
+        """Return the first call that waits for a connection and is not cancelled, or None."""
+        waiting = self._waiting.get(address)
+        while waiting:
+            call = waiting.popleft()
+            if not waiting:
+                del self._waiting[address]
+            if not call[1].is_cancelled:
+                return call
+        return None
 
     def _close_stale_connections(self, failure, address, due_at):
         """Close the connections idle since before the response to a timed-out call was due.
@@ -228,7 +279,18 @@
     def _keep(self, address, connection):
         if not connection.is_checked:
             return
+        call = self._next_waiting(address)
+        if call is not None:
+            request, exchange, peer = call
+            if connection.peer_name == (peer.name if peer is not None else None):
+                connection.send(request, exchange)
+                return
+            # The connection leads to another process; its end opens one for the call.
+            self._waiting.setdefault(address, deque()).appendleft(call)
+            connection.abort()
+            return
         connection.idle_since = self.clock.seconds()
+        self._schedule_idle_check()
         idle = self._idle.setdefault(address, [])
         if len(idle) < self.connections:
             idle.append(connection)
@@ -241,6 +303,35 @@
             idle.remove(connection)
         if not idle:
             self._idle.pop(address, None)
+        self._connection_ended(address)
+
+    def _schedule_idle_check(self):
+        if self.max_idle_s is not None and self._idle_check is None:
+            self._idle_check = self.clock.callLater(self.max_idle_s, self._close_long_idle)
+
+    def _close_long_idle(self):
+        """Close the connections that have been idle for too long."""
+        self._idle_check = None
+        idle_since = self.clock.seconds() - self.max_idle_s
+        expired = [
+            (idle, connection)
+            for idle in self._idle.values()
+            for connection in idle
+            if connection.idle_since <= idle_since
+        ]
+        for idle, connection in expired:
+            # The connection must not be used while it closes.
+            idle.remove(connection)
+            connection.transport.loseConnection()
+        if self._idle:
+            self._schedule_idle_check()
+
+
+def _raise_if_not_sent(failure, exchange):
+    """Raise a ConnectError if a call has timed out while it waited for a connection."""
+    if failure.check(TimeoutError) and exchange.connection is None:
+        raise ConnectError(string="no connection was free in time") from failure.value
+    return failure
 
 
 class _PendingConnection:
