Complete a job only when no late start can run its tasks again

Cause: a start had no answer, its retry ran and ended as done, and the first copy, seconds late, began a second run on the next incarnation of the worker. What refuses a late copy, the end of the run and the token, is state of the incarnation; the cell counted the end while such a copy could be under way, and nothing kept which runs had one.

Change: the leader keeps the starts without an answer, each for the 12 s for which a worker may still execute it, or until a later incarnation has answered under a higher token. Until then the end is recorded and dependent steps start, but the job does not complete for its client, the end is not acknowledged, and a task of an unreachable worker does not start elsewhere. Workers are asked for their runs before a start is sent again, so that a lost answer costs nothing. Starts with a ticket, and to workers that state no start time, are refused by any other incarnation and are not kept.

Tests: two older tests of lost answers now use workers that state no start time. They show what the retry of a start prevents, and a worker that is asked first makes the retry needless. Their checks are as before.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from ..jobs import UnansweredStarts
 from ..metrics import Meters
 from ._config_proof import ConfigProof
 from ._lag import LagMeter
@@ -127,6 +128,7 @@
             settings=lambda: self.settings, count=self._count_bytes
         )
         self.uses_relays = False
+        self.unanswered_starts = UnansweredStarts()
         self.meters = Meters()
         self.dump = dict
         self._count_call_bytes = count_bytes
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -58,6 +58,7 @@
     events : object
         Receives the events of the sessions: ``act(actions)`` with the scheduler's actions,
         ``changed()`` when a new plan is needed, ``ends_reported()`` when ends have to be recorded,
+        ``start_unanswered()`` when a worker may execute a start late,
         ``deposed()`` when another leader has taken over, ``fail_with(failure)``.
     """
 
@@ -340,6 +341,15 @@
         elif action.task in self.scheduler.suspects:
             self.events.ends_reported()
 
+    def start_unanswered(self, action, sent_at):
+        """Process a start without an answer, which the worker may execute later."""
+        self.context.meters.count("unanswered_starts")
+        self.log.info(
+            "start unanswered", task=action.task, run=action.run_id, worker=action.worker_id
+        )
+        self.scheduler.start_unanswered(action.worker_id, action.task, sent_at)
+        self.events.start_unanswered()
+
     def _log_missing_payload(self, action):
         """Log, once for each job, that none of its tasks can be started."""
         job_id = action.task.partition(".")[0]
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -217,8 +217,10 @@
         self.act(self._intake.load_state(state))
         for row in state.workers:
             self._fleet.take_registry_entry(row)
-        for handover in claimed.former.handover if claimed.former is not None else ():
-            self._fleet.adopt_worker(handover)
+        if claimed.former is not None:
+            scheduler.unanswered_starts.adopt(claimed.former.unanswered_starts, self.now)
+            for handover in claimed.former.handover:
+                self._fleet.adopt_worker(handover)
         self._loaded = True
         self.loaded_at = self.now
         self._loading_heartbeat.close()
@@ -510,6 +512,13 @@
         """Record the ends that workers have reported, at the next opportunity."""
         self._recorder.trigger()
 
+    def start_unanswered(self):
+        """Report the unanswered starts to the other instances, for the next leader.
+
+        The leader's row names them too, but a leader may send starts without reaching the store.
+        """
+        self._leader_heartbeat.send_heartbeat()
+
     # Records
 
     def _recorded(self, ended):
--- a/anvilflow/cell/_leader_heartbeat.py
+++ b/anvilflow/cell/_leader_heartbeat.py
@@ -40,8 +40,13 @@
             lag_ms=round(1000 * self.context.lag.lag_s),
             carried=self.context.uses_relays,
             sent_ms=round(1000 * self.context.clock.seconds()),
+            unanswered_starts=self._unanswered_starts(),
         )
 
+    def _unanswered_starts(self):
+        now = self.context.clock.seconds()
+        return self.context.unanswered_starts.handover(now) or None
+
     def full_heartbeat(self):
         """Return a heartbeat with the counts of pending jobs and the expected start delays.
 
--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -161,7 +161,9 @@
         term=claimed.term,
         lease_s=LEASE_S,
         stop_s=context.settings.bounds.stop_s,
+        max_command_delay_s=context.settings.bounds.max_command_delay_s,
         now=now,
         grace_period=grace_period,
         policy=context.settings.scheduling,
+        unanswered_starts=context.unanswered_starts,
     )
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -407,6 +407,7 @@
             row.n_workers = former.n_workers
             row.missing = former.missing
             row.nameless = former.nameless
+            row.unanswered_starts = former.unanswered_starts
             row.n_loads = former.n_loads + 1
         conditions = [condition(LEADER_TABLE, LEADER_KEY, self.row_version)]
         try:
--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -246,6 +246,9 @@
                 if done is not None:
                     done.callback(body)
             case HomeBeat():
+                if body.unanswered_starts:
+                    now = self.context.clock.seconds()
+                    self.context.unanswered_starts.adopt(body.unanswered_starts, now)
                 leader_request = self._leader_requests.pop(link, None)
                 if leader_request is not None:
                     leader_request.callback(LeaderReply(link=link, heartbeat=body))
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -213,6 +213,9 @@
             n_workers=len(self.scheduler.current_workers()) + len(missing),
             missing=missing,
             nameless=nameless,
+            unanswered_starts=self.scheduler.unanswered_starts.handover(
+                self.context.clock.seconds()
+            ),
         )
 
     @inlineCallbacks
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -49,11 +49,11 @@
         Length of the leases. Unit: seconds.
     fleet : object
         Receives answers and failures: ``worker_reported``, ``worker_failed``,
-        ``incarnation_ended``, ``fenced``, ``start_answered``, ``stop_answered``,
-        ``stop_unanswered``, ``pace_failed``; each lease before it is sent: ``lease_sent``; the
-        round trip of each answer: ``call_answered``; calls without an answer: ``call_unanswered``;
-        and starts that are answered or late, whose places in the send window become free:
-        ``release_start``.
+        ``incarnation_ended``, ``fenced``, ``start_answered``, ``start_unanswered``,
+        ``stop_answered``, ``stop_unanswered``, ``pace_failed``; each lease before it is sent:
+        ``lease_sent``; the round trip of each answer: ``call_answered``; calls without an answer:
+        ``call_unanswered``; and starts that are answered or late, whose places in the send window
+        become free: ``release_start``.
 
         Provides the state that the session depends on: ``last_acknowledged_end(worker_id)`` is the
         number of the last durable end, ``has_unrecorded_ends(worker_id)`` whether there are later
@@ -238,7 +238,10 @@
         for number, min_s in enumerate(START_TIMEOUTS_S):
             if number > 0 and not self.fleet.may_retry():
                 break
+            sent_at = self.clock.seconds()
             outcome = yield self._start_once(action, self._timeout_s(min_s))
+            if outcome == "unknown":
+                outcome = yield from self._find_unanswered_start(action, sent_at, number)
             if number > 0:
                 outcome = outcome_after_lost_answer(outcome)
             if outcome != "unknown" or self.stopped or self.fleet.is_unreachable(self.worker_id):
@@ -252,6 +255,42 @@
                 break
         return outcome
 
+    def _find_unanswered_start(self, action, sent_at, number):
+        """Return the outcome of a start without an answer: "started" if its run is listed.
+
+        Otherwise the worker may execute the start later. If it starts again meanwhile, the next
+        incarnation does, unless the start names this one by its ticket. Only after the first try,
+        `number` 0, the worker is asked: on a silent worker each query delays the next try.
+        """
+        if self.calls.born_ms is None or action.ticket or self.stopped:
+            return "unknown"
+        if number == 0:
+            try:
+                if (yield self._is_listed(action)):
+                    return "started"
+            except (WorkerRefusedError, WorkerUnreachableError):
+                pass
+        self.fleet.start_unanswered(action, sent_at)
+        return "unknown"
+
+    def _is_listed(self, action):
+        """Query whether the worker lists a run, as active or as ended."""
+        if self.fleet.is_unreachable(self.worker_id):
+            return succeed(False)
+        # Not counted as a round trip: the start without an answer is already.
+        call = self.calls.renew_leases(
+            seen=self.fleet.last_acknowledged_end(self.worker_id),
+            until_s=None,
+            wait_s=0.0,
+            timeout=self._timeout_s(START_TIMEOUTS_S[0]),
+        )
+        run = (action.task, action.run_id)
+        return call.addCallback(
+            lambda report: any(
+                run == (item.task, item.run_id) for item in (*report.active, *report.ended)
+            )
+        )
+
     def _start_once(self, action, timeout):
         if not self.fleet.may_send_commands():
             return succeed("unreached")
--- a/anvilflow/cell/_settings.py
+++ b/anvilflow/cell/_settings.py
@@ -57,6 +57,9 @@
         Longest lease. Unit: seconds.
     stop_s : float, default=0.9
         Longest time that the stop of a run takes. Unit: seconds.
+    max_command_delay_s : float, default=12.0
+        Longest time after which a worker may execute a command that it has not answered. A job with
+        such a start completes no earlier, see `jobs/_completion.py`. Unit: seconds.
     status_kept_s : float, default=120.0
         Time for which the state of an ended job is kept. Unit: seconds.
     config_apply_s : float, default=2.0
@@ -71,6 +74,7 @@
     grace_s: float = 6.0
     max_lease_s: float = 6.0
     stop_s: float = 0.9
+    max_command_delay_s: float = 12.0
     status_kept_s: float = 120.0
     config_apply_s: float = 2.0
     strict_revocation: bool = False
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -42,7 +42,8 @@
     `registry_version` is the version up to which the leader has followed the registry; `n_workers`
     is the number of its workers; `missing` are workers that had left the registry when this leader
     began and have not registered since. `nameless` are registry entries that name no worker and
-    have named none while this instance was the leader. `n_loads` counts the consecutive claims
+    have named none while this instance was the leader. `unanswered_starts` are starts that may be
+    executed late, see :class:`UnansweredStarts`. `n_loads` counts the consecutive claims
     after which no leader has begun to schedule.
     """
 
@@ -55,6 +56,7 @@
     n_workers: int = 0
     missing: list[str] = []
     nameless: list[str] = []
+    unanswered_starts: dict[str, int] = {}
     n_loads: int = 0
 
 
--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -127,6 +127,14 @@
     assert (cell.state("a0", JOB) == "completed") is safeguard
 
 
+def _make_cell_without_start_times(cpu=16000):
+    """Return a cell whose workers are not asked for their runs before a start is retried."""
+    cell = PlatformCell(n_instances=2, n_workers=0)
+    for number in range(2):
+        cell.add_worker(f"i-{number}", f"w{number}:1", cpu=cpu, rack=f"r{number}", born_ms=None)
+    return cell
+
+
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_gang_continues_after_the_answer_to_a_start_is_lost(monkeypatch, safeguard):
     """A worker starts a member of a gang, but its answers to this and to lease renewals are lost.
@@ -136,7 +144,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_session, "START_TIMEOUTS_S", (0.3,))
-    cell = PlatformCell(n_instances=2, n_workers=2, cpu=4000)
+    cell = _make_cell_without_start_times(cpu=4000)
     for worker in cell.workers.values():
         worker.n_lost_starts = 1
         worker.renewals_unanswered_between = (1.0, 2.5)
@@ -156,7 +164,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_session, "outcome_after_lost_answer", lambda outcome: outcome)
-    cell = PlatformCell(n_instances=2, n_workers=2)
+    cell = _make_cell_without_start_times()
     for worker in cell.workers.values():
         worker.n_lost_starts = 1
         worker.renewals_unanswered_between = (1.0, 2.2)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -19,6 +19,7 @@
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
+from ._unanswered_starts import UnansweredStarts
 from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 from ._worker_id import make_worker_id
 
@@ -55,6 +56,7 @@
     "StepSpec",
     "StopRun",
     "TaskState",
+    "UnansweredStarts",
     "Worker",
     "WorkerInfo",
     "WorkerReport",
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -2,7 +2,7 @@
 
 from ._actions import StopRun
 from ._advice import has_ticket
-from ._crash_tracker import CrashTracker
+from ._completion import CompletionTracker
 from ._job import JobState, TaskState
 from ._pacing import pace_background_tasks
 from ._stalled_runs import note_duration
@@ -40,7 +40,7 @@
 UNKNOWN_JOB_S = 1.5
 
 
-class RunTracker(CrashTracker):
+class RunTracker(CompletionTracker):
     """Tracks the runs on each worker from its reports and its replies to commands.
 
     Base of :class:`Scheduler`, which adds the jobs: runs are started for the tasks of jobs, and the
@@ -240,7 +240,8 @@
         # The end is acknowledged to the worker only after the job's changes are recorded. This also
         # applies to a job that has ended: a leader that takes over before the job's end is recorded
         # would find neither that end nor this one, and would run the task again.
-        if step.job.change > step.job.recorded_change:
+        is_recorded = step.job.change <= step.job.recorded_change
+        if not is_recorded or not self.may_acknowledge(end):
             worker.ack_queue.append(PendingEnd(end=end, change=step.job.change, now=now))
         return actions
 
@@ -285,7 +286,7 @@
             self.advice_in_flight.pop(step.key, None)
             job.mark_ready(now)
         if job.is_done:
-            actions += self._finish(job, JobState.COMPLETED, now)
+            actions += self.complete_job(job, now)
         return actions
 
     def _task_failed(self, worker, step, task, run_id, now):
@@ -394,6 +395,7 @@
 
     def stop_answered(self, worker_id, task, run_id, now):
         """Note that a worker accepted a stop: the run ends within the stop time or never begins."""
+        super().stop_answered(worker_id, task, run_id, now)
         run = self._find_run(worker_id, task, run_id)
         if run is not None and run.state == "stopping":
             run.state = "barred"
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -43,6 +43,8 @@
         term alone.
     policy : SchedulingPolicy, default=None
         Scheduling policy; None: the defaults.
+    **values
+        As for :class:`CompletionTracker`.
 
     Notes
     -----
@@ -54,11 +56,9 @@
     """
 
     def __init__(
-        self, *, term, lease_s, now, stop_s=0.9, n_advice_callers=1, grace_period=None, policy=None
+        self, *, term, lease_s, now, stop_s=0.9, n_advice_callers=1, policy=None, **values
     ):
-        super().__init__(
-            term=term, lease_s=lease_s, stop_s=stop_s, now=now, grace_period=grace_period
-        )
+        super().__init__(term=term, lease_s=lease_s, stop_s=stop_s, now=now, **values)
         self.n_advice_callers = n_advice_callers
         self.policy = policy or SchedulingPolicy()
         self.reservations = Reservations(self.policy)
@@ -101,6 +101,9 @@
         # The job has no runs here yet, so that the ends reported early cannot cause any stops.
         self._apply_early_reports(job, now)
         self.restore_suspects(job)
+        if job.is_done:
+            # An earlier leader has recorded the ends of all tasks, but not the job's completion.
+            self.uncompleted_jobs.add(job.job_id)
         return True
 
     def _newer_queue(self, queue, config_version):
@@ -213,7 +216,8 @@
     def acknowledged(self, worker):
         """Return the number of the last end that the worker may drop.
 
-        All ends up to that number are durable, or their jobs no longer exist.
+        All ends up to that number are durable, or their jobs no longer exist, and none of their
+        tasks can run again.
         """
         queue = worker.ack_queue
         while queue and self._may_be_acknowledged(queue[0]):
@@ -227,6 +231,8 @@
         this leader has read the job. The job's row was written before the task began. Therefore, a
         read of all jobs that began after the end was reported includes the job.
         """
+        if not self.may_acknowledge(pending.end):
+            return False
         job = self.jobs.get(pending.job_id)
         if job is None:
             is_known = pending.change is not None or pending.job_id in self.ended
@@ -249,11 +255,11 @@
         n_wanted : int, default=None
             Number of starts after which the plan leaves further tasks waiting; None: no limit.
         """
-        actions = []
+        actions = self.complete_jobs(now)
         self.wall_offset_s = wall_now - now
         if now >= self._last_periodic_check_at + PERIODIC_CHECK_INTERVAL_S:
             self._last_periodic_check_at = now
-            actions = self._run_periodic_checks(now, wall_now)
+            actions += self._run_periodic_checks(now, wall_now)
         self._update_use(now)
         actions += self.take_recorded_starts(now)
         return actions + self.hold_unrecorded_starts(plan_starts(self, now, n_wanted), now)
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -22,6 +22,7 @@
     "worker_crashes": ("Workers that were lost, by how the loss was detected.", ("known_by",)),
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
+    "unanswered_starts": ("Starts without an answer that a worker may execute late.", ()),
     "worker_restarts": ("Workers that started again under their ids, by source.", ("known_by",)),
     "late_workers": ("Calls to workers without an answer while answers of all were late.", ()),
     "short_of_processor": ("Times that the instance began to be late with its own timers.", ()),
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -1788,6 +1788,7 @@
      - start_waits
      - carried
      - sent_ms
+     - unanswered_starts
 
     """
 
@@ -1803,10 +1804,11 @@
         'start_waits',
         'carried',
         'sent_ms',
+        'unanswered_starts',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None, carried=None, sent_ms=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None, carried=None, sent_ms=None, unanswered_starts=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
@@ -1818,6 +1820,7 @@
         self.start_waits = start_waits
         self.carried = carried
         self.sent_ms = sent_ms
+        self.unanswered_starts = unanswered_starts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1905,6 +1908,17 @@
                     self.sent_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.MAP:
+                    self.unanswered_starts = {}
+                    (_ktype53, _vtype54, _size52) = iprot.readMapBegin()
+                    for _i56 in range(_size52):
+                        _key57 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val58 = iprot.readI32()
+                        self.unanswered_starts[_key57] = _val58
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1973,6 +1987,14 @@
             oprot.writeFieldBegin('sent_ms', TType.I64, 11)
             oprot.writeI64(self.sent_ms)
             oprot.writeFieldEnd()
+        if self.unanswered_starts is not None:
+            oprot.writeFieldBegin('unanswered_starts', TType.MAP, 12)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.unanswered_starts))
+            for kiter59, viter60 in self.unanswered_starts.items():
+                oprot.writeString(kiter59.encode('utf-8') if sys.version_info[0] == 2 else kiter59)
+                oprot.writeI32(viter60)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3676,6 +3698,7 @@
     (9, TType.MAP, 'start_waits', (TType.I32, None, TType.I32, None, False), None, ),  # 9
     (10, TType.BOOL, 'carried', None, None, ),  # 10
     (11, TType.I64, 'sent_ms', None, None, ),  # 11
+    (12, TType.MAP, 'unanswered_starts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 12
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -142,6 +142,9 @@
   10: optional bool carried,
   // On the home's steady clock. Unit: milliseconds.
   11: optional i64 sent_ms,
+  // Starts without an answer, as TASK@WORKER@BORN_MS, and for how long the worker may still execute
+  // each of them. Unit: milliseconds.
+  12: optional map<string, i32> unanswered_starts,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
