--- a/anvilflow/cell/tests/test_worker_connections.py
+++ b/anvilflow/cell/tests/test_worker_connections.py
@@ -44,7 +44,7 @@
     results = []
     for client in [make_worker_http(clock) for _ in range(N_INSTANCES)]:
         for _ in range(N_STARTS):
-            client.post("http://w:1/-/run-start", b"{}", timeout=0.4).addBoth(results.append)
+            client.post("http://w:1/start", b"{}", timeout=0.4).addBoth(results.append)
     return results, max(worker.answer() for _ in range(N_STARTS))
 
 
