Wait for the late starts of a task however its worker was lost

Cause: only the runs of workers whose leases had lapsed waited for their unanswered starts. Here a call that was on its way when the process ended was answered by status 421, so that the worker counted as replaced and its runs as over. By the contract 421 comes from another incarnation; the stand-in sends it for a dead process, too, and then starts the same id again. The wait costs at most 12 s for the few tasks with such a start, so that it does not depend on who answers.

Change: a task whose run is lost with its worker, in whatever way, waits for its unanswered starts. It replaces the runs that were kept beyond their leases.

Two tests fail without the wait.

--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -113,13 +113,9 @@
             for run in list(worker.runs.values()):
                 if has_left or worker.is_leaving:
                     self._drop_run(run, now)
-                elif not self._may_begin_late(run):
+                else:
                     self._lose_run(run, LossOutcome.UNKNOWN, now)
 
-    def _may_begin_late(self, run):
-        """Whether a run of an unreachable worker may begin late; see :class:`CompletionTracker`."""
-        return False
-
     def _lose_run(self, run, outcome, now):
         """Remove a run whose worker was lost, and add the loss to its task's history."""
         self._note_lost_worker(run.worker, run.is_trial, now)
--- a/anvilflow/jobs/tests/test_completion.py
+++ b/anvilflow/jobs/tests/test_completion.py
@@ -113,6 +113,19 @@
     assert is_started or len(scheduler.plan(12.1, 12.1)) == 1
 
 
+def test_task_of_a_replaced_worker_waits_for_its_late_start():
+    """Guards against a second run beside one on the next incarnation, which nothing refuses yet."""
+    scheduler, [start] = make_started(StepSpec(n_tasks=1, cpu_milli=1000))
+    scheduler.worker_ended(start.worker_id, 0.5, is_replaced=True)
+    scheduler.worker_listed(make_worker_info(1), 0.5)
+    scheduler.report("w1", make_report(), requested_at=0.5, now=0.5)
+    _, task = scheduler.find_task(start.task)
+    scheduler.plan(0.6, 0.6)
+    assert task.state == "waiting"
+    scheduler.plan(12.1, 12.1)
+    assert task.state == "running"
+
+
 def test_answered_stop_of_a_start_ends_the_wait_for_it():
     """Guards against a wait after a worker did not answer any try of a start."""
     scheduler = make_one_worker()
