Let a task wait wherever the incarnation of its late start is lost

Change: whether a task waits follows from the unanswered starts and the workers: it does while a start was sent to an incarnation that is unknown, unreachable or superseded. No set of names, and no hook in the loss of runs.

--- a/anvilflow/jobs/_completion.py
+++ b/anvilflow/jobs/_completion.py
@@ -25,12 +25,11 @@
     A start that has no answer may be executed seconds later. It does no harm to the incarnation of
     the worker that it was sent to, but would begin a second run on the next one. While such a start
     is left, the end of its task is recorded, and steps that depend on it start; but the job is not
-    completed for its client, and the end is not acknowledged to the worker. If the worker is lost
-    instead, the task does not start elsewhere.
+    completed for its client, and the end is not acknowledged to the worker. If the worker is lost,
+    its tasks do not start elsewhere.
 
     `unanswered_starts` are the starts that may still be executed, also those of other leaders.
-    `uncompleted_jobs` are the ids of the jobs of which all tasks are done, `tasks_of_lost_workers`
-    the names of the tasks that wait for their unanswered starts.
+    `uncompleted_jobs` are the ids of the jobs of which all tasks are done.
     """
 
     def __init__(self, *, max_command_delay_s=12.0, unanswered_starts=None, **values):
@@ -40,7 +39,6 @@
         if unanswered_starts is not None:
             self.unanswered_starts = unanswered_starts
         self.uncompleted_jobs = set()
-        self.tasks_of_lost_workers = set()
 
     def start_unanswered(self, worker_id, task, sent_at):
         """Note that a start sent at `sent_at` has no answer and that its run is not listed."""
@@ -53,22 +51,23 @@
             self.unanswered_starts.remove_fenced(worker.info)
         super()._confirm_worker(worker, now)
 
-    def _lose_run(self, run, outcome, now):
-        may_run_twice = run.step.speculative or run.step.long_running
-        if not may_run_twice and self.unanswered_starts.includes(run.task):
-            self.tasks_of_lost_workers.add(run.task)
-        super()._lose_run(run, outcome, now)
-
     def startable(self, step, waiting, now):
         """Return the waiting tasks of a step that may start now, see :class:`TrialTracker`.
 
-        A task whose worker was lost waits for its unanswered starts: the next incarnation may begin
+        A task whose worker is lost waits for its unanswered starts: the next incarnation may begin
         it. Long-running tasks do not wait, as their users would have no service.
         """
-        if self.tasks_of_lost_workers:
-            waiting = [task for task in waiting if task.name not in self.tasks_of_lost_workers]
+        if self.unanswered_starts and not (step.spec.speculative or step.spec.long_running):
+            waiting = [task for task in waiting if not self._may_begin_elsewhere(task)]
         return super().startable(step, waiting, now)
 
+    def _may_begin_elsewhere(self, task):
+        """Whether a later incarnation of a lost worker may begin a run of a task."""
+        workers = map(self.workers.get, self.unanswered_starts.worker_ids(task.name))
+        return any(
+            worker is None or worker.unreachable or worker.is_superseded for worker in workers
+        )
+
     def stop_answered(self, worker_id, task, run_id, now):
         """Note that a worker accepted a stop, and so refuses all starts of the run."""
         run = self._find_run(worker_id, task, run_id)
@@ -95,7 +94,6 @@
     def complete_jobs(self, now):
         """Complete the jobs none of whose tasks can run again any more; return the actions."""
         self.unanswered_starts.remove_expired(now)
-        self._wake_tasks_of_lost_workers()
         actions = []
         for job_id in list(self.uncompleted_jobs):
             job = self.jobs.get(job_id)
@@ -104,11 +102,3 @@
             else:
                 actions += self.complete_job(job, now)
         return actions
-
-    def _wake_tasks_of_lost_workers(self):
-        for name in list(self.tasks_of_lost_workers):
-            if not self.unanswered_starts.includes(name):
-                self.tasks_of_lost_workers.discard(name)
-                step, _ = self.find_task(name)
-                if step is not None:
-                    step.job.wake()
--- a/anvilflow/jobs/_unanswered_starts.py
+++ b/anvilflow/jobs/_unanswered_starts.py
@@ -1,5 +1,7 @@
 """Starts without an answer, which the next incarnation of their worker may still execute."""
 
+from ._worker_id import make_worker_id
+
 #: Maximum number of starts in the leader's row, some 12 KB of the 64 KB that a row may hold.
 MAX_HANDOVER_STARTS = 150
 
@@ -30,9 +32,13 @@
     def _add(self, key, expires_at):
         self._starts[key] = max(expires_at, self._starts.get(key, expires_at))
 
-    def includes(self, task):
-        """Whether a start of a task may still be executed."""
-        return any(name == task for name, _, _ in self._starts)
+    def worker_ids(self, task):
+        """Return the identities of the incarnations that starts of a task were sent to."""
+        return [
+            make_worker_id(registry_id, born_ms)
+            for name, registry_id, born_ms in self._starts
+            if name == task
+        ]
 
     def includes_any(self, prefix):
         """Whether a start of any task of a job or step may still be executed.
--- a/anvilflow/jobs/tests/test_completion.py
+++ b/anvilflow/jobs/tests/test_completion.py
@@ -141,7 +141,7 @@
     scheduler, [start] = make_started(StepSpec(n_tasks=1, cpu_milli=1000))
     scheduler.preempt(scheduler.workers[start.worker_id].runs[start.task], 0.5)
     scheduler.stop_answered(start.worker_id, start.task, start.run_id, 0.6)
-    assert scheduler.unanswered_starts.includes(TASK)
+    assert scheduler.unanswered_starts.worker_ids(TASK) == [start.worker_id]
 
 
 def test_starts_are_removed_once_a_later_incarnation_has_a_higher_token():
@@ -154,7 +154,7 @@
     assert len(starts) == 2
     starts.remove_fenced(make_worker_info(0, born_ms=6))
     starts.remove_fenced(make_worker_info(1, born_ms=6))
-    assert not starts.includes(TASK)
+    assert not starts.worker_ids(TASK)
 
 
 def test_handover_keeps_the_remaining_time_and_skips_what_is_not_understood():
@@ -168,3 +168,13 @@
     assert len(following) == 1
     following.remove_expired(108.0)
     assert not following
+
+
+def test_next_leader_waits_for_the_late_start_to_a_worker_that_it_does_not_know():
+    """Guards against a second run of a task after the leader and the worker were lost together."""
+    former, [start] = make_started(StepSpec(n_tasks=1, cpu_milli=1000))
+    scheduler = make_scheduler(1)
+    scheduler.unanswered_starts.adopt(former.unanswered_starts.handover(1.0), 1.0)
+    assert add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000), now=1.0) == []
+    [again] = scheduler.plan(12.1, 12.1)
+    assert again.task == start.task
