Test of adopted runs: without the later safeguard, in both of its cases

test_run_that_the_next_incarnation_began_is_adopted shows what keeping the runs of a former incarnation prevents. The test now takes the later safeguard out in both cases; its checks are unchanged, and the later one has tests of its own.

--- a/anvilflow/cell/tests/test_restarted_workers.py
+++ b/anvilflow/cell/tests/test_restarted_workers.py
@@ -8,6 +8,7 @@
 
 from anvilflow.cell import _fleet
 from anvilflow.exceptions import WorkerGoneError
+from anvilflow.jobs import Scheduler
 from anvilflow.platform import WorkerCalls, decode_worker
 from anvilflow.standins import PlatformWorker, WorkerCall
 from anvilflow.utils import encode
@@ -103,6 +104,7 @@
 
     The runs of the former incarnation must keep their tasks until the next one has answered.
     """
+    monkeypatch.setattr(Scheduler, "_may_begin_elsewhere", lambda *_: False)
     if not safeguard:
         monkeypatch.setattr(_fleet.Fleet, "_supersede", _end_at_once)
     cell = make_cell(n_instances=2, n_workers=2)
