Test of the bound of late commands as a setting

Cause: nothing showed that the bound of an operator's settings reaches the scheduler. With 2 s, a job with a late start completes after 2 s and not after 12.

--- a/anvilflow/cell/tests/test_unanswered_starts.py
+++ b/anvilflow/cell/tests/test_unanswered_starts.py
@@ -6,6 +6,7 @@
 import pytest
 from twisted.internet.defer import succeed
 
+from anvilflow.cell import Bounds
 from anvilflow.cell._leader_heartbeat import LeaderHeartbeat
 from anvilflow.cell._recorder import Recorder
 from anvilflow.cell._session import WorkerSession
@@ -74,6 +75,15 @@
     assert len(cell.spans) == 1
 
 
+def test_bound_of_late_commands_is_a_setting():
+    """Guards against jobs that wait for longer than the platform may execute a start late."""
+    cell = make_cell(n_instances=3, n_workers=1, bounds=Bounds(max_command_delay_s=2.0))
+    run_task_with_late_start(cell)
+    assert cell.state("a0", JOB) == "running"
+    cell.advance(1.0)
+    assert cell.state("a0", JOB) == "completed"
+
+
 def test_job_completes_once_the_next_incarnation_refuses_the_late_start():
     """Guards against jobs that wait for longer than their workers need to start again."""
     cell = make_cell(n_instances=3, n_workers=1)
