Logs and metrics: each run taken for over without its end, with the proof

Cause: dropping a run logged nothing, so that the record of the incident cannot tell by what the leader took the first runs for over. Change: each place that drops a run without its end names a RunProof; the leader logs 'run over without its end', and 'run was not over' as a warning when a worker lists the end after all, with a counter of each by proof. No decision is changed.

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -483,6 +483,7 @@
         """Carry out actions that the scheduler has returned."""
         if self._fleet is None:
             return
+        self._scheduler_report.report_dropped_runs(self._scheduler)
         for action in actions:
             match action:
                 case RequestAdvice():
--- a/anvilflow/cell/_scheduler_report.py
+++ b/anvilflow/cell/_scheduler_report.py
@@ -1,11 +1,12 @@
 """Logs and metrics of what the leader's scheduler has learnt and decides by."""
 
+from ..utils import to_builtins
 from ._place_report import PlaceReport
 from ._speed_report import SpeedReport
 
 
 class SchedulerReport:
-    """Reports the state of one leader's scheduler after each plan.
+    """Reports what one leader's scheduler has decided, and its state after each plan.
 
     Parameters
     ----------
@@ -13,13 +14,27 @@
     meters : Meters
     """
 
-    __slots__ = ("_meters", "_places", "_speeds")
+    __slots__ = ("_log", "_meters", "_places", "_speeds")
 
     def __init__(self, *, log, meters):
+        self._log = log
         self._meters = meters
         self._speeds = SpeedReport(log=log, meters=meters)
         self._places = PlaceReport(log=log, meters=meters)
 
+    def report_dropped_runs(self, scheduler):
+        """Log the runs taken for over without their end, and those whose end is listed later."""
+        for note in scheduler.dropped_runs.take_notes():
+            values = to_builtins(note)
+            values["run"] = values.pop("run_id")
+            values["worker"] = values.pop("worker_id")
+            if note.late_end:
+                self._meters.count("late_ends", str(note.proof))
+                self._log.warning("run was not over", **values)
+            else:
+                self._meters.count("dropped_runs", str(note.proof))
+                self._log.info("run over without its end", **values)
+
     def update(self, scheduler, now):
         """Report the state after a plan. Unit: seconds."""
         self._speeds.update(scheduler, now)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -13,6 +13,7 @@
 )
 from ._advice_queue import LONG_REQUEST_S
 from ._crash_history import CrashHistory, LossOutcome, LostRun
+from ._dropped_runs import NoteDroppedRun, RunProof
 from ._grace_period import COMMAND_S, GracePeriod
 from ._handover import HandoverWorker, make_handover
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
@@ -45,12 +46,14 @@
     "LossOutcome",
     "LostRun",
     "NoteCrashingTask",
+    "NoteDroppedRun",
     "NoteLostWorker",
     "NoteUnusableWeight",
     "NoteWait",
     "Queue",
     "RequestAdvice",
     "RunEnd",
+    "RunProof",
     "RunReport",
     "Scheduler",
     "SchedulingPolicy",
--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -4,6 +4,7 @@
 
 from ._actions import NoteCrashingTask, NoteLostWorker
 from ._crash_history import LossOutcome
+from ._dropped_runs import RunProof
 from ._job import JobState, TaskState
 from ._trial_tracker import TrialTracker
 
@@ -56,12 +57,14 @@
             self._has_lost_unconfirmed_worker or not worker.confirmed
         )
         outcome = LossOutcome.CRASHED if is_replaced else LossOutcome.GONE
+        proof = RunProof.RESTARTED if worker.is_superseded else RunProof.REPLACED
+        proof = proof if is_replaced else RunProof.LEASE_OVER
         tasks = sorted(worker.runs)
         for run in list(worker.runs.values()):
             if worker.is_leaving:
-                self._drop_run(run, now)
+                self._drop_run(run, proof, now)
             else:
-                self._lose_run(run, outcome, now)
+                self._lose_run(run, outcome, proof, now)
         if worker.is_leaving:
             self._remove_from_histories(worker_id)
             return []
@@ -113,11 +116,12 @@
                 continue
             for run in list(worker.runs.values()):
                 if has_left or worker.is_leaving:
-                    self._drop_run(run, now)
+                    proof = RunProof.LEASE_OVER if worker.is_lapsed(now) else RunProof.LEFT
+                    self._drop_run(run, proof, now)
                 else:
-                    self._lose_run(run, LossOutcome.UNKNOWN, now)
+                    self._lose_run(run, LossOutcome.UNKNOWN, RunProof.LEASE_OVER, now)
 
-    def _lose_run(self, run, outcome, now):
+    def _lose_run(self, run, outcome, proof, now):
         """Remove a run whose worker was lost, and add the loss to its task's history."""
         self._note_lost_worker(run.worker, run.is_trial, now)
         step, task = self.find_task(run.task)
@@ -127,7 +131,7 @@
                 suspect.history.add_loss(run, outcome, now)
                 self.require_trials(step)
                 step.job.touch(now)
-        self._drop_run(run, now)
+        self._drop_run(run, proof, now)
 
     def _note_lost_worker(self, worker, had_trial, now):
         worker_id = worker.info.worker_id
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -5,6 +5,7 @@
 from ._actions import StopRun
 from ._advice import has_ticket
 from ._completion import CompletionTracker
+from ._dropped_runs import RunProof
 from ._job import JobState, TaskState
 from ._pacing import pace_background_tasks
 from ._stalled_runs import note_duration
@@ -42,6 +43,9 @@
 #: table. Unit: seconds.
 UNKNOWN_JOB_S = 1.5
 
+#: Proofs of the outcomes of a start that was not carried out; all others are refusals.
+_START_PROOFS = {"unreached": RunProof.NEVER_SENT, "no payload": RunProof.NEVER_SENT}
+
 #: Least time over which the present speed of a run is estimated. Unit: seconds.
 PROGRESS_WINDOW_S = 0.4
 
@@ -95,7 +99,7 @@
         for run in list(worker.runs.values()) if is_complete else ():
             confirmed = run.state in ("running", "barred")
             if confirmed and run.sent_at < requested_at and (run.task, run.run_id) not in listed:
-                self._drop_run(run, now)
+                self._drop_run(run, RunProof.NOT_LISTED, now)
         self.note_survivals(worker, now)
         self._confirm_worker(worker, now)
         if worker.unreachable:
@@ -242,6 +246,7 @@
             self._free(run)
         else:
             run = None
+            self.dropped_runs.end_listed(worker.info.worker_id, end)
         step, task = self.find_task(end.task)
         if task is None:
             worker.ack_queue.append(PendingEnd(end=end, change=None, now=now))
@@ -374,7 +379,7 @@
         elif outcome in ("room", "unhealthy"):
             self._note_worker_failure(run.worker, now)
             run.worker.retry_at = max(run.worker.retry_at, now + FIRST_BACKOFF_S)
-        self._drop_run(run, now)
+        self._drop_run(run, _START_PROOFS.get(outcome, RunProof.REFUSED), now)
         return self._stop_rest_of_gang(task, run_id, now)
 
     def _stop_rest_of_gang(self, task, run_id, now):
--- a/anvilflow/jobs/_trial_tracker.py
+++ b/anvilflow/jobs/_trial_tracker.py
@@ -4,6 +4,7 @@
 
 from ._actions import StartRun
 from ._crash_history import EARLY_CRASH_S, CrashHistory
+from ._dropped_runs import RunProof
 from ._job import TaskState
 from ._worker_tracker import WorkerTracker
 
@@ -190,9 +191,9 @@
         if suspect is not None and suspect.history.remove_placed(run.worker.info.worker_id):
             suspect.step.job.touch(now)
 
-    def _drop_run(self, run, now):
+    def _drop_run(self, run, proof, now):
         self.remove_placed(run, now)
-        super()._drop_run(run, now)
+        super()._drop_run(run, proof, now)
 
     def _free(self, run):
         if run.is_trial:
@@ -277,7 +278,7 @@
         for run in self._held_runs(held):
             _, task = self.find_task(run.task)
             task.crash_history.unrecorded_change = held.change
-            self._drop_run(run, now)
+            self._drop_run(run, RunProof.NEVER_SENT, now)
 
     def _held_runs(self, held):
         runs = [self._started_run(start) for start in held.starts]
@@ -297,7 +298,7 @@
                 run.sent_at = run.began_at = now
                 actions.append(start)
             else:
-                self._drop_run(run, now)
+                self._drop_run(run, RunProof.NEVER_SENT, now)
         return actions
 
     def start_sent(self, worker_id, task, run_id):
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -8,6 +8,7 @@
 from ._account_usage import AccountUsage
 from ._actions import StopRun
 from ._advice import AllowedShares
+from ._dropped_runs import DroppedRuns, RunProof
 from ._grace_period import GracePeriod
 from ._job import TaskState
 from ._worker import Run, Worker, lease_end
@@ -49,7 +50,8 @@
     the steps that wait to request advice, `short_advice_needed_at` the last time at which a step
     needed a short request, `last_worker_in_request` the worker after which the next
     request begins. `pace_changed_at` is, by worker, the last time at which the pace of its
-    background tasks changed or could not be raised, see `_pacing`.
+    background tasks changed or could not be raised, see `_pacing`. `dropped_runs` are the runs
+    taken for over without their end.
     """
 
     def __init__(self, *, term, lease_s, stop_s, now, grace_period=None):
@@ -76,6 +78,7 @@
         self.last_full_plan_at = float("-inf")
         self.nameless = set()
         self.pace_changed_at = {}
+        self.dropped_runs = DroppedRuns()
         self._first_start_delays = []
         self.began_at = now
         self.grace_period = grace_period or GracePeriod(term=term, lease_s=lease_s, now=now)
@@ -205,7 +208,7 @@
         if run.state == "stopping":
             return []
         if run.state == "recording":
-            self._drop_run(run, now)
+            self._drop_run(run, RunProof.NEVER_SENT, now)
             return []
         run.state = "stopping"
         run.sent_at = now
@@ -249,8 +252,9 @@
                 return True
         return False
 
-    def _drop_run(self, run, now):
-        """Remove a run that has certainly ended, although no end was listed."""
+    def _drop_run(self, run, proof, now):
+        """Remove a run that is over by a :class:`RunProof`, although no end was listed."""
+        self.dropped_runs.add(run, proof)
         self._free(run)
         step, task = self.find_task(run.task)
         if task is None:
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -58,6 +58,10 @@
         "{waited_s} s"
     ),
     "task ended": "{task}, run {run}, ended on {worker}: {how}",
+    "run over without its end": "{task}, run {run}, on {worker} is taken for over: {proof}",
+    "run was not over": (
+        "{task}, run {run}, ended on {worker} ({late_end}) after it was taken for over: {proof}"
+    ),
     "worker lost": "{worker_id} was lost ({known_by}) while running {tasks}",
     "job failed": "failed, {error}: {task} on {workers}",
     "job ended": "its end is durable: {state}",
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -19,6 +19,8 @@
     "ends": ("Ends of tasks that workers told, by how they ended.", ("how",)),
     "stops": ("Orders to stop a run, by reason.", ("why",)),
     "unanswered_stops": ("Orders to stop a run that had no answer; they are sent again.", ()),
+    "dropped_runs": ("Runs taken for over without their end, by proof.", ("proof",)),
+    "late_ends": ("Ends listed after their runs were taken for over, by proof.", ("proof",)),
     "worker_crashes": ("Workers that were lost, by how the loss was detected.", ("known_by",)),
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
