Workers that leave: runs end by the lease alone, which is shorter

Cause: past a worker's announced time, with its registry entry gone, one refused connection ended its runs (Worker.has_left) without a wait for their leases. A process that shuts down closes its listening socket first and finishes what runs, so that tasks started again beside or after runs that ended as done. Change: has_left, RunProof.LEFT and Worker.connection_refused are gone. A refused connection still marks a worker unreachable at once, so that it gets no new work.

So that the tasks do not wait for 3 s, leases of a worker that has announced its departure are clamp(leaves_at + 1.6 s - now, 1.6 s, 3.0 s), and its renewals wait 0.25 s in place of 0.5. The leases stay at 3.0 s while the leader is short of processor, is not confirmed by the store, or gets answers late. Worker.lease_over_at follows the length sent. A next leader counts the announced time anew from the row, so later, and waits for full leases of earlier leaders as before.

The has_left ablation in test_worker_faults.py now breaks is_lapsed in the same way. test_worker_that_answers_after_a_refused_connection_has_not_left keeps its assertions under another name, without the argument that is gone.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -13,6 +13,10 @@
 #: within a lease. Unit: seconds.
 LOW_CPU_RENEWAL_WAIT_S = 1.0
 
+#: The same on a worker that leaves: within its shorter leases, a renewal that a relay loses is
+#: repeated. Unit: seconds.
+LEAVING_RENEWAL_WAIT_S = 0.25
+
 #: Time within which a worker's missing registry entry may reappear before the worker is removed,
 #: for example after an outage of the store in which the entry expired. Unit: seconds.
 UNLISTED_GRACE_S = 2.5
@@ -111,15 +115,19 @@
         )
         return 2 * n_responded > len(self.scheduler.current_workers())
 
-    def renewal_wait(self):
+    def renewal_wait(self, worker_id):
         """Return how long a worker may delay its answer to a lease renewal. Unit: seconds.
 
-        The delay is shorter while only workers can confirm the leader, and longer while the leader
-        is short of processor.
+        The delay is shorter while only workers can confirm the leader and on a worker that leaves,
+        and longer while the leader is short of processor.
         """
         if not self.is_confirmed():
             return RENEWAL_WAIT_S / 2
-        return LOW_CPU_RENEWAL_WAIT_S if self.context.lag.is_short_of_cpu else RENEWAL_WAIT_S
+        if self.context.lag.is_short_of_cpu:
+            return LOW_CPU_RENEWAL_WAIT_S
+        worker = self.scheduler.workers.get(worker_id)
+        is_leaving = worker is not None and worker.next_lease_s(self._now(), LEASE_S) < LEASE_S
+        return LEAVING_RENEWAL_WAIT_S if is_leaving else RENEWAL_WAIT_S
 
     # Commands
 
@@ -240,11 +248,24 @@
         """Whether a run that is being started is still assigned and is not being stopped."""
         return self.scheduler.is_wanted(action.worker_id, action.task, action.run_id)
 
-    def lease_sent(self, worker_id, sent_at):
-        """Record that a lease is about to be sent to a worker."""
+    def grant_lease(self, worker_id, sent_at, limit_s):
+        """Record that a lease is about to be sent to a worker, and return its length.
+
+        A worker that leaves gets shorter leases only while renewals arrive in time: `limit_s` is
+        the timeout estimated from the round trips. Unit: seconds.
+        """
         worker = self.scheduler.workers.get(worker_id)
-        if worker is not None:
-            worker.lease_sent(sent_at, LEASE_S)
+        if worker is None:
+            return LEASE_S
+        is_prompt = self._are_renewals_prompt(limit_s)
+        lease_s = worker.next_lease_s(sent_at, LEASE_S) if is_prompt else LEASE_S
+        worker.lease_sent(sent_at, lease_s)
+        return lease_s
+
+    def _are_renewals_prompt(self, limit_s):
+        if self.context.lag.is_short_of_cpu or not self.is_confirmed():
+            return False
+        return limit_s < LATE_RESPONSE_S and self._unanswered_share < LATE_CALL_SHARE
 
     def worker_reported(self, worker_id, report, requested_at):
         """Process a worker's answer to a lease renewal that was sent at `requested_at`."""
@@ -301,9 +322,7 @@
             return
         if worker is not None and not worker.unreachable:
             self.log.info("worker silent", worker=worker_id, error=str(exc))
-        self.scheduler.worker_unreachable(
-            worker_id, self._now(), connection_refused=connection_refused
-        )
+        self.scheduler.worker_unreachable(worker_id, self._now())
         unlisted_at = self._unlisted_at.get(worker_id)
         lease_over = worker is None or self._now() >= worker.lease_over_at
         if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S and lease_over:
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -45,29 +45,27 @@
     ----------
     clock : IReactorTime
     calls : WorkerCalls
-    lease_s : float
-        Length of the leases. Unit: seconds.
     fleet : object
         Receives answers and failures: ``worker_reported``, ``worker_failed``,
         ``incarnation_ended``, ``fenced``, ``start_answered``, ``start_unanswered``,
-        ``stop_answered``, ``stop_unanswered``, ``pace_failed``; each lease before it is sent:
-        ``lease_sent``; the round trip of each answer: ``call_answered``; calls without an answer:
-        ``call_unanswered``; and starts that are answered or late, whose places in the send window
-        become free: ``release_start``.
+        ``stop_answered``, ``stop_unanswered``, ``pace_failed``; the round trip of each answer:
+        ``call_answered``; calls without an answer: ``call_unanswered``; and starts that are
+        answered or late, whose places in the send window become free: ``release_start``.
 
         Provides the state that the session depends on: ``last_acknowledged_end(worker_id)`` is the
         number of the last durable end, ``has_unrecorded_ends(worker_id)`` whether there are later
         ones, ``is_unreachable(worker_id)`` whether the last call to the worker had no answer,
         ``is_wanted(action)`` whether a run that is being started is still assigned,
         ``may_send_commands()`` whether starts and leases may be sent, ``may_retry()`` whether a
-        start may be sent again, ``renewal_wait()`` how long the worker may delay its answer to a
-        renewal, ``limit_s()`` the timeout estimated from the round trips of all workers.
+        start may be sent again, ``grant_lease(worker_id, sent_at, limit_s)`` the length of a lease
+        that is about to be sent, ``renewal_wait(worker_id)`` how long the worker may delay its
+        answer to a renewal, ``limit_s()`` the timeout estimated from the round trips of all
+        workers.
     """
 
-    def __init__(self, *, clock, calls, lease_s, fleet):
+    def __init__(self, *, clock, calls, fleet):
         self.clock = clock
         self.calls = calls
-        self.lease_s = lease_s
         self.fleet = fleet
         self.worker_clock = None
         self.stopped = False
@@ -138,7 +136,7 @@
         )
         min_timeout_s = FIRST_TIMEOUT_S if first else self.calls.timeout
         until = None if query_only else self._lease_until(sent)
-        wait_s = 0.0 if query_only else self.fleet.renewal_wait()
+        wait_s = 0.0 if query_only else self.fleet.renewal_wait(self.worker_id)
         try:
             report = yield self._track_round_trip(
                 self.calls.renew_leases(
@@ -192,8 +190,8 @@
         return max(min_s, self._round_trip.limit_s(), self.fleet.limit_s())
 
     def _lease_until(self, now):
-        self.fleet.lease_sent(self.worker_id, now)
-        return self.worker_clock.until(now, self.lease_s)
+        lease_s = self.fleet.grant_lease(self.worker_id, now, self._timeout_s(0.0))
+        return self.worker_clock.until(now, lease_s)
 
     def _failed(self, exc):
         if self.stopped:
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -242,7 +242,7 @@
             relay_dispatcher=self.relay_dispatcher,
             context=self.context,
         )
-        session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, fleet=self)
+        session = WorkerSession(clock=self.context.clock, calls=calls, fleet=self)
         self._sessions[info.worker_id] = session
         self._opened_at[info.worker_id] = self._now()
         session.run().addErrback(self.events.fail_with)
--- a/anvilflow/cell/tests/test_late_answers.py
+++ b/anvilflow/cell/tests/test_late_answers.py
@@ -114,7 +114,7 @@
     fleet = SimpleNamespace(
         limit_s=lambda: 0.0, call_unanswered=lambda: None, stop_unanswered=lambda *_: None
     )
-    session = WorkerSession(clock=clock, calls=calls, lease_s=3.0, fleet=fleet)
+    session = WorkerSession(clock=clock, calls=calls, fleet=fleet)
     session.stop(StopRun(worker_id="i-0", task="a.0.0.0", run_id=1, why="cancelled"))
     clock.pump([0.05] * 200)
     assert (len(sent) <= 14) is safeguard
--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -191,7 +191,7 @@
     expire while the store is unavailable.
     """
     if not safeguard:
-        monkeypatch.setattr(Worker, "has_left", _has_left_or_lost_an_answer)
+        monkeypatch.setattr(Worker, "is_lapsed", _is_lapsed_or_past_its_time)
     cell, worker = _make_cell_with_worker_past_its_announced_time()
     cell.store.remove("servers", worker.worker_id)
     cell.advance(0.2)
@@ -233,10 +233,9 @@
     return cell, worker
 
 
-def _has_left_or_lost_an_answer(self, now):
-    return (
-        self.leaves_at is not None and now > self.leaves_at and self.unreachable and not self.listed
-    )
+def _is_lapsed_or_past_its_time(self, now):
+    is_past = self.leaves_at is not None and now > self.leaves_at
+    return self.unreachable and not self.listed and (is_past or now >= self.lease_over_at)
 
 
 def test_worker_that_was_dropped_and_registers_again_has_one_session():
--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -111,13 +111,11 @@
         if self.grace_period.give_up_waiting(now):
             self._bound_unconfirmed_leases()
         for worker in list(self.workers.values()):
-            has_left = worker.has_left(now)
-            if not (has_left or worker.is_lapsed(now)):
+            if not worker.is_lapsed(now):
                 continue
             for run in list(worker.runs.values()):
-                if has_left or worker.is_leaving:
-                    proof = RunProof.LEASE_OVER if worker.is_lapsed(now) else RunProof.LEFT
-                    self._drop_run(run, proof, now)
+                if worker.is_leaving:
+                    self._drop_run(run, RunProof.LEASE_OVER, now)
                 else:
                     self._lose_run(run, LossOutcome.UNKNOWN, RunProof.LEASE_OVER, now)
 
--- a/anvilflow/jobs/_dropped_runs.py
+++ b/anvilflow/jobs/_dropped_runs.py
@@ -18,7 +18,6 @@
     LEASE_OVER = "lease over"
     RESTARTED = "worker started again"
     REPLACED = "another worker at the address"
-    LEFT = "left as announced"
 
 
 class NoteDroppedRun(Struct, kw_only=True):
--- a/anvilflow/jobs/_evacuation.py
+++ b/anvilflow/jobs/_evacuation.py
@@ -2,8 +2,7 @@
 
 #: Time before a worker leaves at which its long-running tasks are moved. A stop takes up to 0.9 s,
 #: and a start elsewhere may first need an advice request of 0.8 s. Tasks that stay until the worker
-#: leaves have no run for 4 s: the worker must first become unreachable and its leases expire. Unit:
-#: seconds.
+#: leaves have no run for up to 1.8 s: its leases must first expire. Unit: seconds.
 MOVE_S = 2.0
 
 #: Margin by which a run must be expected to end before its worker leaves, to be left running. Unit:
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -104,7 +104,7 @@
         self._confirm_worker(worker, now)
         if worker.unreachable:
             self.needs_full_plan = True
-        worker.unreachable = worker.connection_refused = False
+        worker.unreachable = False
         actions += pace_background_tasks(self, worker, now)
         return actions
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -14,6 +14,10 @@
 #: the leader's own clock readings. Unit: seconds.
 LEASE_MARGIN_S = 0.1
 
+#: Time by which a worker's leases outlast its announced departure. It may stay longer, and its
+#: leases must outlast a lost renewal and a take-over from an unresponsive leader. Unit: seconds.
+LEAVING_LEASE_S = 1.6
+
 
 class WorkerInfo(Struct, kw_only=True, frozen=True, dict=True):
     """Registry entry of a worker's incarnation, as the worker registers itself.
@@ -276,10 +280,9 @@
     name, `orphan_runs` each :class:`OrphanRun` by task name and run number.
 
     `confirmed` means that the worker has responded to this leader, `listed` that it is in the
-    registry, `unreachable` that calls to it fail, since `unreachable_since`. `connection_refused`
-    means that the connection of the last call was refused. `runs_known` means that an earlier
-    leader named all runs that may be active on a worker that has not responded to this leader.
-    `in_handover` means that the leader's row names the worker, see `_handover`; the
+    registry, `unreachable` that calls to it fail, since `unreachable_since`. `runs_known` means
+    that an earlier leader named all runs that may be active on a worker that has not responded to
+    this leader. `in_handover` means that the leader's row names the worker, see `_handover`; the
     worker then gets no new tasks. `is_superseded` means that the worker has started again: this
     incarnation is over, and its runs are dropped once the next one lists its own.
 
@@ -294,7 +297,6 @@
     __slots__ = (
         "ack_queue",
         "confirmed",
-        "connection_refused",
         "cpu_free",
         "gpu_free",
         "in_handover",
@@ -322,7 +324,6 @@
         self.confirmed = False
         self.unreachable = False
         self.unreachable_since = None
-        self.connection_refused = False
         self.runs_known = False
         self.in_handover = False
         self.is_superseded = False
@@ -362,16 +363,6 @@
             leaves_at = now + self.info.leaves_in_s
             self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
 
-    def has_left(self, now):
-        """Whether the worker has left: its announced time is over and its connections are refused.
-
-        The announced time is the least for which the worker stays, and registry entries expire
-        while the store is unavailable. When a lost answer was enough beside these two, each of the
-        worker's tasks was started a second time while the first runs continued.
-        """
-        is_time_over = self.leaves_at is not None and now > self.leaves_at
-        return is_time_over and self.connection_refused and not self.listed
-
     @property
     def is_leaving(self):
         """Whether the worker has announced that it will leave."""
@@ -427,6 +418,16 @@
             and now >= self.retry_at
         )
 
+    def next_lease_s(self, now, max_s):
+        """Return the length of the next lease: at most `max_s`, less if the worker leaves before.
+
+        Nothing else shows that the runs on a worker that has left are over. The announced time is
+        the least for which it stays, and while it shuts down it may refuse connections.
+        """
+        if self.leaves_at is None:
+            return max_s
+        return min(max_s, max(0.0, self.leaves_at - now) + LEAVING_LEASE_S)
+
     def lease_sent(self, sent_at, lease_s):
         """Note that a lease of `lease_s` was sent; it lasts longer on a slow clock."""
         self.lease_over_at = max(self.lease_over_at, lease_end(sent_at, lease_s))
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -161,13 +161,10 @@
         if worker is not None:
             worker.listed = False
 
-    def worker_unreachable(self, worker_id, now, *, connection_refused=False):
+    def worker_unreachable(self, worker_id, now):
         """Note that calls to a worker fail: it gets no new tasks until it responds."""
         worker = self.workers.get(worker_id)
-        if worker is None:
-            return
-        worker.connection_refused = connection_refused
-        if not worker.unreachable:
+        if worker is not None and not worker.unreachable:
             worker.unreachable = True
             worker.unreachable_since = now
 
--- a/anvilflow/jobs/tests/test_scheduler.py
+++ b/anvilflow/jobs/tests/test_scheduler.py
@@ -257,12 +257,10 @@
     assert again.worker_id != start.worker_id
 
 
-@pytest.mark.parametrize("connection_refused", [True, False])
-def test_tasks_of_a_worker_that_left_as_announced_do_not_wait_for_its_lease(connection_refused):
-    """The announced time is over, the registry entry removed, and connections are refused.
+def test_tasks_of_a_worker_that_seems_to_have_left_wait_for_its_lease():
+    """Guards against second runs beside those of a worker that is still shutting down.
 
-    All runs of such a worker have ended. A worker that only gives no answer may have stayed longer,
-    so that its tasks wait until its lease has expired.
+    The announced time is over, the registry entry removed, and calls to the worker fail.
     """
     scheduler = make_scheduler()
     [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
@@ -271,27 +269,22 @@
     scheduler.workers[start.worker_id].lease_over_at = 99.0
     scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=2.0), 1.0)
     scheduler.worker_unreachable(start.worker_id, 0.0)
-    scheduler.worker_unreachable(start.worker_id, 2.0, connection_refused=connection_refused)
+    scheduler.worker_unreachable(start.worker_id, 2.0)
     scheduler.worker_unlisted(start.worker_id)
-    assert scheduler.plan(2.9, 2.9) == []
-    if not connection_refused:
-        assert scheduler.plan(98.9, 98.9) == []
-    [again] = scheduler.plan(3.1 if connection_refused else 99.1, 99.1)
+    for now in (2.9, 3.1, 98.9):
+        assert scheduler.plan(now, now) == []
+    [again] = scheduler.plan(99.1, 99.1)
     assert again.worker_id != start.worker_id
 
 
-def test_worker_that_answers_after_a_refused_connection_has_not_left():
-    """Guards against second runs of the tasks of a worker that still runs.
-
-    The refused connection may come from a restart of the worker's network. The worker has reported
-    since, so that a later lost response does not show that it has left.
-    """
+def test_worker_that_answers_after_a_failed_call_keeps_its_tasks():
+    """Guards against second runs of the tasks of a worker that runs past its announced time."""
     scheduler = make_scheduler()
     [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
     confirm_started(scheduler, [start], 0.0)
     number = int(start.worker_id[1:])
     scheduler.worker_listed(make_worker_info(number, draining=True, leaves_in_s=0.5), 0.0)
-    scheduler.worker_unreachable(start.worker_id, 0.6, connection_refused=True)
+    scheduler.worker_unreachable(start.worker_id, 0.6)
     scheduler.report(
         start.worker_id, make_report([make_run_report(start, 10)]), requested_at=0.7, now=0.7
     )
