Start refused as old: the task waits for the worker's next report

A worker refuses a start as old since it has, or has had, a run of the task with this number or a higher one. This says nothing about the end of that run, but the refused run was dropped at once and the task started elsewhere, beside the run of an earlier leader or after its end.

The refused run now stays the task's, as one that never begins, until a complete report that was requested later. A run listed there is stopped and keeps the task until its end, an end counts, and without either the task starts again.

The older test of a retry that is refused as old now has both safeguards out in its unsafeguarded variant, since either keeps the task. The rule for retries alone has a test of its own: a late first try, and a retry that is refused for want of room.

--- a/anvilflow/cell/tests/test_worker_faults.py
+++ b/anvilflow/cell/tests/test_worker_faults.py
@@ -7,7 +7,7 @@
 
 from anvilflow.cell import _fleet, _leadership, _session
 from anvilflow.cell._context import Claimed
-from anvilflow.jobs import Scheduler, Worker
+from anvilflow.jobs import RunProof, Scheduler, Worker
 from anvilflow.standins import PlatformCell
 
 from ._helpers import JOB, STEP, make_cell, open_connections
@@ -164,6 +164,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_session, "outcome_after_lost_answer", lambda outcome: outcome)
+        monkeypatch.setattr(Scheduler, "_keep_until_report", _drop_refused_run)
     cell = _make_cell_without_start_times()
     for worker in cell.workers.values():
         worker.n_lost_starts = 1
@@ -175,6 +176,34 @@
     assert cell.state("a0", JOB) == "completed"
 
 
+def _drop_refused_run(self, run, now):
+    self._drop_run(run, RunProof.REFUSED, now)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_refused_retry_says_nothing_about_an_earlier_try_on_its_way(monkeypatch, safeguard):
+    """Guards against a second run beside that of a late start whose retry the worker refused."""
+    if not safeguard:
+        monkeypatch.setattr(_session, "outcome_after_lost_answer", lambda outcome: outcome)
+    cell = make_cell(n_instances=2, n_workers=2)
+    open_connections(cell)
+    cell.store.put("servers", "i-1", cell.workers["i-1"].entry(state="draining"))
+    cell.advance(0.3)
+    worker = cell.workers["i-0"]
+    worker.n_late_starts = 1
+    start = worker._start
+
+    def refuse_unless_late(call, is_late):
+        return start(call, is_late) if is_late else worker._answer(409, reason="room")
+
+    monkeypatch.setattr(worker, "_start", refuse_unless_late)
+    cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="4.0 done 1000")
+    cell.advance(0.25)
+    cell.store.put("servers", "i-1", cell.workers["i-1"].entry())
+    cell.advance(9.0)
+    assert (cell.check() == []) is safeguard
+
+
 def _same_token(**values):
     return Claimed(**{**values, "token": 1})
 
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -351,9 +351,9 @@
         connection refused. ``no payload``: the store has no payload of the job.
 
         The rest are refusals by the worker. ``old``: the worker has had this run number or a higher
-        one, or still has a run of the task. ``late``: the lease had expired on arrival. ``room``:
-        not enough free capacity. ``ticket``: the ticket was not accepted. ``unhealthy``: a reply of
-        HTTP status 400, 429 or 503.
+        one, or still has a run of the task: which, its next report shows. ``late``: the lease had
+        expired on arrival. ``room``: not enough free capacity. ``ticket``: the ticket was not
+        accepted. ``unhealthy``: a reply of HTTP status 400, 429 or 503.
         """
         run = self._find_run(worker_id, task, run_id)
         if run is None:
@@ -379,9 +379,20 @@
         elif outcome in ("room", "unhealthy"):
             self._note_worker_failure(run.worker, now)
             run.worker.retry_at = max(run.worker.retry_at, now + FIRST_BACKOFF_S)
-        self._drop_run(run, _START_PROOFS.get(outcome, RunProof.REFUSED), now)
+        if outcome == "old":
+            self._keep_until_report(run, now)
+        else:
+            self._drop_run(run, _START_PROOFS.get(outcome, RunProof.REFUSED), now)
         return self._stop_rest_of_gang(task, run_id, now)
 
+    def _keep_until_report(self, run, now):
+        """Keep the task of a run that its worker refuses by number until the next report.
+
+        The worker has, or has had, another run of the task, whose end this leader may not know.
+        """
+        run.state = "barred"
+        run.sent_at = now
+
     def _stop_rest_of_gang(self, task, run_id, now):
         """Stop the other members of a gang of which one member was not started.
 
