Reports without all ends: they neither end a run nor make a worker known

A worker lists at most 500 ends at a time. Runs were kept over such a report, but (1) orphan runs that it did not list were deleted, (2) a new leader counted the worker as heard, and started the tasks whose ends were in the rest again, also after the wait for earlier leases, since the worker's own lease was renewed, (3) the row named the runs known of such a worker, when unreachable, as all of its runs, and (4) the runs of a former incarnation were dropped by it.

`Worker.has_listed_all_ends` is kept apart from `confirmed`, which still means that the worker has seen the leader's token. Until a report held all pending ends, inherited tasks wait, at most for the worker's lease if it is lost.

The test of a row with many unreachable workers sets the new state of these workers, which it makes by hand; its bounds are unchanged.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -253,7 +253,7 @@
             return
         self._responded_at[worker_id] = requested_at
         self._note_invalid_start_time(worker_id, report)
-        if not worker.confirmed:
+        if report.has_all_ends and not worker.has_listed_all_ends:
             self._end_predecessors(worker.info)
         if worker.unreachable or not worker.confirmed:
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -224,7 +224,7 @@
         )
         scheduler.worker_listed(info, 0.0)
         worker = scheduler.workers[info.worker_id]
-        worker.confirmed = worker.unreachable = True
+        worker.confirmed = worker.has_listed_all_ends = worker.unreachable = True
         worker.unreachable_since = 0.0
         worker.orphan_runs = {(f"{number:016x}.1000.10.{each}", 1001): None for each in range(30)}
     handover = _recorder.make_handover(scheduler, 10.0)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -22,7 +22,7 @@
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._unanswered_starts import UnansweredStarts
-from ._worker import RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
+from ._worker import MAX_ENDS_PER_REPORT, RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
 from ._worker_id import make_worker_id
 from ._worker_speeds import services_with_speeds
 
@@ -30,6 +30,7 @@
     "COMMAND_S",
     "ENDED_STATES",
     "LONG_REQUEST_S",
+    "MAX_ENDS_PER_REPORT",
     "AdviceRules",
     "ApiKeys",
     "CellConfig",
--- a/anvilflow/jobs/_account_tracker.py
+++ b/anvilflow/jobs/_account_tracker.py
@@ -24,7 +24,14 @@
     # Runs of earlier leaders
 
     def are_all_runs_known(self, now):
-        """Whether all runs that earlier leaders have started are listed or have ended."""
+        """Whether all runs that earlier leaders have started are listed, or their ends are known.
+
+        When the grace period is over, the leases of earlier leaders are; but a worker that has
+        responded to this leader may still list ends.
+        """
+        listing = [self.workers.get(worker_id) for worker_id in self.workers_with_more_ends]
+        if any(worker is not None and worker.may_list_more_ends(now) for worker in listing):
+            return False
         if self.grace_period.is_over(now):
             return True
         return self.grace_period.all_workers_known and all(
--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -79,8 +79,13 @@
     """Whether the next leader must be given the worker's runs, as it may not reach the worker.
 
     Of the workers that have not responded to this leader, only those are included whose runs the
-    former leader listed. The runs of the others are not known.
+    former leader listed. The runs of the others are not known, nor are those of a worker that has
+    responded and may list more ends.
     """
     if not worker.confirmed:
         return worker.runs_known
-    return worker.unreachable and now - worker.unreachable_since >= UNREACHABLE_S
+    return (
+        worker.has_listed_all_ends
+        and worker.unreachable
+        and now - worker.unreachable_since >= UNREACHABLE_S
+    )
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -35,9 +35,6 @@
 #: fault of a single job; this does little harm, because the first back-off is short.
 FAILURES_BEFORE_BACKOFF = 2
 
-#: Maximum number of ends in one report of a worker, as the worker contract states.
-MAX_ENDS_PER_REPORT = 500
-
 #: Time for which a run of an unknown job may continue before it is stopped: the job may have been
 #: accepted during a change of leaders, and then appears in the next read of the feed of the jobs
 #: table. Unit: seconds.
@@ -90,16 +87,10 @@
         for item in report.active:
             listed.add((item.task, item.run_id))
             actions += self._handle_active_run(worker, item, report.clock_s, now)
-        for key in set(worker.orphan_runs) - listed:
-            del worker.orphan_runs[key]
-            self.freed.add(worker_id)
-        # A report holds a limited number of ends. When more are pending, as after a long outage of
-        # the store, the end of a run that is not listed may be among those not reported yet.
-        is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
-        for run in list(worker.runs.values()) if is_complete else ():
-            confirmed = run.state in ("running", "barred")
-            if confirmed and run.sent_at < requested_at and (run.task, run.run_id) not in listed:
-                self._drop_run(run, RunProof.NOT_LISTED, now)
+        self._note_pending_ends(worker, report)
+        # Otherwise the end of a run that is not listed may be among those not reported yet.
+        if report.has_all_ends:
+            self._drop_unlisted_runs(worker, listed, requested_at, now)
         self.note_survivals(worker, now)
         self._confirm_worker(worker, now)
         if worker.unreachable:
@@ -108,6 +99,27 @@
         actions += pace_background_tasks(self, worker, now)
         return actions
 
+    def _note_pending_ends(self, worker, report):
+        """Note whether a worker may list more ends of runs that earlier leaders started."""
+        worker.note_report(report)
+        if worker.has_listed_all_ends:
+            self.workers_with_more_ends.discard(worker.info.worker_id)
+        else:
+            self.workers_with_more_ends.add(worker.info.worker_id)
+
+    def _drop_unlisted_runs(self, worker, listed, requested_at, now):
+        """Drop the runs of a worker that are over by its complete report.
+
+        `listed` holds the task and the number of each run in the report.
+        """
+        for key in set(worker.orphan_runs) - listed:
+            del worker.orphan_runs[key]
+            self.freed.add(worker.info.worker_id)
+        for run in list(worker.runs.values()):
+            confirmed = run.state in ("running", "barred")
+            if confirmed and run.sent_at < requested_at and (run.task, run.run_id) not in listed:
+                self._drop_run(run, RunProof.NOT_LISTED, now)
+
     def _handle_active_run(self, worker, item, clock_s, now):
         run = worker.runs.get(item.task)
         if run is not None and run.run_id == item.run_id:
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -14,6 +14,9 @@
 #: the leader's own clock readings. Unit: seconds.
 LEASE_MARGIN_S = 0.1
 
+#: Maximum number of ends in one report of a worker, as the worker contract states.
+MAX_ENDS_PER_REPORT = 500
+
 
 class WorkerInfo(Struct, kw_only=True, frozen=True, dict=True):
     """Registry entry of a worker's incarnation, as the worker registers itself.
@@ -89,6 +92,11 @@
     born_ms: int | None = None
     start_time_error: str = ""
 
+    @property
+    def has_all_ends(self):
+        """Whether no further ends are pending, as after a long outage of the store."""
+        return len(self.ended) < MAX_ENDS_PER_REPORT
+
 
 def lease_end(sent_at, lease_s):
     """Return when a lease has certainly expired, even on a slow clock. Unit: seconds.
@@ -276,7 +284,8 @@
     `cpu_free`, `memory_free` and `gpu_free` are what the runs leave. `runs` holds the runs by task
     name, `orphan_runs` each :class:`OrphanRun` by task name and run number.
 
-    `confirmed` means that the worker has responded to this leader, `listed` that it is in the
+    `confirmed` means that the worker has responded to this leader, `has_listed_all_ends` that one
+    of its reports held all ends that were pending, `listed` that it is in the
     registry, `unreachable` that calls to it fail, since `unreachable_since`. `connection_refused`
     means that the connection of the last call was refused. `runs_known` means that an earlier
     leader named all runs that may be active on a worker that has not responded to this leader.
@@ -298,6 +307,7 @@
         "connection_refused",
         "cpu_free",
         "gpu_free",
+        "has_listed_all_ends",
         "in_handover",
         "info",
         "is_superseded",
@@ -321,6 +331,7 @@
         self.runs = {}
         self.orphan_runs = {}
         self.confirmed = False
+        self.has_listed_all_ends = False
         self.unreachable = False
         self.unreachable_since = None
         self.connection_refused = False
@@ -382,6 +393,14 @@
         """Whether the worker is unreachable and all leases that it was sent have expired."""
         return now >= self.lease_over_at and (self.unreachable or not self.listed)
 
+    def note_report(self, report):
+        """Note whether the worker has listed all ends of runs that earlier leaders started."""
+        self.has_listed_all_ends = self.has_listed_all_ends or report.has_all_ends
+
+    def may_list_more_ends(self, now):
+        """Whether ends of runs that earlier leaders started are pending, and still count."""
+        return self.confirmed and not self.has_listed_all_ends and not self.is_lapsed(now)
+
     def add_run(self, run):
         """Add a run and reserve its capacity."""
         self.runs[run.task] = run
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -51,7 +51,8 @@
     needed a short request, `last_worker_in_request` the worker after which the next
     request begins. `pace_changed_at` is, by worker, the last time at which the pace of its
     background tasks changed or could not be raised, see `_pacing`. `dropped_runs` are the runs
-    taken for over without their end.
+    taken for over without their end. `workers_with_more_ends` are the ids of the workers whose
+    reports have not held all pending ends yet.
     """
 
     def __init__(self, *, term, lease_s, stop_s, now, grace_period=None):
@@ -79,6 +80,7 @@
         self.nameless = set()
         self.pace_changed_at = {}
         self.dropped_runs = DroppedRuns()
+        self.workers_with_more_ends = set()
         self._first_start_delays = []
         self.began_at = now
         self.grace_period = grace_period or GracePeriod(term=term, lease_s=lease_s, now=now)
