Start: its lease counts from before the check of the leadership

A leader that is paused between the check that it may send commands and the reading of the clock sent a start with a lease that counted from its return. The next leader waits only for leases that were granted before the former one had to stop sending: the run could begin after that wait, on a worker that the next leader does not reach. Renewals already read the clock first.

Without the change: assert [8.0] == [3.0] (start, a pause of 5 s).

--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -292,9 +292,12 @@
         )
 
     def _start_once(self, action, timeout):
+        # Read before the check: if the process is paused between the two, the lease must not count
+        # from its return. The next leader waits for the leases that were sent before.
+        now = self.clock.seconds()
         if not self.fleet.may_send_commands():
             return succeed("unreached")
-        until = self._lease_until(self.clock.seconds())
+        until = self._lease_until(now)
         call = self._track_round_trip(self.calls.start(action, until_s=until, timeout=timeout))
         return call.addCallbacks(lambda _: "started", _start_outcome)
 
