Handover: ends that are not recorded yet keep their tasks

The row names all runs of an unreachable worker, so that the next leader starts other tasks without waiting for it. An end as done that the leader had read was missing there as long as its job's record was not written: a transaction holds 45 jobs, and more end at once in a burst or after an outage of the store. If the leader failed, the next one ran the task again while the worker, reached again, still listed the first end.

Without the change: assert 2 == 1 runs (the second began 0.2 s after the kill, on the other worker).

--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -24,8 +24,8 @@
     ----------
     info : WorkerInfo
     runs : list of (str, int) or None
-        Task and run number of all runs that may be active there; None for a reachable worker, which
-        lists its runs itself.
+        Task and run number of all runs that may be active there, or whose ends as done are not
+        recorded; None for a reachable worker, which lists its runs itself.
     fresh : list of int
         Indices into `runs` of those that began shortly before the worker became unreachable.
     """
@@ -45,15 +45,26 @@
     for worker in scheduler.workers.values():
         if _is_unreachable(worker, now):
             runs = [(run.task, run.run_id) for run in worker.runs.values()]
+            runs += [*worker.orphan_runs, *_unrecorded_done_runs(scheduler, worker)]
             fresh = [index for index, run in enumerate(worker.runs.values()) if run.is_fresh]
-            handover.append(
-                HandoverWorker(info=worker.info, runs=runs + list(worker.orphan_runs), fresh=fresh)
-            )
+            handover.append(HandoverWorker(info=worker.info, runs=runs, fresh=fresh))
         elif _is_unlisted(worker):
             handover.append(HandoverWorker(info=worker.info))
     return _bounded(handover)
 
 
+def _unrecorded_done_runs(scheduler, worker):
+    """Return the runs that ended as done, of which the store has no record yet.
+
+    The worker lists these ends again, but the next leader may not reach it.
+    """
+    return [
+        (pending.end.task, pending.end.run_id)
+        for pending in worker.ack_queue
+        if pending.end.how == "done" and not scheduler.is_recorded(pending)
+    ]
+
+
 def _is_unlisted(worker):
     """Whether the next leader would not find the worker in the registry.
 
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -231,6 +231,15 @@
             queue.pop(0)
         return queue[0].end.number - 1 if queue else worker.last_ended
 
+    def is_recorded(self, pending):
+        """Whether the store has the change of a job by an end, or the job's end."""
+        if pending.job_id in self.ended:
+            return True
+        job = self.jobs.get(pending.job_id)
+        if pending.change is None:
+            return False
+        return job is None or job.recorded_change >= pending.change
+
     def _may_be_acknowledged(self, pending):
         """Whether an end is durable, or belongs to a job that certainly does not exist any more.
 
