Handover: the next leader waits for unlisted workers left out of the row

The row describes at most 60 workers. The others that had no registry entry were known to the next leader from nowhere, and it started their tasks again: after an outage of the store all entries of a cell may be gone for two seconds. Their ids are now among the missing workers of the row, for which the next leader waits.

Two older tests without their safeguard also switch these ids off, since either mechanism alone now keeps the tasks: both have to be out for the failure. With the safeguards they are unchanged.

--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -211,7 +211,7 @@
             handover=handover,
             registry_version=self.scheduler.registry_version if is_known else 0,
             n_workers=len(self.scheduler.current_workers()) + len(missing),
-            missing=missing,
+            missing=sorted(_unlisted_ids(self.scheduler, handover).union(missing)),
             nameless=nameless,
             unanswered_starts=self.scheduler.unanswered_starts.handover(
                 self.context.clock.seconds()
@@ -381,3 +381,16 @@
 def answer_timeout(answer_s):
     """Return how long to wait for a transaction's answer if the last took `answer_s`."""
     return min(MAX_ANSWER_TIMEOUT_S, max(MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_FACTOR * answer_s))
+
+
+def _unlisted_ids(scheduler, handover):
+    """Return the ids of the workers outside the registry that the row does not describe.
+
+    The row describes a limited number of workers. The next leader waits for the others.
+    """
+    described = {worker.info.worker_id for worker in handover}
+    return {
+        worker.info.registry_id
+        for worker_id, worker in scheduler.workers.items()
+        if not worker.listed and worker_id not in described
+    }
--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -19,6 +19,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_recorder, "make_handover", lambda scheduler, now: [])
+        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
     cell.advance(1.0)
@@ -301,6 +302,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_handover, "_is_unlisted", _is_hidden_if_confirmed)
+        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
     cell = make_cell(n_instances=4, n_workers=3)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="30.0 done 1000")
     cell.advance(1.0)
--- a/anvilflow/cell/tests/test_handover_limits.py
+++ b/anvilflow/cell/tests/test_handover_limits.py
@@ -28,3 +28,26 @@
     cell.advance(5.0)
     assert (len(cell.spans) == 1) is safeguard
     assert cell.state(cell.other(), JOB) == "completed"
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_unlisted_worker_beyond_the_limit_of_the_row_is_waited_for(monkeypatch, safeguard):
+    """Guards against a next leader that does not know of some workers without an entry.
+
+    The entries of all workers expire together when the store is down.
+    """
+    monkeypatch.setattr(_handover, "MAX_HANDOVER_WORKERS", 0)
+    if not safeguard:
+        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
+    cell.advance(1.0)
+    worker_id = cell.spans[0].worker
+    cell.store.remove("servers", worker_id)
+    cell.advance(1.0)
+    cell.kill(cell.leader())
+    cell.advance(2.0)
+    cell.store.put("servers", worker_id, cell.workers[worker_id].entry())
+    cell.advance(3.0)
+    assert (cell.check() == []) is safeguard
+    assert (len(cell.spans) == 2) is safeguard
