Handover: runs that no task of the new leader accounts for are kept

Two kinds of runs that the row names were lost: those of an occurrence that is not due yet by the new leader's clock (its task started a second time once it was due), and a second run of one task on a worker, an orphan run of which the former leader also tracks a start (the first was overwritten, and its capacity stayed in use).

--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -7,6 +7,7 @@
 from ._dropped_runs import RunProof
 from ._job import JobState, TaskState
 from ._trial_tracker import TrialTracker
+from ._worker import OrphanRun, RunReport
 
 #: Workers lost within this time of each other are assumed to have a common cause. Unit: seconds.
 COMMON_CAUSE_S = 1.0
@@ -81,11 +82,30 @@
         worker.runs_known = worker.in_handover = True
         for name, run_id in runs:
             step, task = self.find_task(name)
-            if task is None or step.job.is_ended or task.state is TaskState.DONE:
+            if task is None:
+                job = self.jobs.get(name.split(".", 1)[0])
+                if job is not None and job.is_of_future_occurrence(name):
+                    self._note_unconfirmed_orphan(worker, name, run_id, now)
+            elif step.job.is_ended or task.state is TaskState.DONE:
                 continue
-            run = self._make_run(worker, step, task, run_id, now)
-            run.state = "running"
-            run.is_adopted = True
+            elif name in worker.runs:
+                self._note_unconfirmed_orphan(worker, name, run_id, now)
+            else:
+                self._adopt_unconfirmed_run(worker, name, run_id, now)
+
+    def _adopt_unconfirmed_run(self, worker, name, run_id, now):
+        step, task = self.find_task(name)
+        run = self._make_run(worker, step, task, run_id, now)
+        run.state = "running"
+        run.is_adopted = True
+
+    def _note_unconfirmed_orphan(self, worker, name, run_id, now):
+        """Note a run of an occurrence that is not due yet, or a second run of a task."""
+        item = RunReport(task=name, run_id=run_id, checkpoint="", percent=0.0, load=0.0)
+        orphan = worker.orphan_runs[name, run_id] = OrphanRun(item=item, now=now)
+        step, _ = self.find_task(name)
+        if step is not None:
+            orphan.note_step(step)
 
     def note_fresh_runs(self, worker_id, runs):
         """Note the runs that began shortly before the worker became unreachable.
