Renewals: an acknowledgement is sent until it is answered, then no more

Each renewal named the last acknowledged end. One that a worker executes late may reach the next incarnation under the same id, before that one has seen a higher token: it then discarded ends up to that number, of runs that late starts had begun there, before anybody had read them. The leader found the run neither listed nor ended and ran the task again.

Renewals now name the last end only until one that does is answered, and the query for an unanswered start names none. What is left: a renewal without an answer that carries a new acknowledgement, beside a late start and a restart.

--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -72,6 +72,7 @@
         self.worker_clock = None
         self.stopped = False
         self._record_wait = None
+        self._confirmed_end = 0
         self._round_trip = RoundTrip()
 
     @property
@@ -139,10 +140,11 @@
         min_timeout_s = FIRST_TIMEOUT_S if first else self.calls.timeout
         until = None if query_only else self._lease_until(sent)
         wait_s = 0.0 if query_only else self.fleet.renewal_wait()
+        seen = self._end_to_acknowledge()
         try:
             report = yield self._track_round_trip(
                 self.calls.renew_leases(
-                    seen=self.fleet.last_acknowledged_end(self.worker_id),
+                    seen=seen,
                     until_s=until,
                     wait_s=wait_s,
                     timeout=self._timeout_s(min_timeout_s),
@@ -160,11 +162,21 @@
                 WorkerGoneError.restarted(registry_id, report.born_ms, report.start_time_error)
             )
             return False
+        self._confirmed_end = max(self._confirmed_end, seen)
         received = self.clock.seconds()
         self.worker_clock = LeaseClock(worker_time=report.clock_s, sent=sent, received=received)
         self.fleet.worker_reported(self.worker_id, report, sent)
         return True
 
+    def _end_to_acknowledge(self):
+        """Return the number of the last end that the worker may discard, 0 if it is known to have.
+
+        A renewal that is executed late may reach the next incarnation under the same id, which
+        would discard its own ends up to that number before anybody has read them.
+        """
+        number = self.fleet.last_acknowledged_end(self.worker_id)
+        return number if number > self._confirmed_end else 0
+
     def _track_round_trip(self, call, *, allowed_delay_s=0.0):
         """Record a call's round trip, less the allowed delay `allowed_delay_s`; return the call."""
         due_at = self.clock.seconds() + allowed_delay_s
@@ -279,7 +291,7 @@
             return succeed(False)
         # Not counted as a round trip: the start without an answer is already.
         call = self.calls.renew_leases(
-            seen=self.fleet.last_acknowledged_end(self.worker_id),
+            seen=0,
             until_s=None,
             wait_s=0.0,
             timeout=self._timeout_s(START_TIMEOUTS_S[0]),
