Grace period: no end of the wait while most registered workers are silent

After 15 s a new leader stopped waiting for answers from more than half of the workers and counted all earlier leases as bounded. A former leader that is cut off from the store, but reaches these workers, goes on by their answers without a limit: the tasks ran twice after 19 s.

The wait now ends only if at least half of the workers in the registry have responded: entries of lost workers are removed after three heartbeats. The price: a leader that reaches less than half of the live workers does not start tasks of earlier leaders until it does.

--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -128,8 +128,11 @@
         worker that responds again must be processed: otherwise runs that it still begins would
         continue under renewed leases without being tracked.
         """
-        if self.grace_period.give_up_waiting(now):
-            self._bound_unconfirmed_leases()
+        if self.grace_period.leases_over_at is None:
+            registered = [worker for worker in self.current_workers() if worker.listed]
+            n_confirmed = sum(worker.confirmed for worker in registered)
+            if self.grace_period.give_up_waiting(n_confirmed, len(registered), now):
+                self._bound_unconfirmed_leases()
         for worker in list(self.workers.values()):
             has_left = worker.has_left(now)
             if not (has_left or worker.is_lapsed(now)):
--- a/anvilflow/jobs/_grace_period.py
+++ b/anvilflow/jobs/_grace_period.py
@@ -10,7 +10,8 @@
 COMMAND_S = 0.7
 
 #: Time after which a leader stops waiting until more than half of the workers have responded:
-#: workers that are permanently lost must not block it forever. Unit: seconds.
+#: workers that are permanently lost must not block it forever. Their registry entries are gone by
+#: then. Unit: seconds.
 MAX_CONFIRMATION_WAIT_S = 15.0
 
 
@@ -70,9 +71,14 @@
             return True
         return False
 
-    def give_up_waiting(self, now):
-        """Stop waiting for workers after the maximum wait; return whether this call did so."""
-        if self.leases_over_at is None and now >= self.began_at + MAX_CONFIRMATION_WAIT_S:
+    def give_up_waiting(self, n_confirmed, n_registered, now):
+        """Stop waiting for workers after the maximum wait; return whether this call did so.
+
+        Workers in the registry are alive. While more than half of them have not responded, a former
+        leader that reaches them, but not the store, sends commands.
+        """
+        is_time_over = now >= self.began_at + MAX_CONFIRMATION_WAIT_S
+        if self.leases_over_at is None and is_time_over and 2 * n_confirmed >= n_registered:
             self._set_expiry(now)
             return True
         return False
