Test: a start in a paused relay of a former leader is within the wait

A relay that is paused with starts of a leader in its buffers carries them out when it returns, if the age of the messages is taken for 0. The starts name a time on the worker's clock, so that their runs are over before the next leader starts the tasks.

--- a/anvilflow/cell/tests/test_paused_commands.py
+++ b/anvilflow/cell/tests/test_paused_commands.py
@@ -1,4 +1,4 @@
-"""Commands of a leader that is paused after it has decided to send them."""
+"""Commands of a leader, or in a relay, that is paused after they were decided on."""
 
 from types import SimpleNamespace
 
@@ -7,9 +7,11 @@
 from twisted.internet.task import Clock
 
 from anvilflow.cell._session import WorkerSession
-from anvilflow.decisions import LeaseClock
+from anvilflow.decisions import LeaseClock, MessageAge
 from anvilflow.exceptions import WorkerGoneError
-from anvilflow.jobs import StartRun
+from anvilflow.jobs import GracePeriod, StartRun
+
+from ._helpers import JOB, make_cell
 
 #: Duration of the pause. Unit: seconds.
 PAUSE_S = 5.0
@@ -76,3 +78,34 @@
     else:
         session.run()
     assert sent == [LEASE_S]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_start_in_a_paused_relay_of_a_former_leader_runs_within_the_next_ones_wait(
+    monkeypatch, safeguard
+):
+    """Guards against two runs where a start is the first message of a link: its age counts as 0."""
+    monkeypatch.setattr(MessageAge, "note", lambda self, sent_at, received_at: 0.0)
+    if not safeguard:
+        monkeypatch.setattr(GracePeriod, "may_have_begun", lambda self, version: False)
+    names = tuple(f"a{number}" for number in range(5))
+    cell = make_cell(n_instances=5, n_workers=6, weak=names)
+    cell.advance(1.0)
+    relay, leader = cell.other(), cell.leader()
+    step = {"count": 4, "cpu": 4000, "estimate-ms": 3000}
+    cell.submit(relay, JOB, step, spec="2.0 done 4000")
+    cell.advance(0.02)
+    cell.pause(relay)
+    cell.advance(0.03)
+    for worker_id in ("i-0", "i-1", "i-2"):
+        cell.worker_faults[worker_id].silent = True
+        cell.worker_faults[worker_id].only = set(names) - {relay}
+    cell.kill(leader)
+    cell.advance(1.5)
+    assert (cell.spans == []) is safeguard
+    n_runs = len(cell.spans)
+    cell.resume(relay)
+    cell.advance(0.05)
+    assert len(cell.spans) == n_runs + 4
+    cell.advance(8.0)
+    assert (cell.check() == []) is safeguard
