A 421 ends no runs: the worker is unreachable, its runs wait for their lease

Cause: a worker refuses commands that are meant for another one (421). That says who is at an address; the entry that names it may be late or wrong. It was taken for the end of the worker that was meant: removed with its runs, without any wait, and a new leader then counted all workers as heard.

Change: a 421 is a refusal, `misdirected`. The worker gets no new work, is queried without a renewal of its lease, stops are sent again, its runs wait for their lease, and a new leader has not heard it. A start that is refused on its only try is over; one whose earlier try had no answer stays unknown. RunProof.REPLACED is gone. Relays of the release before answer GONE without a start time, which is read as the same refusal; leaders of that release retry a relay's `misdirected` as any refusal.

Tests: three new ones, with and without a change of leader, a stop that met 421, and a worker whose address is another's for good, listed or not; the first two fail without the mechanism. test_answer_of_a_relay_states_the_present_incarnation[None-None] stated the wrong rule (a GONE without a start time ended the worker); test_other_worker_at_the_address_is_no_restart_over_relays replaces it, for answers of both releases.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -292,11 +292,15 @@
     def worker_failed(self, worker_id, exc):
         """Process a failed lease renewal: mark the worker unreachable if it is not only late.
 
-        A worker without a registry entry is removed after the grace period, once its lease is over.
+        An answer of another worker at the address shows no more than that this one is not reached:
+        the registry entry may be wrong or late. A worker without a registry entry is removed after
+        the grace period, once its lease is over.
         """
         worker = self.scheduler.workers.get(worker_id)
-        connection_refused = (exc.details or {}).get("nobody_listens", False)
-        if not connection_refused and self._is_only_late(worker_id):
+        details = exc.details or {}
+        connection_refused = details.get("nobody_listens", False)
+        is_answered = connection_refused or details.get("reason") == "misdirected"
+        if not is_answered and self._is_only_late(worker_id):
             self.context.meters.count("late_workers")
             return
         if worker is not None and not worker.unreachable:
@@ -307,7 +311,7 @@
         unlisted_at = self._unlisted_at.get(worker_id)
         lease_over = worker is None or self._now() >= worker.lease_over_at
         if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S and lease_over:
-            self.worker_gone(worker_id, is_replaced=False)
+            self.worker_gone(worker_id)
         self.events.changed()
 
     def fenced(self, worker_id):
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -296,7 +296,20 @@
             return succeed("unreached")
         until = self._lease_until(self.clock.seconds())
         call = self._track_round_trip(self.calls.start(action, until_s=until, timeout=timeout))
-        return call.addCallbacks(lambda _: "started", _start_outcome)
+        return call.addCallbacks(lambda _: "started", self._start_outcome)
+
+    def _start_outcome(self, failure):
+        """Return the outcome of a failed start; pass a :class:`WorkerGoneError` on as a failure."""
+        if failure.check(WorkerGoneError):
+            return failure
+        if not failure.check(WorkerRefusedError):
+            failure.trap(WorkerUnreachableError)
+            return "unknown"
+        reason = failure.value.details["reason"]
+        if reason == "misdirected":
+            # Otherwise the task would be sent to the same address again before the next renewal.
+            self._failed(failure.value)
+        return reason
 
     @inlineCallbacks
     def stop(self, action):
@@ -332,16 +345,6 @@
             self.fleet.pace_failed(action, exc)
 
 
-def _start_outcome(failure):
-    """Return the outcome of a failed start; pass a :class:`WorkerGoneError` on as a failure."""
-    if failure.check(WorkerGoneError):
-        return failure
-    if failure.check(WorkerRefusedError):
-        return failure.value.details["reason"]
-    failure.trap(WorkerUnreachableError)
-    return "unknown"
-
-
 def outcome_after_lost_answer(outcome):
     """Return the outcome of a retried start whose earlier try had no answer.
 
--- a/anvilflow/cell/_worker_commands.py
+++ b/anvilflow/cell/_worker_commands.py
@@ -135,7 +135,8 @@
             born_ms = None if answer.born_ms == _NO_START_TIME else answer.born_ms
             raise WorkerGoneError(answer.reason, details={"born_ms": born_ms})
         case CommandOutcome.GONE:
-            raise WorkerGoneError(answer.reason)
+            # A relay of an older release: another worker answers at the address.
+            raise WorkerRefusedError(answer.reason, details={"reason": "misdirected"})
         case CommandOutcome.NOT_SENT:
             raise WorkerRefusedError(
                 f"the relay did not send the command: {answer.reason}",
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -184,10 +184,10 @@
         self.events.changed()
 
     def incarnation_ended(self, worker_id, exc):
-        """Process an answer of another incarnation, under the same id or another one."""
+        """Process an answer of another incarnation under the same id."""
         worker = self.scheduler.workers.get(worker_id)
-        if worker is None or "born_ms" not in (exc.details or {}):
-            self.worker_gone(worker_id)
+        if worker is None:
+            self._forget(worker_id)
             return
         former = worker.info
         info, is_listed = self._incarnations.restarted(former.registry_id, exc.details["born_ms"])
@@ -202,15 +202,15 @@
             if worker.is_superseded and worker.info.registry_id == info.registry_id:
                 self._end_worker(worker.info.worker_id, is_replaced=True)
 
-    def worker_gone(self, worker_id, *, is_replaced=True):
-        """Remove a lost worker: another incarnation answers, or its entry remains absent."""
+    def worker_gone(self, worker_id):
+        """Remove a lost worker whose entry remains absent and whose lease is over."""
         worker = self.scheduler.workers.get(worker_id)
         if worker is not None:
             self._end_predecessors(worker.info)
             self._incarnations.remove(worker_id, worker.info.registry_id)
             self._awaiting_token.pop(worker.info.registry_id, None)
         self._forget(worker_id)
-        self._end_worker(worker_id, is_replaced=is_replaced)
+        self._end_worker(worker_id, is_replaced=False)
 
     def _end_worker(self, worker_id, *, is_replaced):
         self.log.info("worker gone", worker=worker_id, replaced=is_replaced)
--- /dev/null
+++ b/anvilflow/cell/tests/test_worker_addresses.py
@@ -0,0 +1,93 @@
+"""Workers whose address changes, or at whose address another worker answers.
+
+With `safeguard` False, a test disables the safeguard and expects the failure.
+"""
+
+import pytest
+
+from anvilflow.cell import _fleet
+from anvilflow.cell._session import WorkerSession
+
+from ._helpers import JOB, STOP_S, cancel, find_runs_after_cancelling, make_cell
+
+OTHER_JOB = "00000000000000b2"
+
+
+def _name_other_address(cell, worker):
+    """Write the address of another worker into a worker's registry entry."""
+    other = next(each for each in cell.workers.values() if each is not worker)
+    cell.store.put("servers", worker.worker_id, {**worker.entry(), "address": other.address})
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_next_leader_does_not_take_a_wrong_address_for_the_end_of_a_worker(monkeypatch, safeguard):
+    """Guards against a second start beside the first run when a wrong entry is never corrected."""
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "worker_failed", _end_if_misdirected)
+    cell = make_cell(n_instances=3, n_workers=4)
+    cell.submit(cell.other(), JOB, {"count": 6, "cpu": 4000}, spec="6.0 done 4000")
+    cell.advance(0.6)
+    worker = cell.workers[cell.spans[0].worker]
+    _name_other_address(cell, worker)
+    cell.kill(cell.leader())
+    cell.advance(16.0)
+    assert (cell.check() == []) is safeguard
+    assert cell.state(cell.other(), JOB) == "completed"
+
+
+_worker_failed = _fleet.Fleet.worker_failed
+
+
+def _end_if_misdirected(fleet, worker_id, exc):
+    if (exc.details or {}).get("reason") == "misdirected":
+        fleet._forget(worker_id)
+        fleet._end_worker(worker_id, is_replaced=True)
+    else:
+        _worker_failed(fleet, worker_id, exc)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_stop_that_reached_another_worker_is_sent_again(monkeypatch, safeguard):
+    """Guards against taking a stop for delivered that another worker has refused."""
+    if not safeguard:
+        monkeypatch.setattr(WorkerSession, "stop", _stop_once)
+    cell = make_cell(n_instances=3, n_workers=2)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 1000}, spec="30.0 done 1000")
+    cell.advance(1.0)
+    worker = cell.workers[cell.spans[0].worker]
+    worker_id, worker.worker_id = worker.worker_id, "another"
+    acked_at = cancel(cell, cell.other())
+    cell.advance(1.5)
+    worker.worker_id = worker_id
+    cell.advance(2.0 + STOP_S)
+    assert (find_runs_after_cancelling(cell, acked_at) == []) is safeguard
+    assert (cell.spans[0].how == "stopped") is safeguard
+
+
+def _stop_once(session, action):
+    return session.calls.stop(action).addErrback(lambda _: None)
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_worker_whose_address_another_one_has_taken_for_good_holds_up_nothing(is_listed):
+    """Guards against workers that are kept for ever, with their tasks, at another's address."""
+    cell = make_cell(n_instances=3, n_workers=3)
+    cell.submit(cell.other(), JOB, {"count": 3, "cpu": 9000}, spec="6.0 done 9000")
+    cell.advance(1.0)
+    worker = cell.workers[cell.spans[0].worker]
+    identity, worker_id = worker.identity, worker.worker_id
+    worker.worker_id = "another"
+    if not is_listed:
+        cell.store.remove("servers", worker_id)
+    cell.advance(4.0)
+    workers = cell.daemons[cell.leader()].context.leader._scheduler.workers
+    assert (identity in workers) is is_listed
+    cell.advance(8.0)
+    assert cell.state(cell.other(), JOB) == "completed"
+    cell.kill(cell.leader())
+    cell.advance(6.0)
+    cell.submit(cell.other(), OTHER_JOB, {"count": 3, "cpu": 4000}, spec="0.5 done 4000")
+    cell.advance(1.5)
+    assert cell.state(cell.other(), OTHER_JOB) == "completed"
+    assert worker_id not in {span.worker for span in cell.spans if span.task[:16] == OTHER_JOB}
+    assert cell.check() == []
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -266,7 +266,7 @@
 
 
 class WorkerGoneError(WorkerRefusedError):
-    """The worker has restarted as a new incarnation: runs of the former incarnation have ended."""
+    """The worker has started again under its id: runs of the former incarnation have ended."""
 
     code = "AF413"
 
--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -39,8 +39,8 @@
         now : float
             Unit: seconds.
         is_replaced : bool, default=False
-            Whether another incarnation answers at the worker's address. Otherwise the worker may
-            be partitioned.
+            Whether a later incarnation has answered under the worker's id. Otherwise the worker
+            may be partitioned, and its lease must be over.
 
         Returns
         -------
@@ -57,8 +57,7 @@
             self._has_lost_unconfirmed_worker or not worker.confirmed
         )
         outcome = LossOutcome.CRASHED if is_replaced else LossOutcome.GONE
-        proof = RunProof.RESTARTED if worker.is_superseded else RunProof.REPLACED
-        proof = proof if is_replaced else RunProof.LEASE_OVER
+        proof = RunProof.RESTARTED if is_replaced else RunProof.LEASE_OVER
         tasks = sorted(worker.runs)
         for run in list(worker.runs.values()):
             if worker.is_leaving:
--- a/anvilflow/jobs/_dropped_runs.py
+++ b/anvilflow/jobs/_dropped_runs.py
@@ -17,7 +17,6 @@
     NOT_LISTED = "neither listed nor ended"
     LEASE_OVER = "lease over"
     RESTARTED = "worker started again"
-    REPLACED = "another worker at the address"
     LEFT = "left as announced"
 
 
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -350,6 +350,8 @@
         All other outcomes mean that this start was not carried out. ``unreached``: not sent, or
         connection refused. ``no payload``: the store has no payload of the job.
 
+        ``misdirected``: another worker answered at the address.
+
         The rest are refusals by the worker. ``old``: the worker has had this run number or a higher
         one, or still has a run of the task. ``late``: the lease had expired on arrival. ``room``:
         not enough free capacity. ``ticket``: the ticket was not accepted. ``unhealthy``: a reply of
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -171,7 +171,10 @@
                     details={"reason": _REASONS.get(reason, reason)},
                 )
             case 421:
-                raise WorkerGoneError(f"{self._registry_id} no longer runs at its address")
+                raise WorkerRefusedError(
+                    f"another worker answers at the address of {self._registry_id}",
+                    details={"reason": "misdirected"},
+                )
             case 400 | 429 | 503:
                 raise WorkerRefusedError(
                     f"the worker responded with status {status} to {verb}",
