A worker is called at the address in its entry once the present one fails

Cause: a session kept the address of the entry that it was opened with. A worker that moved, or whose entry was wrong when a leader began, was not reached again by that leader, and its runs lapsed or began elsewhere.

Change: an entry of the same incarnation with another address is noted by the session, which uses it after a failure, in turn with the address of the last answer, under the same token. It is not used at once: an answer of the worker counts over its entry, and a wrong entry of a worker that answers now costs nothing. Commands under way keep their outcome: starts are retried and stay unknown until reported, stops are sent again at the address in use by then.

--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -71,6 +71,8 @@
         self.fleet = fleet
         self.worker_clock = None
         self.stopped = False
+        self._listed_calls = calls
+        self._answered_calls = None
         self._record_wait = None
         self._round_trip = RoundTrip()
 
@@ -139,9 +141,10 @@
         min_timeout_s = FIRST_TIMEOUT_S if first else self.calls.timeout
         until = None if query_only else self._lease_until(sent)
         wait_s = 0.0 if query_only else self.fleet.renewal_wait()
+        calls = self.calls
         try:
             report = yield self._track_round_trip(
-                self.calls.renew_leases(
+                calls.renew_leases(
                     seen=self.fleet.last_acknowledged_end(self.worker_id),
                     until_s=until,
                     wait_s=wait_s,
@@ -151,20 +154,50 @@
             )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self._failed(exc)
+            self._change_address()
             return False
         if self.stopped:
             return False
-        if report.born_ms != self.calls.born_ms:
-            registry_id = self.calls.registry_id
+        if report.born_ms != calls.born_ms:
+            registry_id = calls.registry_id
             self._failed(
                 WorkerGoneError.restarted(registry_id, report.born_ms, report.start_time_error)
             )
             return False
         received = self.clock.seconds()
         self.worker_clock = LeaseClock(worker_time=report.clock_s, sent=sent, received=received)
+        self._answered_calls = calls
         self.fleet.worker_reported(self.worker_id, report, sent)
         return True
 
+    # Addresses
+
+    @property
+    def address(self):
+        """Address at which the worker is called."""
+        return self.calls.address
+
+    @property
+    def listed_address(self):
+        """Address in the worker's registry entry."""
+        return self._listed_calls.address
+
+    def set_listed_calls(self, calls):
+        """Note a new address in the registry entry, to use when the present one fails.
+
+        An answer of the worker counts over its entry, which may be late or wrong. Commands in
+        progress are retried at the address in use by then.
+        """
+        self._listed_calls = calls
+        if self._answered_calls is None:
+            self.calls = calls
+
+    def _change_address(self):
+        """After a failure, alternate between the listed address and that of the last answer."""
+        is_listed = self.calls is self._listed_calls
+        self.calls = self._answered_calls if is_listed else self._listed_calls
+        self.calls = self.calls or self._listed_calls
+
     def _track_round_trip(self, call, *, allowed_delay_s=0.0):
         """Record a call's round trip, less the allowed delay `allowed_delay_s`; return the call."""
         due_at = self.clock.seconds() + allowed_delay_s
--- a/anvilflow/cell/_worker_call_router.py
+++ b/anvilflow/cell/_worker_call_router.py
@@ -83,7 +83,7 @@
         self.born_ms = info.born_ms
         self.timeout = direct.timeout
         self.registry_id = info.registry_id
-        self._address = info.address
+        self.address = info.address
         self._relay_dispatcher = relay_dispatcher
         self._context = context
 
@@ -190,7 +190,7 @@
             held_s=command.held_s,
             token=self.direct.token,
             worker=self.registry_id,
-            address=self._address,
+            address=self.address,
             born_ms=self.born_ms,
             **command.values,
         )
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -101,9 +101,25 @@
                 "worker found", worker=info.worker_id, address=info.address, rack=info.rack
             )
             self._open_session(info)
-        elif info.draining:
+            return
+        self._note_listed_address(info)
+        if info.draining:
             self.log.info("worker drains", worker=info.worker_id, left_s=info.leaves_in_s)
 
+    def _note_listed_address(self, info):
+        """Let a worker's session call it at another address, if its entry names one."""
+        session = self._sessions.get(info.worker_id)
+        if session is None or session.listed_address == info.address:
+            return
+        self.log.info(
+            "worker's address changed",
+            worker=info.worker_id,
+            address=info.address,
+            former=session.listed_address,
+        )
+        _, token = self._last_tokens[info.registry_id]
+        session.set_listed_calls(self._make_calls(info, token))
+
     def adopt_worker(self, handover):
         """Adopt a worker named in the former leader's row; it may be unregistered by now.
 
@@ -236,16 +252,19 @@
                 return
             token += 1
         self._last_tokens[info.registry_id] = (info.worker_id, token)
-        calls = WorkerCallRouter(
+        calls = self._make_calls(info, token)
+        session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, fleet=self)
+        self._sessions[info.worker_id] = session
+        self._opened_at[info.worker_id] = self._now()
+        session.run().addErrback(self.events.fail_with)
+
+    def _make_calls(self, info, token):
+        return WorkerCallRouter(
             direct=self.context.make_worker(info, token),
             info=info,
             relay_dispatcher=self.relay_dispatcher,
             context=self.context,
         )
-        session = WorkerSession(clock=self.context.clock, calls=calls, lease_s=LEASE_S, fleet=self)
-        self._sessions[info.worker_id] = session
-        self._opened_at[info.worker_id] = self._now()
-        session.run().addErrback(self.events.fail_with)
 
     def raise_token(self, version):
         """Note the version of the leader's row after its last write: the highest token to use.
