Crash verdicts: another worker answers where the lost one did, and its lease is over

Cause: any process at the address that an entry named counted as proof of a crash, at once and before the lease of the lost worker was over, and another worker's entry with that address did, too. A healthy job could fail (AF307) for workers that lived.

Change: where a platform gives workers new ids after a crash, the proof is a worker's own answer at the address of the lost worker's last answer, once its lease, or those of earlier leaders, is over. Recorded starts and the handover name the address of the last answer, which this leader or the one before it has called. A worker that answers after all is taken back, a verdict on it as well. A loss is noted once.

The bounds of the existing tests hold as they are.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -252,6 +252,7 @@
         if worker is None:
             return
         self._responded_at[worker_id] = requested_at
+        worker.answered_address = self._sessions[worker_id].answered_address
         self._note_invalid_start_time(worker_id, report)
         if not worker.confirmed:
             self._end_predecessors(worker.info)
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -173,9 +173,9 @@
     # Addresses
 
     @property
-    def address(self):
-        """Address at which the worker is called."""
-        return self.calls.address
+    def answered_address(self):
+        """Address of the worker's last answer; None before the first one."""
+        return self._answered_calls.address if self._answered_calls is not None else None
 
     @property
     def listed_address(self):
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -143,6 +143,8 @@
             self._open_session(info)
             self._registry_entry_unlisted(info.registry_id)
         if handover.runs is not None:
+            worker = self.scheduler.workers[info.worker_id]
+            worker.answered_address = handover.info.address
             self.scheduler.adopt_unconfirmed_runs(info.worker_id, handover.runs, self._now())
             fresh = [handover.runs[index] for index in handover.fresh]
             self.scheduler.note_fresh_runs(info.worker_id, fresh)
--- a/anvilflow/cell/tests/test_worker_addresses.py
+++ b/anvilflow/cell/tests/test_worker_addresses.py
@@ -8,6 +8,7 @@
 from anvilflow.cell import _fleet
 from anvilflow.cell._relay_dispatcher import RelayDispatcher
 from anvilflow.cell._session import WorkerSession
+from anvilflow.jobs import CrashHistory, LossOutcome
 
 from ._helpers import JOB, STOP_S, cancel, find_runs_after_cancelling, make_cell
 
@@ -202,3 +203,59 @@
     cell.advance(9.0)
     assert cell.check() == []
     assert cell.state(cell.other(), JOB) == "completed"
+
+
+# Crash verdicts
+
+
+def _take_address(cell, worker, number):
+    """Let a worker move and a new one answer at its former address."""
+    address = worker.address
+    _move(cell, worker, f"v{number}:1")
+    cell.worker_faults[f"i-9{number}"] = cell.wire.faults[address]
+    cell.wire.faults[address].clear()
+    cell.add_worker(f"i-9{number}", address, cpu=1000)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_whose_workers_move_does_not_fail_as_crashing(monkeypatch, safeguard):
+    """Guards against counting living workers as crashed while others have their addresses."""
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "worker_failed", _end_if_misdirected)
+    cell = make_cell(n_instances=3, n_workers=4)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 4000}, spec="4.0 done 4000")
+    for number in range(3):
+        cell.advance(0.6)
+        span = cell.spans[-1]
+        worker = cell.workers[span.worker]
+        _take_address(cell, worker, number)
+        cell.advance(0.8)
+        _list(cell, worker)
+    cell.advance(6.0)
+    assert (cell.check() == []) is safeguard
+    assert cell.state(cell.other(), JOB) == "completed"
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_worker_that_moves_unlisted_has_not_crashed_once_it_answers(
+    monkeypatch, safeguard
+):
+    """Guards against a verdict of two crashes while each worker is listed again after its lease."""
+    if not safeguard:
+        monkeypatch.setattr(CrashHistory, "remove", _remove_unless_crashed)
+    cell = make_cell(n_instances=3, n_workers=4)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 4000}, spec="30.0 done 4000")
+    for number in range(3):
+        cell.advance(0.2)
+        worker = cell.workers[cell.spans[-1].worker]
+        _take_address(cell, worker, number)
+        cell.advance(3.6)
+        _list(cell, worker)
+    cell.advance(32.0)
+    assert cell.check() == []
+    assert cell.state(cell.other(), JOB) == ("completed" if safeguard else "failed")
+
+
+def _remove_unless_crashed(history, worker_id):
+    is_crashed = history.lost_runs[worker_id].fate is LossOutcome.CRASHED
+    return not is_crashed and history.lost_runs.pop(worker_id) is not None
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -65,9 +65,10 @@
     ----------
     worker_id, address : str
     known_by : str
-        How the loss was detected. ``replaced``: another incarnation answers at the worker's
-        address. ``unlisted``: the worker did not answer and its registry entry remained absent; it
-        may be partitioned rather than dead.
+        How the loss was detected. ``replaced``: a later incarnation has answered under the worker's
+        id, or its lease is over and another worker answers at its address. ``unlisted``: the worker
+        did not answer and its registry entry remained absent; it may be partitioned rather than
+        dead.
     tasks : list of str
         Tasks that were running there.
     runs_and_losses : dict of str to list of int
--- a/anvilflow/jobs/_crash_history.py
+++ b/anvilflow/jobs/_crash_history.py
@@ -45,8 +45,8 @@
 
     `PLACED`: not known to be lost; the run may be active. `UNKNOWN`: the worker is unreachable and
     its lease has expired. `GONE`: the worker remained unreachable and its registry entry was
-    removed; it may be partitioned and still running. `CRASHED`: another incarnation answers at its
-    address.
+    removed; it may be partitioned and still running. `CRASHED`: a later incarnation has answered
+    under its id, or its lease has expired and another worker answers at its address.
     """
 
     PLACED = "placed"
@@ -60,7 +60,9 @@
 
     Parameters
     ----------
-    registry_id, address : str
+    registry_id : str
+    address : str
+        Address at which the worker last answered.
     born_ms : int or None
         Start time of the worker's incarnation; None if it is not known, as in records of older
         releases. Unit: milliseconds since 1970.
@@ -181,12 +183,13 @@
         is_unknown = self.is_suspect and any(each.fate is LossOutcome.UNKNOWN for each in losses)
         return not is_unknown or waited_s >= MAX_UNKNOWN_WAIT_S
 
-    def add_start(self, info, *, run_id, started_at):
+    def add_start(self, worker, *, run_id, started_at):
         """Add a start that is being recorded. Unit of `started_at`: seconds, time of day."""
+        info = worker.info
         self.lost_runs[info.worker_id] = LostRun(
             registry_id=info.registry_id,
             born_ms=info.born_ms,
-            address=info.address,
+            address=worker.answered_address or info.address,
             run_id=run_id,
             has_begun=False,
             started_at=round(started_at, 2),
@@ -212,7 +215,8 @@
 
     def add_loss(self, run, outcome, now):
         """Add the loss of a run's worker, with its outcome."""
-        info = run.worker.info
+        worker = run.worker
+        info = worker.info
         if run.is_adopted:
             # The age of the run is unknown. A start that is still recorded has not been cleared by
             # a surviving run, so its crash counts as early if the start is recent.
@@ -225,7 +229,7 @@
         self.lost_runs[info.worker_id] = LostRun(
             registry_id=info.registry_id,
             born_ms=info.born_ms,
-            address=info.address,
+            address=worker.answered_address or info.address,
             run_id=run.run_id,
             fate=outcome,
             max_age_s=EARLY_CRASH_S if run.is_adopted else round(run.max_age_s(now), 2),
--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -18,9 +18,10 @@
 class CrashTracker(TrialTracker):
     """Counts the workers lost while running each task, and fails jobs whose tasks crash workers.
 
-    Base of :class:`RunTracker`. A crash is confirmed only when another incarnation answers at the
-    worker's address. Until then a crashed worker cannot be distinguished from one that is
-    partitioned and still running.
+    Base of :class:`RunTracker`. A crash is confirmed only when a later incarnation has answered
+    under the worker's id, or when the worker's lease is over and another worker answers at the
+    address where this one did. Until then a crashed worker cannot be distinguished from one that is
+    partitioned and still running. An address in a registry entry proves nothing: it may be wrong.
     """
 
     def __init__(self, **values):
@@ -56,7 +57,8 @@
         self._has_lost_unconfirmed_worker = (
             self._has_lost_unconfirmed_worker or not worker.confirmed
         )
-        outcome = LossOutcome.CRASHED if is_replaced else LossOutcome.GONE
+        has_crashed = is_replaced or worker.answered_address in self._workers_by_address()
+        outcome = LossOutcome.CRASHED if has_crashed else LossOutcome.GONE
         proof = RunProof.RESTARTED if is_replaced else RunProof.LEASE_OVER
         tasks = sorted(worker.runs)
         for run in list(worker.runs.values()):
@@ -68,7 +70,10 @@
             self._remove_from_histories(worker_id)
             return []
         self._note_lost_worker(worker, False, now)
-        return self._set_loss_outcome(worker_id, outcome, worker.info.address, tasks, now)
+        if worker.is_loss_noted:
+            return []
+        address = worker.answered_address or worker.info.address
+        return self._set_loss_outcome(worker_id, outcome, address, tasks, now)
 
     def adopt_unconfirmed_runs(self, worker_id, runs, now):
         """Adopt the runs that an earlier leader listed on a worker that it could not reach.
@@ -170,7 +175,7 @@
             if self._has_common_cause(worker_id, suspect.history):
                 lost = structs.replace(lost, is_soon=False)
                 suspect.history.lost_runs[worker_id] = lost
-            if lost.fate is not outcome:
+            if lost.fate not in (outcome, LossOutcome.CRASHED):
                 suspect.history.lost_runs[worker_id] = structs.replace(lost, fate=outcome)
                 suspect.step.job.touch(now)
                 suspect.step.job.wake()
@@ -212,7 +217,7 @@
         actions = []
         if not self.suspects:
             return actions
-        by_address = {worker.info.address: worker for worker in self.workers.values()}
+        by_address = self._workers_by_address()
         for name, suspect in list(self.suspects.items()):
             for lost in list(suspect.history.lost_runs.values()):
                 actions += self._review_loss(suspect, lost, by_address, now)
@@ -222,30 +227,49 @@
                 del self.suspects[name]
         return actions + self._fail_crashing_jobs(now)
 
+    def _workers_by_address(self):
+        """Return the workers that answer, by the address at which they do."""
+        return {
+            worker.answered_address: worker
+            for worker in self.workers.values()
+            if worker.is_answering and not worker.is_superseded
+        }
+
     def _review_loss(self, suspect, lost, by_address, now):
         """Update one entry of a suspect's history by what its worker has become.
 
         The entry is removed if the worker has responded and the run is not active there.
         """
         worker = self._find_lost_worker(lost)
-        if worker is None:
-            if lost.fate is not LossOutcome.CRASHED and lost.address in by_address:
-                return self._set_loss_outcome(
-                    lost.worker_id, LossOutcome.CRASHED, lost.address, [], now
-                )
-            if lost.fate is LossOutcome.PLACED:
-                self._mark_unknown(suspect, lost, now)
-            return []
-        if suspect.task.name in worker.runs or lost.fate is LossOutcome.CRASHED:
+        if worker is not None and suspect.task.name in worker.runs:
             return []
-        if worker.confirmed and not worker.unreachable:
-            suspect.history.remove(lost.worker_id)
-            suspect.step.job.touch(now)
-            suspect.step.job.wake()
-        elif lost.fate is LossOutcome.PLACED and worker.is_lapsed(now):
+        has_crashed = lost.fate is LossOutcome.CRASHED
+        if worker is not None and worker.is_answering:
+            if not has_crashed or worker.info.worker_id == lost.worker_id:
+                suspect.history.remove(lost.worker_id)
+                suspect.step.job.touch(now)
+                suspect.step.job.wake()
+        elif not has_crashed and self._is_replaced(worker, lost, by_address, now):
+            if worker is not None:
+                worker.is_loss_noted = True
+            return self._set_loss_outcome(
+                lost.worker_id, LossOutcome.CRASHED, lost.address, [], now
+            )
+        elif lost.fate is LossOutcome.PLACED and (worker is None or worker.is_lapsed(now)):
             self._mark_unknown(suspect, lost, now)
         return []
 
+    def _is_replaced(self, worker, lost, by_address, now):
+        """Whether a lost worker's lease is over and another worker answers at its address.
+
+        The worker itself may be at another address if its entry names one.
+        """
+        if lost.address not in by_address:
+            return False
+        if worker is None:
+            return self.grace_period.is_over(now)
+        return worker.is_lapsed(now) and worker.info.address == lost.address
+
     def _find_lost_worker(self, lost):
         """Return the worker that an entry names, or None if it is gone.
 
--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -1,6 +1,6 @@
 """Workers that the next leader could not find or reach by itself, for the leader's row."""
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ._worker import WorkerInfo
 
@@ -23,6 +23,7 @@
     Parameters
     ----------
     info : WorkerInfo
+        With the address at which the worker last answered.
     runs : list of (str, int) or None
         Task and run number of all runs that may be active there; None for a reachable worker, which
         lists its runs itself.
@@ -46,14 +47,20 @@
         if _is_unreachable(worker, now):
             runs = [(run.task, run.run_id) for run in worker.runs.values()]
             fresh = [index for index, run in enumerate(worker.runs.values()) if run.is_fresh]
-            handover.append(
-                HandoverWorker(info=worker.info, runs=runs + list(worker.orphan_runs), fresh=fresh)
-            )
+            runs += list(worker.orphan_runs)
+            handover.append(HandoverWorker(info=_info(worker), runs=runs, fresh=fresh))
         elif _is_unlisted(worker):
-            handover.append(HandoverWorker(info=worker.info))
+            handover.append(HandoverWorker(info=_info(worker)))
     return _bounded(handover)
 
 
+def _info(worker):
+    address = worker.answered_address or worker.info.address
+    if address == worker.info.address:
+        return worker.info
+    return structs.replace(worker.info, address=address)
+
+
 def _is_unlisted(worker):
     """Whether the next leader would not find the worker in the registry.
 
--- a/anvilflow/jobs/_trial_tracker.py
+++ b/anvilflow/jobs/_trial_tracker.py
@@ -229,7 +229,7 @@
         run.state = "recording"
         suspect = self._add_suspect(step, task)
         suspect.history.add_start(
-            run.worker.info, run_id=run.run_id, started_at=now + self.wall_offset_s
+            run.worker, run_id=run.run_id, started_at=now + self.wall_offset_s
         )
         step.job.touch(now)
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -283,6 +283,9 @@
     worker then gets no new tasks. `is_superseded` means that the worker has started again: this
     incarnation is over, and its runs are dropped once the next one lists its own.
 
+    `answered_address` is the address of its last answer, to this leader or to the one that named
+    it in the handover, None before. `is_loss_noted` means that its loss has been reported.
+
     `lease_over_at` is the time at which all its leases have certainly expired, `leaves_at` the
     earliest time at which a draining worker may leave, `retry_at` the end of its back-off.
     `n_consecutive_failures` counts failed and stalled runs and refused starts since the last
@@ -293,12 +296,14 @@
 
     __slots__ = (
         "ack_queue",
+        "answered_address",
         "confirmed",
         "connection_refused",
         "cpu_free",
         "gpu_free",
         "in_handover",
         "info",
+        "is_loss_noted",
         "is_superseded",
         "last_ended",
         "lease_over_at",
@@ -323,6 +328,8 @@
         self.unreachable = False
         self.unreachable_since = None
         self.connection_refused = False
+        self.answered_address = None
+        self.is_loss_noted = False
         self.runs_known = False
         self.in_handover = False
         self.is_superseded = False
@@ -377,6 +384,11 @@
         """Whether the worker has announced that it will leave."""
         return self.info.draining or self.leaves_at is not None
 
+    @property
+    def is_answering(self):
+        """Whether the worker has answered this leader, and calls to it do not fail."""
+        return self.confirmed and not self.unreachable
+
     def is_lapsed(self, now):
         """Whether the worker is unreachable and all leases that it was sent have expired."""
         return now >= self.lease_over_at and (self.unreachable or not self.listed)
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -119,6 +119,8 @@
         if worker.confirmed:
             return
         worker.confirmed = True
+        if worker.answered_address is None:
+            worker.answered_address = worker.info.address
         self.needs_full_plan = True
         worker.runs_known = False
         worker.lease_over_at = lease_end(now, self.lease_s)
