Former incarnations end by a complete report of the next one, or with their lease

Three causes, found by reading, each with a play that starts tasks twice or a test that breaks: An entry with a wrong, later start time supersedes a living worker; its answer then contradicts the entry, and the earlier incarnation, the living one, was ended with its runs. It is now the present one again and keeps them; its ends are read anew. A next incarnation that only an entry names and that never answers was removed 2.5 s after that entry, and with it the former one, as if it had answered: 0.2 s before the end of its lease. The removal now waits for the leases of both, and counts as no restart. A report of the next incarnation that is cut at 500 ends ended the former one. The end of a late start may be among those not reported yet; the former one is now kept until a report is complete.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -2,7 +2,7 @@
 
 from ..decisions import RetryBudget, RoundTrip, RoundTripSettings
 from ..exceptions import PayloadGoneError
-from ..jobs import COMMAND_S
+from ..jobs import COMMAND_S, MAX_ENDS_PER_REPORT
 from ._session import RENEWAL_WAIT_S
 from ._start_queue import StartQueue
 from ._worker_sessions import LEASE_S, WorkerSessions
@@ -254,8 +254,10 @@
         self._responded_at[worker_id] = requested_at
         worker.answered_address = self._sessions[worker_id].answered_address
         self._note_invalid_start_time(worker_id, report)
-        if not worker.confirmed:
-            self._end_predecessors(worker.info)
+        # A late start to the former incarnation may be among ends that are not reported yet.
+        is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
+        if is_complete and worker.info.registry_id in self._superseded_ids:
+            self._end_predecessors(worker.info, is_replaced=True)
         if worker.unreachable or not worker.confirmed:
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
         for end in report.ended:
@@ -310,8 +312,8 @@
             worker_id, self._now(), connection_refused=connection_refused
         )
         unlisted_at = self._unlisted_at.get(worker_id)
-        lease_over = worker is None or self._now() >= worker.lease_over_at
-        if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S and lease_over:
+        is_unlisted = unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S
+        if is_unlisted and (worker is None or self._are_leases_over(worker)):
             self.worker_gone(worker_id)
         self.events.changed()
 
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -53,6 +53,8 @@
         self._responded_at = {}
         self._last_tokens = {}
         self._awaiting_token = {}
+        # Ids in the registry under which earlier incarnations are kept, besides the present one.
+        self._superseded_ids = set()
 
     def close(self):
         """Close all sessions."""
@@ -133,6 +135,7 @@
         elif present is not None and (present.born_ms or 0) > info.born_ms:
             self.scheduler.worker_listed(info, self._now())
             self.scheduler.worker_superseded(info.worker_id, self._now())
+            self._superseded_ids.add(info.registry_id)
         else:
             if present is not None:
                 self._supersede(present, info, "handover")
@@ -195,10 +198,12 @@
         )
         self._forget(former.worker_id)
         self.scheduler.worker_superseded(former.worker_id, self._now())
+        self._superseded_ids.add(info.registry_id)
         earlier = self.scheduler.workers.get(info.worker_id)
         if earlier is not None and earlier.is_superseded:
-            # The worker states no start time any more, and neither did an earlier incarnation.
-            self._end_worker(info.worker_id, is_replaced=True)
+            # The entry had a wrong start time, or the worker states none any more.
+            self.scheduler.worker_reinstated(info.worker_id)
+            self._open_session(info)
         self.events.changed()
 
     def incarnation_ended(self, worker_id, exc):
@@ -214,17 +219,29 @@
         if not is_listed:
             self._registry_entry_unlisted(info.registry_id)
 
-    def _end_predecessors(self, info):
-        """Remove the former incarnations of a worker that has answered under its present token."""
-        for worker in list(self.scheduler.workers.values()):
-            if worker.is_superseded and worker.info.registry_id == info.registry_id:
-                self._end_worker(worker.info.worker_id, is_replaced=True)
+    def _predecessors(self, info):
+        return [
+            worker
+            for worker in self.scheduler.workers.values()
+            if worker.is_superseded and worker.info.registry_id == info.registry_id
+        ]
+
+    def _end_predecessors(self, info, *, is_replaced):
+        """Remove the former incarnations of a worker, see :meth:`Scheduler.worker_ended`."""
+        for worker in self._predecessors(info):
+            self._end_worker(worker.info.worker_id, is_replaced=is_replaced)
+        self._superseded_ids.discard(info.registry_id)
+
+    def _are_leases_over(self, worker):
+        """Whether all leases of a worker and of its former incarnations are certainly over."""
+        workers = [worker, *self._predecessors(worker.info)]
+        return all(self._now() >= each.lease_over_at for each in workers)
 
     def worker_gone(self, worker_id):
-        """Remove a lost worker whose entry remains absent and whose lease is over."""
+        """Remove a lost worker whose entry remains absent and whose leases are over."""
         worker = self.scheduler.workers.get(worker_id)
         if worker is not None:
-            self._end_predecessors(worker.info)
+            self._end_predecessors(worker.info, is_replaced=False)
             self._incarnations.remove(worker_id, worker.info.registry_id)
             self._awaiting_token.pop(worker.info.registry_id, None)
         self._forget(worker_id)
--- a/anvilflow/cell/tests/test_restarted_workers.py
+++ b/anvilflow/cell/tests/test_restarted_workers.py
@@ -258,6 +258,74 @@
     assert len([line for line in log.records if line.message == "worker started again"]) <= 1
 
 
+@pytest.mark.parametrize("states_start_time", [True, False])
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_wrong_start_time_in_an_entry_does_not_end_the_runs(
+    monkeypatch, safeguard, states_start_time
+):
+    """Guards against second starts while a worker runs on whose entry has a wrong start time."""
+    if not safeguard:
+        monkeypatch.setattr(Scheduler, "worker_reinstated", _end_earlier)
+    if not states_start_time:
+        make_odd_worker(monkeypatch, in_entry=None, in_lists=None)
+    cell = make_cell(n_instances=2, n_workers=2)
+    cell.submit("a0", JOB, {"count": 6, "cpu": 4000}, spec="3.0 done 4000")
+    cell.advance(0.5)
+    worker = cell.workers[cell.spans[0].worker]
+    worker.draw_delay = lambda path: 0.2 if path == WorkerCall.HOLD else None
+    wrong = {**worker.entry(), "born": 1_800_000_000_000}
+    cell.store.put("servers", worker.worker_id, wrong)
+    cell.advance(0.5)
+    worker.draw_delay = None
+    cell.advance(6.0)
+    assert (cell.check() == []) is safeguard
+    assert ([span.how for span in cell.spans] == ["done"] * 6) is safeguard
+
+
+def _end_earlier(scheduler, worker_id):
+    scheduler.worker_ended(worker_id, scheduler.workers[worker_id].unreachable_since)
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_runs_wait_for_their_lease_if_the_next_incarnation_never_answers(monkeypatch, safeguard):
+    """Guards against runs that end with an entry of a next incarnation, which then disappears."""
+    if not safeguard:
+        monkeypatch.setattr(_fleet.Fleet, "_are_leases_over", lambda *_: True)
+    cell = make_cell(n_instances=2, n_workers=2)
+    cell.submit("a0", JOB, {"count": 2, "cpu": 4000}, spec="9.0 done 4000")
+    # Just after a lease renewal.
+    cell.advance(1.32)
+    worker = cell.workers[cell.spans[0].worker]
+    cell.worker_faults[worker.worker_id].silent = True
+    entry = {**worker.entry(), "born": worker.born_ms + 1}
+    cell.store.put("servers", worker.worker_id, entry)
+    cell.advance(0.05)
+    cell.store.remove("servers", worker.worker_id)
+    cell.advance(4.0)
+    assert (cell.check() == []) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_former_incarnation_is_kept_until_all_ends_of_the_next_one_are_reported(
+    monkeypatch, safeguard
+):
+    """Guards against a second start of a task that a late start has run on the next incarnation."""
+    if not safeguard:
+        monkeypatch.setattr(_fleet, "MAX_ENDS_PER_REPORT", 10_000)
+    cell = make_cell(n_instances=2, n_workers=1)
+    run_earlier_job(cell)
+    workers = cell.daemons[cell.leader()].context.leader._scheduler.workers
+    former = cell.workers["i-0"].identity
+    worker = cell.restart_worker("i-0")
+    worker.finished = [[n, f"{JOB}.0.0.{n}", 1, "done", ""] for n in range(1, 601)]
+    worker.n_ended = 600
+    cell.advance(0.3)
+    assert workers[worker.identity].confirmed
+    assert (former in workers) is safeguard
+    cell.advance(6.0)
+    assert former not in workers
+
+
 def test_restart_is_logged_with_both_incarnations_and_counted():
     """Guards against restarts that no log line and no metric shows."""
     cell = make_cell(n_instances=1, n_workers=2)
--- a/anvilflow/cell/tests/test_worker_addresses.py
+++ b/anvilflow/cell/tests/test_worker_addresses.py
@@ -18,15 +18,12 @@
 def _name_other_address(cell, worker):
     """Write the address of another worker into a worker's registry entry."""
     other = next(each for each in cell.workers.values() if each is not worker)
-    cell.store.put(
-        "servers", worker.worker_id, {**worker.entry(), "address": other.address}
-    )
+    cell.store.put("servers", worker.worker_id, {**worker.entry(), "address": other.address})
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
 @pytest.mark.parametrize(
-    ("uses_relays", "corrected_after_s"),
-    [(False, 2.0), (False, 7.0), (False, None), (True, None)],
+    ("uses_relays", "corrected_after_s"), [(False, 2.0), (False, 7.0), (False, None), (True, None)]
 )
 def test_next_leader_does_not_take_a_wrong_address_for_the_end_of_a_worker(
     monkeypatch, safeguard, uses_relays, corrected_after_s
@@ -83,9 +80,7 @@
 
 
 @pytest.mark.parametrize("is_listed", [True, False])
-def test_worker_whose_address_another_one_has_taken_for_good_holds_up_nothing(
-    is_listed,
-):
+def test_worker_whose_address_another_one_has_taken_for_good_holds_up_nothing(is_listed):
     """Guards against workers that are kept for ever, with their tasks, at another's address."""
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit(cell.other(), JOB, {"count": 3, "cpu": 9000}, spec="6.0 done 9000")
@@ -102,14 +97,10 @@
     assert cell.state(cell.other(), JOB) == "completed"
     cell.kill(cell.leader())
     cell.advance(6.0)
-    cell.submit(
-        cell.other(), OTHER_JOB, {"count": 3, "cpu": 4000}, spec="0.5 done 4000"
-    )
+    cell.submit(cell.other(), OTHER_JOB, {"count": 3, "cpu": 4000}, spec="0.5 done 4000")
     cell.advance(1.5)
     assert cell.state(cell.other(), OTHER_JOB) == "completed"
-    assert worker_id not in {
-        span.worker for span in cell.spans if span.task[:16] == OTHER_JOB
-    }
+    assert worker_id not in {span.worker for span in cell.spans if span.task[:16] == OTHER_JOB}
     assert cell.check() == []
 
 
@@ -237,9 +228,7 @@
 
 
 @pytest.mark.parametrize("safeguard", [True, False])
-def test_worker_that_moves_unlisted_has_not_crashed_once_it_answers(
-    monkeypatch, safeguard
-):
+def test_worker_that_moves_unlisted_has_not_crashed_once_it_answers(monkeypatch, safeguard):
     """Guards against a verdict of two crashes while each worker is listed again after its lease."""
     if not safeguard:
         monkeypatch.setattr(CrashHistory, "remove", _remove_unless_crashed)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -19,6 +19,7 @@
 from ._job import ENDED_STATES, JobRun, JobState, TaskState, longest_chain_s
 from ._policy import SchedulingPolicy
 from ._record import EndedJob, JobRecord
+from ._run_tracker import MAX_ENDS_PER_REPORT
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._unanswered_starts import UnansweredStarts
@@ -30,6 +31,7 @@
     "COMMAND_S",
     "ENDED_STATES",
     "LONG_REQUEST_S",
+    "MAX_ENDS_PER_REPORT",
     "AdviceRules",
     "ApiKeys",
     "CellConfig",
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -157,6 +157,17 @@
         self.worker_unlisted(worker_id)
         self.worker_unreachable(worker_id, now)
 
+    def worker_reinstated(self, worker_id):
+        """Note that an incarnation that counted as over is the present one after all.
+
+        Its runs keep their tasks until it lists its own. Its ends are read again from the first one
+        on: without a stated start time, it may be another incarnation, whose numbers begin anew.
+        """
+        worker = self.workers[worker_id]
+        worker.is_superseded = False
+        worker.last_ended = 0
+        worker.ack_queue.clear()
+
     def worker_unlisted(self, worker_id):
         """Note that a worker left the registry: it gets no new tasks, and its runs continue."""
         worker = self.workers.get(worker_id)
