--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -273,9 +273,11 @@
         if worker is None:
             return
         self._responded_at[worker_id] = requested_at
+        worker.answered_address = self._sessions[worker_id].answered_address
         self._note_invalid_start_time(worker_id, report)
-        if report.has_all_ends and not worker.has_listed_all_ends:
-            self._end_predecessors(worker.info)
+        # A late start to the former incarnation may be among ends that are not reported yet.
+        if report.has_all_ends and worker.info.registry_id in self._superseded_ids:
+            self._end_predecessors(worker.info, is_replaced=True)
         if worker.unreachable or not worker.confirmed:
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
         for end in report.ended:
@@ -313,20 +315,24 @@
     def worker_failed(self, worker_id, exc):
         """Process a failed lease renewal: mark the worker unreachable if it is not only late.
 
-        A worker without a registry entry is removed after the grace period, once its lease is over.
+        An answer of another worker at the address shows no more than that this one is not reached:
+        the registry entry may be wrong or late. A worker without a registry entry is removed after
+        the grace period, once its lease is over.
         """
         worker = self.scheduler.workers.get(worker_id)
-        connection_refused = (exc.details or {}).get("nobody_listens", False)
-        if not connection_refused and self._is_only_late(worker_id):
+        details = exc.details or {}
+        connection_refused = details.get("nobody_listens", False)
+        is_answered = connection_refused or details.get("reason") == "misdirected"
+        if not is_answered and self._is_only_late(worker_id):
             self.context.meters.count("late_workers")
             return
         if worker is not None and not worker.unreachable:
             self.log.info("worker silent", worker=worker_id, error=str(exc))
         self.scheduler.worker_unreachable(worker_id, self._now())
         unlisted_at = self._unlisted_at.get(worker_id)
-        lease_over = worker is None or self._now() >= worker.lease_over_at
-        if unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S and lease_over:
-            self.worker_gone(worker_id, is_replaced=False)
+        is_unlisted = unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S
+        if is_unlisted and (worker is None or self._are_leases_over(worker)):
+            self.worker_gone(worker_id)
         self.events.changed()
 
     def fenced(self, worker_id):
--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -69,6 +69,8 @@
         self.fleet = fleet
         self.worker_clock = None
         self.stopped = False
+        self._listed_calls = calls
+        self._answered_calls = None
         self._record_wait = None
         self._confirmed_end = 0
         self._round_trip = RoundTrip()
@@ -138,10 +140,11 @@
         min_timeout_s = FIRST_TIMEOUT_S if first else self.calls.timeout
         until = None if query_only else self._lease_until(sent)
         wait_s = 0.0 if query_only else self.fleet.renewal_wait(self.worker_id)
+        calls = self.calls
         seen = self._end_to_acknowledge()
         try:
             report = yield self._track_round_trip(
-                self.calls.renew_leases(
+                calls.renew_leases(
                     seen=seen,
                     until_s=until,
                     wait_s=wait_s,
@@ -151,11 +154,12 @@
             )
         except (WorkerRefusedError, WorkerUnreachableError) as exc:
             self._failed(exc)
+            self._change_address()
             return False
         if self.stopped:
             return False
-        if report.born_ms != self.calls.born_ms:
-            registry_id = self.calls.registry_id
+        if report.born_ms != calls.born_ms:
+            registry_id = calls.registry_id
             self._failed(
                 WorkerGoneError.restarted(registry_id, report.born_ms, report.start_time_error)
             )
@@ -163,6 +167,7 @@
         self._confirmed_end = max(self._confirmed_end, seen)
         received = self.clock.seconds()
         self.worker_clock = LeaseClock(worker_time=report.clock_s, sent=sent, received=received)
+        self._answered_calls = calls
         self.fleet.worker_reported(self.worker_id, report, sent)
         return True
 
@@ -175,6 +180,34 @@
         number = self.fleet.last_acknowledged_end(self.worker_id)
         return number if number > self._confirmed_end else 0
 
+    # Addresses
+
+    @property
+    def answered_address(self):
+        """Address of the worker's last answer; None before the first one."""
+        return self._answered_calls.address if self._answered_calls is not None else None
+
+    @property
+    def listed_address(self):
+        """Address in the worker's registry entry."""
+        return self._listed_calls.address
+
+    def set_listed_calls(self, calls):
+        """Note a new address in the registry entry, to use when the present one fails.
+
+        An answer of the worker counts over its entry, which may be late or wrong. Commands in
+        progress are retried at the address in use by then.
+        """
+        self._listed_calls = calls
+        if self._answered_calls is None:
+            self.calls = calls
+
+    def _change_address(self):
+        """After a failure, alternate between the listed address and that of the last answer."""
+        is_listed = self.calls is self._listed_calls
+        self.calls = self._answered_calls if is_listed else self._listed_calls
+        self.calls = self.calls or self._listed_calls
+
     def _track_round_trip(self, call, *, allowed_delay_s=0.0):
         """Record a call's round trip, less the allowed delay `allowed_delay_s`; return the call."""
         due_at = self.clock.seconds() + allowed_delay_s
@@ -309,7 +342,20 @@
             return succeed("unreached")
         until = self._lease_until(now)
         call = self._track_round_trip(self.calls.start(action, until_s=until, timeout=timeout))
-        return call.addCallbacks(lambda _: "started", _start_outcome)
+        return call.addCallbacks(lambda _: "started", self._start_outcome)
+
+    def _start_outcome(self, failure):
+        """Return the outcome of a failed start; pass a :class:`WorkerGoneError` on as a failure."""
+        if failure.check(WorkerGoneError):
+            return failure
+        if not failure.check(WorkerRefusedError):
+            failure.trap(WorkerUnreachableError)
+            return "unknown"
+        reason = failure.value.details["reason"]
+        if reason == "misdirected":
+            # Otherwise the task would be sent to the same address again before the next renewal.
+            self._failed(failure.value)
+        return reason
 
     @inlineCallbacks
     def stop(self, action):
@@ -345,16 +391,6 @@
             self.fleet.pace_failed(action, exc)
 
 
-def _start_outcome(failure):
-    """Return the outcome of a failed start; pass a :class:`WorkerGoneError` on as a failure."""
-    if failure.check(WorkerGoneError):
-        return failure
-    if failure.check(WorkerRefusedError):
-        return failure.value.details["reason"]
-    failure.trap(WorkerUnreachableError)
-    return "unknown"
-
-
 def outcome_after_lost_answer(outcome):
     """Return the outcome of a retried start whose earlier try had no answer.
 
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -53,6 +53,8 @@
         self._responded_at = {}
         self._last_tokens = {}
         self._awaiting_token = {}
+        # Ids in the registry under which earlier incarnations are kept, besides the present one.
+        self._superseded_ids = set()
 
     def close(self):
         """Close all sessions."""
@@ -101,9 +103,25 @@
                 "worker found", worker=info.worker_id, address=info.address, rack=info.rack
             )
             self._open_session(info)
-        elif info.draining:
+            return
+        self._note_listed_address(info)
+        if info.draining:
             self.log.info("worker drains", worker=info.worker_id, left_s=info.leaves_in_s)
 
+    def _note_listed_address(self, info):
+        """Let a worker's session call it at another address, if its entry names one."""
+        session = self._sessions.get(info.worker_id)
+        if session is None or session.listed_address == info.address:
+            return
+        self.log.info(
+            "worker's address changed",
+            worker=info.worker_id,
+            address=info.address,
+            former=session.listed_address,
+        )
+        _, token = self._last_tokens[info.registry_id]
+        session.set_listed_calls(self._make_calls(info, token))
+
     def adopt_worker(self, handover):
         """Adopt a worker named in the former leader's row; it may be unregistered by now.
 
@@ -117,6 +135,7 @@
         elif present is not None and (present.born_ms or 0) > info.born_ms:
             self.scheduler.worker_listed(info, self._now())
             self.scheduler.worker_superseded(info.worker_id, self._now())
+            self._superseded_ids.add(info.registry_id)
         else:
             if present is not None:
                 self._supersede(present, info, "handover")
@@ -127,6 +146,8 @@
             self._open_session(info)
             self._registry_entry_unlisted(info.registry_id)
         if handover.runs is not None:
+            worker = self.scheduler.workers[info.worker_id]
+            worker.answered_address = handover.info.address
             self.scheduler.adopt_unconfirmed_runs(info.worker_id, handover.runs, self._now())
             fresh = [handover.runs[index] for index in handover.fresh]
             self.scheduler.note_fresh_runs(info.worker_id, fresh)
@@ -177,17 +198,19 @@
         )
         self._forget(former.worker_id)
         self.scheduler.worker_superseded(former.worker_id, self._now())
+        self._superseded_ids.add(info.registry_id)
         earlier = self.scheduler.workers.get(info.worker_id)
         if earlier is not None and earlier.is_superseded:
-            # The worker states no start time any more, and neither did an earlier incarnation.
-            self._end_worker(info.worker_id, is_replaced=True)
+            # The entry had a wrong start time, or the worker states none any more.
+            self.scheduler.worker_reinstated(info.worker_id)
+            self._open_session(info)
         self.events.changed()
 
     def incarnation_ended(self, worker_id, exc):
-        """Process an answer of another incarnation, under the same id or another one."""
+        """Process an answer of another incarnation under the same id."""
         worker = self.scheduler.workers.get(worker_id)
-        if worker is None or "born_ms" not in (exc.details or {}):
-            self.worker_gone(worker_id)
+        if worker is None:
+            self._forget(worker_id)
             return
         former = worker.info
         info, is_listed = self._incarnations.restarted(former.registry_id, exc.details["born_ms"])
@@ -196,21 +219,33 @@
         if not is_listed:
             self._registry_entry_unlisted(info.registry_id)
 
-    def _end_predecessors(self, info):
-        """Remove the former incarnations of a worker that has answered under its present token."""
-        for worker in list(self.scheduler.workers.values()):
-            if worker.is_superseded and worker.info.registry_id == info.registry_id:
-                self._end_worker(worker.info.worker_id, is_replaced=True)
-
-    def worker_gone(self, worker_id, *, is_replaced=True):
-        """Remove a lost worker: another incarnation answers, or its entry remains absent."""
+    def _predecessors(self, info):
+        return [
+            worker
+            for worker in self.scheduler.workers.values()
+            if worker.is_superseded and worker.info.registry_id == info.registry_id
+        ]
+
+    def _end_predecessors(self, info, *, is_replaced):
+        """Remove the former incarnations of a worker, see :meth:`Scheduler.worker_ended`."""
+        for worker in self._predecessors(info):
+            self._end_worker(worker.info.worker_id, is_replaced=is_replaced)
+        self._superseded_ids.discard(info.registry_id)
+
+    def _are_leases_over(self, worker):
+        """Whether all leases of a worker and of its former incarnations are certainly over."""
+        workers = [worker, *self._predecessors(worker.info)]
+        return all(self._now() >= each.lease_over_at for each in workers)
+
+    def worker_gone(self, worker_id):
+        """Remove a lost worker whose entry remains absent and whose leases are over."""
         worker = self.scheduler.workers.get(worker_id)
         if worker is not None:
-            self._end_predecessors(worker.info)
+            self._end_predecessors(worker.info, is_replaced=False)
             self._incarnations.remove(worker_id, worker.info.registry_id)
             self._awaiting_token.pop(worker.info.registry_id, None)
         self._forget(worker_id)
-        self._end_worker(worker_id, is_replaced=is_replaced)
+        self._end_worker(worker_id, is_replaced=False)
 
     def _end_worker(self, worker_id, *, is_replaced):
         self.log.info("worker gone", worker=worker_id, replaced=is_replaced)
@@ -236,16 +271,19 @@
                 return
             token += 1
         self._last_tokens[info.registry_id] = (info.worker_id, token)
-        calls = WorkerCallRouter(
+        calls = self._make_calls(info, token)
+        session = WorkerSession(clock=self.context.clock, calls=calls, fleet=self)
+        self._sessions[info.worker_id] = session
+        self._opened_at[info.worker_id] = self._now()
+        session.run().addErrback(self.events.fail_with)
+
+    def _make_calls(self, info, token):
+        return WorkerCallRouter(
             direct=self.context.make_worker(info, token),
             info=info,
             relay_dispatcher=self.relay_dispatcher,
             context=self.context,
         )
-        session = WorkerSession(clock=self.context.clock, calls=calls, fleet=self)
-        self._sessions[info.worker_id] = session
-        self._opened_at[info.worker_id] = self._now()
-        session.run().addErrback(self.events.fail_with)
 
     def raise_token(self, version):
         """Note the version of the leader's row after its last write: the highest token to use.
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -296,6 +296,9 @@
     worker then gets no new tasks. `is_superseded` means that the worker has started again: this
     incarnation is over, and its runs are dropped once the next one lists its own.
 
+    `answered_address` is the address of its last answer, to this leader or to the one that named
+    it in the handover, None before. `is_loss_noted` means that its loss has been reported.
+
     `lease_over_at` is the time at which all its leases have certainly expired, `leaves_at` the
     earliest time at which a draining worker may leave, `retry_at` the end of its back-off.
     `n_consecutive_failures` counts failed and stalled runs and refused starts since the last
@@ -306,12 +309,14 @@
 
     __slots__ = (
         "ack_queue",
+        "answered_address",
         "confirmed",
         "cpu_free",
         "gpu_free",
         "has_listed_all_ends",
         "in_handover",
         "info",
+        "is_loss_noted",
         "is_superseded",
         "last_ended",
         "lease_over_at",
@@ -336,6 +341,8 @@
         self.has_listed_all_ends = False
         self.unreachable = False
         self.unreachable_since = None
+        self.answered_address = None
+        self.is_loss_noted = False
         self.runs_known = False
         self.in_handover = False
         self.is_superseded = False
@@ -380,6 +387,11 @@
         """Whether the worker has announced that it will leave."""
         return self.info.draining or self.leaves_at is not None
 
+    @property
+    def is_answering(self):
+        """Whether the worker has answered this leader, and calls to it do not fail."""
+        return self.confirmed and not self.unreachable
+
     def is_lapsed(self, now):
         """Whether the worker is unreachable and all leases that it was sent have expired."""
         return now >= self.lease_over_at and (self.unreachable or not self.listed)
