Stand-ins: workers that shut down gracefully, and refuse new connections alone

A worker drains, closes its listening socket, goes on with what runs there over the connections that are open, and ends later; another worker may start at its address before that. Until now WireFaults.refuses refused every call, so that no play had a leader with open connections beside one without. Connections are also modelled for workers without start times once their socket is closed; a time-out on a kept connection closes the idle ones, as in the real client.

--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from ._balancer import Balancer
 from ._cell import Cell, make_client
+from ._departures import Departure, LeavingWorker, draw_departure
 from ._faults import Faults
 from ._load_kinds import Burst, KindResult, LoadKind
 from ._load_simulation import LoadSimulation, make_workers
@@ -38,8 +39,10 @@
     "Balancer",
     "Burst",
     "Cell",
+    "Departure",
     "Faults",
     "KindResult",
+    "LeavingWorker",
     "LoadKind",
     "LoadSimulation",
     "MembershipServer",
@@ -64,6 +67,7 @@
     "WorkerCall",
     "WorkerServer",
     "WorkerState",
+    "draw_departure",
     "find_violations",
     "listen",
     "make_accelerator_kinds",
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -108,6 +108,8 @@
         Policy of all instances.
     bounds : Bounds, default=None
         Bounds in the settings of all instances.
+    has_start_times : bool, default=True
+        Whether workers state the start times of their incarnations.
     """
 
     def __init__(
@@ -124,7 +126,9 @@
         weak=(),
         policy=None,
         bounds=None,
+        has_start_times=True,
     ):
+        self.has_start_times = has_start_times
         self.policy = policy or SchedulingPolicy()
         self.bounds = bounds or Bounds()
         self.slow = frozenset(slow)
@@ -171,7 +175,7 @@
             rack=rack,
             spans=self.spans,
             sizes=self.sizes,
-            **{"born_ms": self._wall_clock_ms(), **values},
+            **{"born_ms": self._wall_clock_ms() if self.has_start_times else None, **values},
         )
         if worker_id in self.workers:
             self.former_workers.append(self.workers[worker_id])
@@ -265,6 +269,27 @@
         worker_id = f"{crashed.worker_id.partition('.')[0]}.{self._n_restarts}"
         self.add_worker(worker_id, crashed.address, cpu=crashed.cpu, rack=crashed.rack)
 
+    def drain_worker(self, worker_id, remaining_s):
+        """Let a worker announce in the registry that it will leave. Unit: seconds."""
+        self.workers[worker_id].remaining_s = remaining_s
+        self.store.put("servers", worker_id, self.workers[worker_id].entry())
+
+    def stop_listening(self, worker_id):
+        """Close a worker's listening socket; its open connections are served on."""
+        worker = self.workers[worker_id]
+        self.wire.stop_listening(worker.address, worker)
+
+    def listen_again(self, worker_id):
+        """Let a worker accept new connections again."""
+        worker = self.workers[worker_id]
+        self.wire.serve(worker.address, worker)
+
+    def end_leaving_worker(self, worker_id):
+        """End the process of a worker that leaves, with all that runs on it."""
+        worker = self.workers[worker_id]
+        worker.crash(how="left")
+        self.wire.end_server(worker.address, worker)
+
     def end_worker_process(self, worker_id):
         """End a worker's process; its host resets the connections."""
         self.workers[worker_id].crash()
--- a/anvilflow/standins/_platform_worker.py
+++ b/anvilflow/standins/_platform_worker.py
@@ -79,6 +79,9 @@
     every other command; it returns the delay after which the command is executed without an
     answer, or None for no fault.
 
+    `remaining_s` is the time that a draining worker announces as left, None if it does not leave.
+    Unit: seconds.
+
     `successor` is the next incarnation under the same id and address, if there is one: it executes
     the delayed commands of this one.
 
@@ -134,6 +137,7 @@
         self.on_crash = None
         self.unacknowledged_ends = set()
         self.n_refused_tickets = 0
+        self.remaining_s = None
 
     @property
     def identity(self):
@@ -141,7 +145,10 @@
         return make_worker_id(self.worker_id, self.born_ms)
 
     def entry(self, *, state="ready"):
-        """Return the worker's registry entry."""
+        """Return the worker's registry entry; a worker with `remaining_s` is draining."""
+        remaining = {}
+        if self.remaining_s is not None:
+            state, remaining = "draining", {"remaining-ms": round(1000 * self.remaining_s)}
         return {
             "service": "desk",
             "address": self.address,
@@ -152,6 +159,7 @@
             "sequence": 1,
             "capacity": {"cpu": self.cpu, "mem-mb": 32768},
             "labels": ["a", self.rack],
+            **remaining,
             **self._born_field(),
         }
 
@@ -173,12 +181,12 @@
         """Return the worker's own clock. Unit: seconds."""
         return self.clock.seconds() + self.offset_s
 
-    def crash(self):
+    def crash(self, *, how="crashed"):
         """Crash the worker: end all runs; pending calls get no answer, later ones are refused."""
         self.alive = False
         self._record_unacknowledged_ends()
         for task in list(self.active):
-            self._end(task, "crashed", listed=False)
+            self._end(task, how, listed=False)
 
     def _record_unacknowledged_ends(self):
         """Record the ends not acknowledged before the lease expired or the worker crashed."""
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -73,6 +73,9 @@
 
     Notes
     -----
+    `closing_servers` have closed their listening sockets and serve the connections that are open,
+    `ended_servers` have ended, and the connections to them are known to be closed.
+
     `calls` counts calls by caller and address, `bytes_out` and `bytes_in` the bytes of requests
     and responses. `links` holds the bandwidth-limited links for responses and `send_links` those
     for requests, by the name of the calling process.
@@ -81,6 +84,8 @@
     def __init__(self, *, clock):
         self.clock = clock
         self.servers = {}
+        self.closing_servers = set()
+        self.ended_servers = set()
         self.faults = {}
         self.links = {}
         self.send_links = {}
@@ -105,6 +110,19 @@
             lost = Failure(ResponseLostError("the connection was reset"))
             self.clock.callLater(ONE_WAY_DELAY_S, clock.callLater, 0, _settle, done, lost)
 
+    def stop_listening(self, address, server):
+        """Refuse new connections to a server, which goes on serving those that are open."""
+        if self.servers.get(address) is server:
+            del self.servers[address]
+            self.closing_servers.add(server)
+
+    def end_server(self, address, server):
+        """End a server's process: its connections are reset, new ones are refused."""
+        self.stop_listening(address, server)
+        self.closing_servers.discard(server)
+        self.ended_servers.add(server)
+        self.reset_connections(server)
+
     def slow_link(self, name, bytes_per_s):
         """Limit the bandwidth of responses to the process `name`; return the link."""
         self.links[name] = SlowLink(clock=self.clock, bytes_per_s=bytes_per_s)
@@ -122,6 +140,7 @@
         Return the :class:`WireFaults` of the address.
         """
         self.servers[address] = server
+        self.closing_servers.discard(server)
         return self.faults.setdefault(address, WireFaults())
 
     def client(self, name, clock):
@@ -131,8 +150,9 @@
     def make_call(self, caller, clock, method, url, body, headers, *, opened_to=None, peer=None):
         """Make a call; return a Deferred that fires on `clock` with status and body, or never.
 
-        `opened_to` is the server that the call's connection was opened to. If another one is at the
-        address by now, the connection has ended, and the call fails. With `peer`, a new connection
+        `opened_to` is the server that the call's connection was opened to. If it is no longer at
+        the address, and does not serve its open connections either, the connection has ended, and
+        the call fails. With `peer`, a new connection
         is checked first; as for any connection, opening it takes no time.
         """
         parts = urlsplit(url)
@@ -140,12 +160,12 @@
         n_check_bytes = 0 if peer is None else len(peer.body) + HEAD_BYTES
         self.bytes_out[caller, parts.netloc] += len(body) + HEAD_BYTES + n_check_bytes
         faults = self.faults.get(parts.netloc)
-        server = self.servers.get(parts.netloc)
+        server = self.servers.get(parts.netloc) if opened_to is None else opened_to
         done = Deferred()
         self._pending_calls[caller].add(done)
         done.addBoth(self._remove_pending, caller, done)
         done.addCallback(self._count_answer, caller, parts.netloc)
-        if opened_to is not None and opened_to is not server:
+        if opened_to is not None and not self._is_served(parts.netloc, opened_to):
             clock.callLater(ONE_WAY_DELAY_S, done.errback, Failure(ResponseLostError("ended")))
             return done
         if server is None or (faults.refuses and faults.apply_to(caller)):
@@ -177,6 +197,10 @@
         )
         return done
 
+    def _is_served(self, address, server):
+        """Whether the open connections to a server are served."""
+        return self.servers.get(address) is server or server in self.closing_servers
+
     def _count_answer(self, result, caller, address):
         self.bytes_in[caller, address] += len(result[1]) + HEAD_BYTES
         return result
@@ -203,12 +227,16 @@
 
     def _act_late(self, address, call):
         """Execute a call at whatever server is at the address by now."""
-        return self._act(self.servers[address], call)
+        server = self.servers.get(address)
+        return self._act(server, call) if server is not None else None
 
     def _act(self, server, call):
         return maybeDeferred(server.handle, *call)
 
     def _act_and_answer(self, server, faults, caller, clock, call, done, peer):
+        if server in self.ended_servers:
+            clock.callLater(0, _settle, done, Failure(ResponseLostError("ended")))
+            return
         self._calls_in_server[server].add((done, clock))
         done.addBoth(self._remove_from_server, server, done, clock)
         result = self._act(server, call if peer is None else _check_call(peer, caller))
@@ -252,8 +280,9 @@
 class WireClient:
     """HTTP client with the interface of :class:`anvilflow.clients.HttpClient`.
 
-    Makes calls over a :class:`WireNetwork`. Connections are modelled only for calls that are meant
-    for a certain peer: each new connection is checked first, and ends with its server.
+    Makes calls over a :class:`WireNetwork`. Connections are modelled for calls that are meant for a
+    certain peer: each new connection is checked first, and ends with its server. Other calls use
+    kept connections only to a server that accepts no new ones.
     """
 
     def __init__(self, *, network, name, clock):
@@ -286,31 +315,45 @@
         )
         self.n_bytes_out += len(body) + HEAD_BYTES
         self.clock.charge(CALL_CPU_S)
-        if peer is None:
-            done = self.network.make_call(self.name, self.clock, method, url, body, headers)
-        else:
-            done = self._call_peer(peer, exchange, method, url, body, headers)
+        done = self._connect_and_call(peer, exchange, method, url, body, headers)
         done.addCallback(self._count)
         done.addCallbacks(exchange.begin, exchange.end)
         answer = exchange.limit(timeout)
-        return answer if peer is None else answer.addCallback(self._keep, exchange)
-
-    def _call_peer(self, peer, exchange, *call):
-        """Make a call over a connection that leads to a peer; open one if none is idle."""
-        exchange.peer_key = (urlsplit(call[1]).netloc, peer.name)
-        idle = self._idle[exchange.peer_key]
-        if idle:
-            exchange.server = idle.pop()
-            return self.network.make_call(self.name, self.clock, *call, opened_to=exchange.server)
+        return answer.addCallbacks(self._keep, self._drop_idle, (exchange,), {}, (exchange,), {})
+
+    def _connect_and_call(self, peer, exchange, *call):
+        """Make a call over an idle connection to a peer or a closing server, or over a new one."""
+        exchange.peer_key = (urlsplit(call[1]).netloc, peer.name if peer is not None else None)
+        server = self._pop_idle(exchange.peer_key)
+        if server is not None and (peer is not None or server in self.network.closing_servers):
+            exchange.server = server
+            exchange.is_kept = True
+            return self.network.make_call(self.name, self.clock, *call, opened_to=server)
         exchange.server = self.network.servers.get(exchange.peer_key[0])
-        self.clock.charge(CALL_CPU_S)
+        if peer is not None:
+            self.clock.charge(CALL_CPU_S)
         return self.network.make_call(self.name, self.clock, *call, peer=peer)
 
+    def _pop_idle(self, key):
+        """Return the server of an idle connection that is not known to be closed, or None."""
+        idle = self._idle[key]
+        while idle:
+            server = idle.pop()
+            if server not in self.network.ended_servers:
+                return server
+        return None
+
     def _keep(self, answer, exchange):
         """Keep the connection of a call that was answered."""
         self._idle[exchange.peer_key].append(exchange.server)
         return answer
 
+    def _drop_idle(self, failure, exchange):
+        """Close the idle connections after a time-out on one of them, as the real client does."""
+        if failure.check(TimeoutError) and exchange.is_kept:
+            self._idle[exchange.peer_key].clear()
+        return failure
+
     def _count(self, result):
         self.n_bytes_in += len(result[1]) + HEAD_BYTES
         return result
@@ -351,6 +394,7 @@
         self._transfer = None
         self.peer_key = None
         self.server = None
+        self.is_kept = False
 
     @property
     def is_over(self):
