Soak: workers that leave as processes do, and faults that meet them

The listening port closes, open connections go on, another worker takes the address, and the process ends with its connections reset. A worker that crashes is replaced once: a second crash in one slot started two.

--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -23,6 +23,9 @@
 #: Delay from the crash of a worker by a task to its restart. Unit: seconds.
 RESTART_DELAY_S = 2.0
 
+#: Time after which a port that is no longer listened on can be used again. Unit: seconds.
+PORT_RELEASE_S = 0.1
+
 _CALLER = b"x-caller"
 
 
@@ -82,8 +85,15 @@
 
     No instance knows of such an end, so the task may be started again: the invariant that a task is
     not started after it was done does not apply.
+
+    `is_leaving` is set if the worker shuts down gracefully, `has_unregistered` once it has removed
+    its registry entry. `proxy` has its open connections once its listening socket is closed.
     """
 
+    is_leaving = False
+    has_unregistered = False
+    proxy = None
+
     def mark_unacknowledged_ends(self):
         """Mark the runs whose ends have not been acknowledged."""
         unacknowledged = {(task, run_id) for _, task, run_id, _, _ in self.finished}
@@ -119,6 +129,7 @@
         self.former_workers = []
         self.ports = []
         self.proxies = {}
+        self.closing_proxies = []
         self.store = MetadataStore(clock=reactor)
         self.store_faults = WireFaults()
         self.store_target = self._serve(self.store, self.store_faults)
@@ -133,8 +144,12 @@
         self.worker_slots = [self._make_worker_slot(number) for number in range(n_workers)]
 
     def _serve(self, standin, faults):
-        site = Site(StandinResource(reactor=self.reactor, standin=standin, faults=faults))
-        port = self.reactor.listenTCP(0, site, interface=self.host, backlog=256)
+        return self._serve_resource(
+            StandinResource(reactor=self.reactor, standin=standin, faults=faults)
+        )
+
+    def _serve_resource(self, resource):
+        port = self.reactor.listenTCP(0, Site(resource), interface=self.host, backlog=256)
         self.ports.append(port)
         return self.host, port.getHost().port
 
@@ -157,11 +172,24 @@
 
     def _make_worker_slot(self, number):
         worker_slot = _WorkerSlot(name=f"w{number}", faults=WireFaults())
-        target = self._serve(worker_slot, worker_slot.faults)
-        worker_slot.address = self.make_proxy(worker_slot.name, target).address
+        self._listen(worker_slot)
         self.start_worker(worker_slot)
         return worker_slot
 
+    def _listen(self, worker_slot):
+        """Accept connections to the worker of a slot, always at the same address."""
+        worker_slot.resource = StandinResource(
+            reactor=self.reactor, standin=worker_slot, faults=worker_slot.faults
+        )
+        worker_slot.proxy = self.proxies[worker_slot.name] = Proxy(
+            reactor=self.reactor,
+            host=self.host,
+            target=self._serve_resource(worker_slot.resource),
+            port=worker_slot.port,
+        )
+        worker_slot.address = worker_slot.proxy.address
+        worker_slot.port = worker_slot.proxy.port.getHost().port
+
     def start_worker(self, worker_slot, *, worker_id=None):
         """Start a worker in a slot, in place of any earlier one; return it.
 
@@ -183,12 +211,63 @@
             born_ms=round(1000 * time.time()),
         )
         worker_slot.worker = worker
-        worker.on_crash = lambda: self._worker_crashed(worker_slot)
+        if worker_slot.proxy in self.closing_proxies:
+            self._listen(worker_slot)
+        worker.on_crash = lambda: self._worker_crashed(worker_slot, worker)
         self.workers[worker.worker_id] = worker
         self.advice.allowed.add(worker.worker_id)
         self.store.put("servers", worker.worker_id, worker.entry())
         return worker
 
+    def replace_worker(self, worker_slot, worker):
+        """Start a worker in place of one that has ended or leaves, unless there is one already."""
+        if worker_slot.worker is worker:
+            self.start_worker(worker_slot)
+
+    def register(self, worker):
+        """Write a worker's registry entry, unless the worker has removed it."""
+        if worker.alive and not worker.has_unregistered:
+            self.store.put("servers", worker.worker_id, worker.entry())
+
+    def leave(self, worker_slot, departure):
+        """Let a worker shut down gracefully; one with another id takes its address.
+
+        See :class:`anvilflow.standins.Departure`.
+        """
+        worker = worker_slot.worker
+        worker.is_leaving = True
+        worker.remaining_s = departure.remaining_s
+        self.register(worker)
+        replaced_after_s = departure.replaced_after_s or departure.ends_after_s + PORT_RELEASE_S
+        for after_s, act in (
+            (departure.closes_after_s, self._stop_listening),
+            (departure.unlisted_after_s, self._remove_entry),
+            (departure.ends_after_s, self._end_process),
+            (replaced_after_s, self.replace_worker),
+        ):
+            self.reactor.callLater(after_s, act, worker_slot, worker)
+
+    def _stop_listening(self, worker_slot, worker):
+        """Close a worker's listening socket; its open connections keep leading to this worker."""
+        if worker.alive and worker_slot.worker is worker:
+            worker_slot.resource.standin = worker
+            worker_slot.proxy.stop_listening()
+            worker.proxy = worker_slot.proxy
+            self.closing_proxies.append(worker_slot.proxy)
+
+    def _remove_entry(self, _, worker):
+        worker.has_unregistered = True
+        if self.workers[worker.worker_id] is worker:
+            self.store.remove("servers", worker.worker_id)
+
+    def _end_process(self, _, worker):
+        """End the process of a worker that leaves; its connections are reset."""
+        if worker.alive:
+            worker.mark_unacknowledged_ends()
+            worker.crash(how="left")
+        if worker.proxy is not None:
+            worker.proxy.close()
+
     def crash(self, worker_slot):
         """Crash a worker; its unacknowledged ends are lost."""
         worker = worker_slot.worker
@@ -213,21 +292,22 @@
         """Return the workers of all incarnations."""
         return [*self.workers.values(), *self.former_workers]
 
-    def _worker_crashed(self, worker_slot):
+    def _worker_crashed(self, worker_slot, worker):
         """Remove the registry entry of a crashed worker; restart the worker later with a new id."""
-        worker_slot.worker.mark_unacknowledged_ends()
-        self.store.remove("servers", worker_slot.worker.worker_id)
-        self.reactor.callLater(RESTART_DELAY_S, self.start_worker, worker_slot)
+        worker.mark_unacknowledged_ends()
+        self.store.remove("servers", worker.worker_id)
+        self.reactor.callLater(RESTART_DELAY_S, self.replace_worker, worker_slot, worker)
 
     def set_capacity(self, worker_slot, cpu):
         """Change a worker's capacity at run time and update its registry entry."""
         worker_slot.worker.set_capacity(cpu)
-        self.store.put("servers", worker_slot.worker.worker_id, worker_slot.worker.entry())
+        self.register(worker_slot.worker)
 
     def drain(self, worker_slot):
         """Mark a worker as draining in the registry."""
         worker = worker_slot.worker
-        self.store.put("servers", worker.worker_id, worker.entry(state="draining"))
+        if not worker.has_unregistered:
+            self.store.put("servers", worker.worker_id, worker.entry(state="draining"))
 
     def heal(self):
         """End all faults."""
@@ -236,24 +316,30 @@
             worker_slot.faults.clear()
             if worker_slot.worker.alive and worker_slot.worker.cpu != self.cpu:
                 self.set_capacity(worker_slot, self.cpu)
-        for proxy in self.proxies.values():
+        for proxy in [*self.proxies.values(), *self.closing_proxies]:
             proxy.heal()
 
     def close(self):
         """Close all sockets."""
-        for proxy in self.proxies.values():
+        for proxy in [*self.proxies.values(), *self.closing_proxies]:
             proxy.close()
         for port in self.ports:
             port.stopListening()
 
 
 class _WorkerSlot:
-    """An address that is used by one worker at a time, and by its successors."""
+    """An address that is used by one worker at a time, and by its successors.
+
+    A worker that leaves keeps the connections that are open when its listening socket closes.
+    """
 
     def __init__(self, *, name, faults):
         self.name = name
         self.faults = faults
         self.address = None
+        self.port = 0
+        self.proxy = None
+        self.resource = None
         self.worker = None
 
     def handle(self, *call):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,9 +1,12 @@
 """Random faults drawn from a seed: overlapping faults and repeated ones."""
 
 import signal
+from random import Random
 
 from msgspec import Struct
 
+from anvilflow.standins import draw_departure
+
 #: Kinds of faults with their weights. Faults of the leader have the largest weights.
 KINDS = {
     "kill": 3,
@@ -44,6 +47,21 @@
 #: Workers that start again under their ids; drawn separately for the same reason.
 RESTART_KINDS = {"worker restarts": 1}
 
+#: Workers that shut down gracefully, drawn separately for the same reason, and the faults that some
+#: of these departures meet, on the same worker or of the leader: their share, and the time by which
+#: they begin earlier or later. Unit: seconds.
+LEAVING_KINDS = {"worker leaves": 1}
+MEETING_KINDS = {
+    "kill home": 4,
+    "pause home": 2,
+    "worker silent": 2,
+    "worker late": 1,
+    "worker loses answers": 1,
+    "worker crash": 1,
+}
+MEETING_SHARE = 0.6
+MEETING_S = 1.0
+
 #: Capacities that a worker can be changed to. Unit: thousandths of a core.
 CAPACITIES = (1000, 3000, 8000, 12_000)
 
@@ -104,6 +122,18 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def make_departures(random_state, *, n_faults, seconds):
+    """Return `n_faults` random departures of workers, and the faults that some of them meet."""
+    faults = make_faults(random_state, n_faults=n_faults, seconds=seconds, weights=LEAVING_KINDS)
+    for leaving in faults[:]:
+        if random_state.random() < MEETING_SHARE:
+            [fault] = make_faults(random_state, n_faults=1, seconds=seconds, weights=MEETING_KINDS)
+            fault.at = max(0.5, leaving.at + random_state.uniform(-MEETING_S, MEETING_S))
+            fault.pick = leaving.pick
+            faults.append(fault)
+    return faults
+
+
 class Injector:
     """Injects faults.
 
@@ -188,7 +218,7 @@
             case ["store", *what]:
                 self._inject_store_fault(" ".join(what), fault.for_s)
             case ["worker", *what]:
-                self._inject_worker_fault(" ".join(what), self._worker_slot(fault), fault.for_s)
+                self._inject_worker_fault(" ".join(what), self._worker_slot(fault), fault)
             case _:
                 self._inject_connection_fault(fault, self._proxy(fault), fault.kind)
 
@@ -228,7 +258,8 @@
                 return
         self._schedule(for_s, faults.clear)
 
-    def _inject_worker_fault(self, what, worker_slot, for_s):
+    def _inject_worker_fault(self, what, worker_slot, fault):
+        for_s = fault.for_s
         match what:
             case "silent":
                 worker_slot.faults.silent = True
@@ -240,7 +271,12 @@
                 worker_slot.worker.n_late_starts = 2
             case "crash":
                 self.environment.crash(worker_slot)
-                self._schedule(for_s, self.environment.start_worker, worker_slot)
+                self._schedule(
+                    for_s, self.environment.replace_worker, worker_slot, worker_slot.worker
+                )
+            case "leaves":
+                if worker_slot.worker.alive and not worker_slot.worker.is_leaving:
+                    self.environment.leave(worker_slot, draw_departure(Random(fault.pick)))
             case "drains":
                 self.environment.drain(worker_slot)
                 self._schedule(for_s, self._replace_drained_worker, worker_slot)
@@ -261,9 +297,8 @@
             self.environment.start_worker(worker_slot)
 
     def _register(self, worker_slot, worker_id):
-        worker = worker_slot.worker
-        if worker.alive and worker.worker_id == worker_id:
-            self.environment.store.put("servers", worker_id, worker.entry())
+        if worker_slot.worker.worker_id == worker_id:
+            self.environment.register(worker_slot.worker)
 
     def _silence_all(self, which):
         """Silence all open connections, as when a switch loses its connection state."""
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -18,6 +18,8 @@
     host : str
         Loopback address to listen on.
     target : (str, int)
+    port : int, default=0
+        Port to listen on; 0: any free one.
 
     Notes
     -----
@@ -28,7 +30,7 @@
     which the target last refused a connection.
     """
 
-    def __init__(self, *, reactor, host, target):
+    def __init__(self, *, reactor, host, target, port=0):
         self.reactor = reactor
         self.host = host
         self.target = target
@@ -39,7 +41,7 @@
             True: SharedLink(reactor=reactor),
             False: SharedLink(reactor=reactor),
         }
-        self.port = reactor.listenTCP(0, _make_factory(self), interface=host, backlog=256)
+        self.port = reactor.listenTCP(port, _make_factory(self), interface=host, backlog=256)
         self.heal()
 
     @property
@@ -72,9 +74,14 @@
             if random_state.random() < share:
                 pair.abort()
 
+    def stop_listening(self):
+        """Refuse new connections; those that are open work on."""
+        if self.port.connected:
+            self.port.stopListening()
+
     def close(self):
         """Stop listening and abort all connections."""
-        self.port.stopListening()
+        self.stop_listening()
         for pair in list(self.pairs):
             pair.abort()
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -22,6 +22,7 @@
     RESTART_KINDS,
     SERIES_KINDS,
     Injector,
+    make_departures,
     make_faults,
 )
 from ._final_phase import FinalPhase, FinalPhaseRunner, make_final_phase
@@ -171,8 +172,11 @@
             seconds=seconds,
             weights=RESTART_KINDS,
         )
+        departures = make_departures(
+            Random(f"{self.seed} departures"), n_faults=n_faults // 3, seconds=seconds
+        )
         faults = config if self.only_config else faults + config
-        return faults + series + capacity + restarts, later_random_state
+        return faults + series + capacity + restarts + departures, later_random_state
 
     @inlineCallbacks
     def _play(self, rng, environment, instances, disturbances, faults, ending):
