--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -13,8 +13,8 @@
 from anvilflow.cell import _config
 from anvilflow.cell._config import ConfigPart
 from anvilflow.platform import _store, decode_config
-from anvilflow.standins import StoreCall, make_platform_config
-from anvilflow.standins._wire import CALLER, WireClient
+from anvilflow.standins import StoreCall, WireClient, make_platform_config
+from anvilflow.standins._wire import CALLER
 from anvilflow.utils import encode
 
 from ._helpers import JOB, make_cell
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins for the platform's services, with switches that inject faults."""
 
+from ._advice_server import AdviceServer
 from ._balancer import Balancer
 from ._cell import Cell, make_client
 from ._departures import Departure, LeavingWorker, draw_departure
@@ -26,12 +27,13 @@
     make_job_body,
     make_platform_config,
 )
-from ._platform_worker import AdviceServer, PlatformWorker, RunSpan, WorkerCall
+from ._platform_worker import PlatformWorker, RunSpan, WorkerCall
 from ._samples import make_declarations
 from ._server import listen
 from ._table import MemoryTable, TableServer, TableState
 from ._virtual_cell import VirtualCell
-from ._wire import WireClient, WireFaults, WireNetwork
+from ._wire import WireFaults, WireNetwork
+from ._wire_client import WireClient
 from ._worker import MemoryWorker, WorkerServer, WorkerState
 
 __all__ = [
