--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -49,7 +49,7 @@
 
 #: Workers that shut down gracefully, drawn separately for the same reason, and the faults that some
 #: of these departures meet, on the same worker or of the leader: their share, and the time by which
-#: they begin earlier or later. Unit: seconds.
+#: they begin earlier or later than the worker stops listening. Unit: seconds.
 LEAVING_KINDS = {"worker leaves": 1}
 MEETING_KINDS = {
     "kill home": 4,
@@ -128,12 +128,18 @@
     for leaving in faults[:]:
         if random_state.random() < MEETING_SHARE:
             [fault] = make_faults(random_state, n_faults=1, seconds=seconds, weights=MEETING_KINDS)
-            fault.at = max(0.5, leaving.at + random_state.uniform(-MEETING_S, MEETING_S))
+            closes_at = leaving.at + _departure(leaving).closes_after_s
+            fault.at = max(0.5, closes_at + random_state.uniform(-MEETING_S, MEETING_S))
             fault.pick = leaving.pick
             faults.append(fault)
     return faults
 
 
+def _departure(fault):
+    """Return the departure of the worker that a fault lets leave."""
+    return draw_departure(Random(fault.pick))
+
+
 class Injector:
     """Injects faults.
 
@@ -276,7 +282,7 @@
                 )
             case "leaves":
                 if worker_slot.worker.alive and not worker_slot.worker.is_leaving:
-                    self.environment.leave(worker_slot, draw_departure(Random(fault.pick)))
+                    self.environment.leave(worker_slot, _departure(fault))
             case "drains":
                 self.environment.drain(worker_slot)
                 self._schedule(for_s, self._replace_drained_worker, worker_slot)
