--- a/anvilflow/cell/tests/test_drawn_departures.py
+++ b/anvilflow/cell/tests/test_drawn_departures.py
@@ -12,6 +12,7 @@
 
 N_JOBS = 14
 N_WORKERS = 6
+N_ADDED_WORKERS = 3
 NAMES = tuple(f"a{number}" for number in range(5))
 
 #: Period in which jobs are submitted and groups of faults begin, time by which all faults have
@@ -50,6 +51,9 @@
 }
 INSTANCE_FAULT_SHARE = 0.7
 
+#: Share of the departures beside which another worker leaves.
+SECOND_DEPARTURE_SHARE = 0.3
+
 #: Steps of the jobs, and durations of their tasks. Unit: seconds.
 STEPS = (
     {"count": 6, "cpu": 1000},
@@ -209,6 +213,8 @@
         kinds = rng.choices(list(WORKER_FAULTS), WORKER_FAULTS.values(), k=rng.randint(2, 5))
         for kind in sorted(set(kinds), key=kinds.index):
             self._schedule(kind, worker_id)
+        if "leave" in kinds and rng.random() < SECOND_DEPARTURE_SHARE:
+            self._schedule("leave", rng.choice(present).worker_id)
         if rng.random() < INSTANCE_FAULT_SHARE:
             [kind] = rng.choices(list(INSTANCE_FAULTS), INSTANCE_FAULTS.values())
             self._schedule(kind, None)
@@ -247,7 +253,8 @@
                 return faults.clear
             case "late starts" | "late stops":
                 setattr(worker, f"n_{kind.replace(' ', '_')}", 2)
-                worker.late_s = for_s
+                # Without a delay, only the answer is lost.
+                worker.late_s = self.random_state.choice([0.0, for_s])
             case "lost starts":
                 worker.n_lost_starts = 2
             case "wrong address" if cell.store.value("servers", worker_id) is not None:
@@ -309,12 +316,14 @@
                 return cell.store_faults.clear
 
     def _heal(self):
-        """End what has no end of its own: workers that only drained are ready again."""
+        """End what has no end of its own, and add workers for tasks that have no place any more."""
         for worker in list(self.cell.workers.values()):
             if worker.worker_id not in self.leaving:
                 worker.remaining_s = None
             self._listen(worker)
             self._register(worker)
+        for number in range(N_WORKERS, N_WORKERS + N_ADDED_WORKERS):
+            self.cell.add_worker(f"i-{number}", f"w{number}:1")
 
 
 @pytest.mark.parametrize("seed", range(6))
