--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -3,13 +3,14 @@
 from collections import Counter, defaultdict
 from urllib.parse import parse_qsl, urlsplit
 
-from twisted.internet.defer import CancelledError, Deferred, TimeoutError, maybeDeferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
 from ..clients import ResponseLostError
 from ..exceptions import AnvilflowError
 from ._slow_link import SlowLink
+from ._wire_client import HEAD_BYTES, WireClient
 
 #: Header with the name of the calling process.
 CALLER = b"x-caller"
@@ -17,13 +18,6 @@
 #: Network delay between any two processes, one way. Unit: seconds.
 ONE_WAY_DELAY_S = 0.001
 
-#: Size of the headers of a request or response. Unit: bytes.
-HEAD_BYTES = 200
-
-#: Processor time that a real process uses for one call: two system calls and parsing. Unit:
-#: seconds.
-CALL_CPU_S = 5e-5
-
 
 class WireFaults:
     """Fault switches of one server.
@@ -73,6 +67,9 @@
 
     Notes
     -----
+    `closing_servers` have closed their listening sockets and serve the connections that are open,
+    `ended_servers` have ended, and the connections to them are known to be closed.
+
     `calls` counts calls by caller and address, `bytes_out` and `bytes_in` the bytes of requests
     and responses. `links` holds the bandwidth-limited links for responses and `send_links` those
     for requests, by the name of the calling process.
@@ -81,6 +78,8 @@
     def __init__(self, *, clock):
         self.clock = clock
         self.servers = {}
+        self.closing_servers = set()
+        self.ended_servers = set()
         self.faults = {}
         self.links = {}
         self.send_links = {}
@@ -105,6 +104,19 @@
             lost = Failure(ResponseLostError("the connection was reset"))
             self.clock.callLater(ONE_WAY_DELAY_S, clock.callLater, 0, _settle, done, lost)
 
+    def stop_listening(self, address, server):
+        """Refuse new connections to a server, which goes on serving those that are open."""
+        if self.servers.get(address) is server:
+            del self.servers[address]
+            self.closing_servers.add(server)
+
+    def end_server(self, address, server):
+        """End a server's process: its connections are reset, new ones are refused."""
+        self.stop_listening(address, server)
+        self.closing_servers.discard(server)
+        self.ended_servers.add(server)
+        self.reset_connections(server)
+
     def slow_link(self, name, bytes_per_s):
         """Limit the bandwidth of responses to the process `name`; return the link."""
         self.links[name] = SlowLink(clock=self.clock, bytes_per_s=bytes_per_s)
@@ -122,6 +134,7 @@
         Return the :class:`WireFaults` of the address.
         """
         self.servers[address] = server
+        self.closing_servers.discard(server)
         return self.faults.setdefault(address, WireFaults())
 
     def client(self, name, clock):
@@ -131,8 +144,9 @@
     def make_call(self, caller, clock, method, url, body, headers, *, opened_to=None, peer=None):
         """Make a call; return a Deferred that fires on `clock` with status and body, or never.
 
-        `opened_to` is the server that the call's connection was opened to. If another one is at the
-        address by now, the connection has ended, and the call fails. With `peer`, a new connection
+        `opened_to` is the server that the call's connection was opened to. If it is no longer at
+        the address, and does not serve its open connections either, the connection has ended, and
+        the call fails. With `peer`, a new connection
         is checked first; as for any connection, opening it takes no time.
         """
         parts = urlsplit(url)
@@ -140,12 +154,12 @@
         n_check_bytes = 0 if peer is None else len(peer.body) + HEAD_BYTES
         self.bytes_out[caller, parts.netloc] += len(body) + HEAD_BYTES + n_check_bytes
         faults = self.faults.get(parts.netloc)
-        server = self.servers.get(parts.netloc)
+        server = self.servers.get(parts.netloc) if opened_to is None else opened_to
         done = Deferred()
         self._pending_calls[caller].add(done)
         done.addBoth(self._remove_pending, caller, done)
         done.addCallback(self._count_answer, caller, parts.netloc)
-        if opened_to is not None and opened_to is not server:
+        if opened_to is not None and not self._is_served(parts.netloc, opened_to):
             clock.callLater(ONE_WAY_DELAY_S, done.errback, Failure(ResponseLostError("ended")))
             return done
         if server is None or (faults.refuses and faults.apply_to(caller)):
@@ -177,6 +191,10 @@
         )
         return done
 
+    def _is_served(self, address, server):
+        """Whether the open connections to a server are served."""
+        return self.servers.get(address) is server or server in self.closing_servers
+
     def _count_answer(self, result, caller, address):
         self.bytes_in[caller, address] += len(result[1]) + HEAD_BYTES
         return result
@@ -203,12 +221,16 @@
 
     def _act_late(self, address, call):
         """Execute a call at whatever server is at the address by now."""
-        return self._act(self.servers[address], call)
+        server = self.servers.get(address)
+        return self._act(server, call) if server is not None else None
 
     def _act(self, server, call):
         return maybeDeferred(server.handle, *call)
 
     def _act_and_answer(self, server, faults, caller, clock, call, done, peer):
+        if server in self.ended_servers:
+            clock.callLater(0, _settle, done, Failure(ResponseLostError("ended")))
+            return
         self._calls_in_server[server].add((done, clock))
         done.addBoth(self._remove_from_server, server, done, clock)
         result = self._act(server, call if peer is None else _check_call(peer, caller))
@@ -247,150 +269,3 @@
 def _settle(done, result):
     if not done.called:
         done.callback(result)
-
-
-class WireClient:
-    """HTTP client with the interface of :class:`anvilflow.clients.HttpClient`.
-
-    Makes calls over a :class:`WireNetwork`. Connections are modelled only for calls that are meant
-    for a certain peer: each new connection is checked first, and ends with its server.
-    """
-
-    def __init__(self, *, network, name, clock):
-        self.network = network
-        self.name = name
-        self.clock = clock
-        self.n_bytes_out = 0
-        self.n_bytes_in = 0
-        self._idle = defaultdict(list)
-
-    def call(
-        self,
-        method,
-        url,
-        body,
-        *,
-        timeout,
-        held_s=0.0,
-        idle_timeout=None,
-        on_begin=None,
-        headers=None,
-        peer=None,
-    ):
-        """Make a call; it fails with a TimeoutError if there is no answer within `timeout`."""
-        exchange = _Exchange(
-            clock=self.clock,
-            link=lambda: self.network.links.get(self.name),
-            idle_timeout=idle_timeout,
-            on_begin=on_begin,
-        )
-        self.n_bytes_out += len(body) + HEAD_BYTES
-        self.clock.charge(CALL_CPU_S)
-        if peer is None:
-            done = self.network.make_call(self.name, self.clock, method, url, body, headers)
-        else:
-            done = self._call_peer(peer, exchange, method, url, body, headers)
-        done.addCallback(self._count)
-        done.addCallbacks(exchange.begin, exchange.end)
-        answer = exchange.limit(timeout)
-        return answer if peer is None else answer.addCallback(self._keep, exchange)
-
-    def _call_peer(self, peer, exchange, *call):
-        """Make a call over a connection that leads to a peer; open one if none is idle."""
-        exchange.peer_key = (urlsplit(call[1]).netloc, peer.name)
-        idle = self._idle[exchange.peer_key]
-        if idle:
-            exchange.server = idle.pop()
-            return self.network.make_call(self.name, self.clock, *call, opened_to=exchange.server)
-        exchange.server = self.network.servers.get(exchange.peer_key[0])
-        self.clock.charge(CALL_CPU_S)
-        return self.network.make_call(self.name, self.clock, *call, peer=peer)
-
-    def _keep(self, answer, exchange):
-        """Keep the connection of a call that was answered."""
-        self._idle[exchange.peer_key].append(exchange.server)
-        return answer
-
-    def _count(self, result):
-        self.n_bytes_in += len(result[1]) + HEAD_BYTES
-        return result
-
-    def post(self, url, body, *, timeout, held_s=0.0, headers=None, peer=None):
-        """Make a POST request with bytes."""
-        return self.call(b"POST", url, body, timeout=timeout, headers=headers, peer=peer)
-
-    def get(self, url, *, timeout):
-        """Make a GET request."""
-        return self.call(b"GET", url, b"", timeout=timeout)
-
-
-class _Exchange:
-    """One call of a process and its response, whose body may arrive over a slow link.
-
-    Parameters
-    ----------
-    clock : IReactorTime
-        Clock of the calling process.
-    link : callable
-        Returns the SlowLink for the response, or None if the response arrives immediately.
-    idle_timeout : float or None
-        Maximum pause between parts of the response; None: only the whole response is limited.
-        Unit: seconds.
-    on_begin : callable or None
-        Called with the status when the headers of the response arrive.
-    """
-
-    def __init__(self, *, clock, link, idle_timeout, on_begin):
-        self.clock = clock
-        self._idle_timeout = idle_timeout
-        self._on_begin = on_begin
-        self._find_link = link
-        self._link = None
-        self._answer = Deferred(self._cancelled)
-        self._timeout_call = None
-        self._transfer = None
-        self.peer_key = None
-        self.server = None
-
-    @property
-    def is_over(self):
-        """Whether the call was answered, has failed or was cancelled."""
-        return self._answer.called
-
-    def limit(self, timeout):
-        """Start the time-out; return the Deferred of the response, which fails after `timeout`."""
-        self._timeout_call = self.clock.callLater(
-            timeout, self.end, Failure(TimeoutError("no answer"))
-        )
-        return self._answer
-
-    def begin(self, result):
-        """Process the headers of the response and begin to receive its body."""
-        if self._answer.called:
-            return
-        if self._on_begin is not None:
-            self._on_begin(result[0])
-        self._progress()
-        self._link = self._find_link()
-        if self._link is None:
-            self.end(result)
-            return
-        self._transfer = self._link.receive(
-            len(result[1]) + HEAD_BYTES, on_data=self._progress, on_end=lambda: self.end(result)
-        )
-
-    def _progress(self):
-        if self._idle_timeout is not None:
-            self._timeout_call.reset(self._idle_timeout)
-
-    def end(self, result):
-        """Fire the Deferred with the complete response or a failure, and release the link."""
-        if self._timeout_call.active():
-            self._timeout_call.cancel()
-        if self._transfer is not None:
-            self._link.drop(self._transfer)
-        if not self._answer.called:
-            self._answer.callback(result)
-
-    def _cancelled(self, _):
-        self.end(Failure(CancelledError()))
