--- a/anvilflow/cell/tests/test_paused_commands.py
+++ b/anvilflow/cell/tests/test_paused_commands.py
@@ -30,8 +30,9 @@
         self.clock.advance(PAUSE_S)
         return True
 
-    def lease_sent(self, worker_id, sent_at):
-        """Accept a lease."""
+    def grant_lease(self, worker_id, sent_at, limit_s):
+        """Return the length of a lease."""
+        return LEASE_S
 
     def is_unreachable(self, worker_id):
         """Return that the worker is reachable."""
@@ -47,7 +48,7 @@
     def release_start(self, action):
         """Accept the answer to a start."""
 
-    def renewal_wait(self):
+    def renewal_wait(self, worker_id):
         """Return that renewals do not wait."""
         return 0.0
 
@@ -67,7 +68,7 @@
         return fail(WorkerGoneError("another process answers"))
 
     calls = SimpleNamespace(worker_id="i-0", timeout=0.4, start=send, renew_leases=send)
-    session = WorkerSession(clock=clock, calls=calls, lease_s=LEASE_S, fleet=_PausedFleet(clock))
+    session = WorkerSession(clock=clock, calls=calls, fleet=_PausedFleet(clock))
     session.worker_clock = LeaseClock(worker_time=0.0, sent=0.0, received=0.0)
     if command == "start":
         session.start(
