Incarnation taken back: its starts and stops in progress are settled by the next report

When an entry with a wrong start time makes an incarnation count as over, its session is closed, and a start or stop in progress reports no outcome. The incarnation is taken back once the worker answers, but a run that was "starting" then held its task for ever unless the worker listed it, and a run that was "stopping" was never stopped. Both are "unknown" now: the next session has a higher token, so a run that its first report neither lists nor ends never begins, and a listed run that is to be stopped is stopped again.

--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -116,7 +116,7 @@
             del worker.orphan_runs[key]
             self.freed.add(worker.info.worker_id)
         for run in list(worker.runs.values()):
-            confirmed = run.state in ("running", "barred")
+            confirmed = run.state in ("running", "barred", "unknown")
             if confirmed and run.sent_at < requested_at and (run.task, run.run_id) not in listed:
                 self._drop_run(run, RunProof.NOT_LISTED, now)
 
@@ -128,6 +128,8 @@
             _note_progress(run, item, clock_s, now)
             run.load = item.load
             run.checkpoint = item.checkpoint or run.checkpoint
+            if run.state == "running" and run.stopped_at is not None:
+                return self._stop(run, now, "stop unanswered")
             return []
         return self._adopt(worker, item, run, now)
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -178,7 +178,9 @@
     - ``running``: the worker has confirmed the start or listed the run, or the run was adopted;
     - ``stopping``: the stop was decided, and the worker has not accepted it;
     - ``barred``: the worker has accepted the stop, so that the run ends soon or never begins, or
-      has refused the run by its number, so that it never begins.
+      has refused the run by its number, so that it never begins;
+    - ``unknown``: the outcome of the start or stop is not known, until the next report. The worker
+      refuses late ones by their token then.
 
     `sent_at` is the time of the latest command or of its confirmation: only a report that was
     requested later shows its effect. `stopped_at` is the time of this leader's decision to stop the
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -170,6 +170,12 @@
         worker.has_listed_all_ends = False
         worker.last_ended = 0
         worker.ack_queue.clear()
+        # The outcomes of commands in progress are not reported: their session is closed.
+        for run in worker.runs.values():
+            if run.state in ("starting", "stopping"):
+                run.state = "unknown"
+        for orphan in worker.orphan_runs.values():
+            orphan.stopped = False
 
     def worker_unlisted(self, worker_id):
         """Note that a worker left the registry: it gets no new tasks, and its runs continue."""
@@ -220,6 +226,10 @@
     def _stop(self, run, now, why):
         if run.state == "stopping":
             return []
+        if run.state == "unknown":
+            # The stop is sent with the next report.
+            run.stopped_at = now if run.stopped_at is None else run.stopped_at
+            return []
         if run.state == "recording":
             self._drop_run(run, RunProof.NEVER_SENT, now)
             return []
