Dropped runs: a lapse that is listed later confirms that the lease was over

A worker that was unreachable for over a lease lists its runs as lapsed when it answers again. Each was logged as "run was not over" and counted in late_ends, which operators read as proof that a task may have run twice.

--- a/anvilflow/cell/tests/test_proof_review.py
+++ b/anvilflow/cell/tests/test_proof_review.py
@@ -1,6 +1,7 @@
 """Runs that no proof ends, and runs that are never over."""
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from ._helpers import JOB, STOP_S, cancel, find_runs_after_cancelling, make_cell, open_connections
 
@@ -43,3 +44,18 @@
     _list_with_wrong_start_time(cell, worker)
     cell.advance(6.0 + STOP_S)
     assert find_runs_after_cancelling(cell, acked_at) == []
+
+
+def test_lapse_that_a_worker_lists_later_confirms_the_proof():
+    """Guards against a warning that a run was not over although it had lapsed in time."""
+    cell = make_cell(n_instances=3, n_workers=3)
+    with LogRecorder().applicationbound() as log:
+        cell.submit(cell.other(), JOB, {"count": 1, "cpu": 4000}, spec="6.0 done 4000")
+        cell.advance(1.0)
+        worker_id = cell.spans[0].worker
+        cell.worker_faults[worker_id].silent = True
+        cell.advance(4.5)
+        cell.worker_faults[worker_id].clear()
+        cell.advance(3.0)
+    assert cell.spans[0].how == "lapsed"
+    assert [line.kwargs for line in log.records if line.message == "run was not over"] == []
--- a/anvilflow/jobs/_dropped_runs.py
+++ b/anvilflow/jobs/_dropped_runs.py
@@ -49,10 +49,14 @@
         self._note(key, proof)
 
     def end_listed(self, worker_id, end):
-        """Note the end of a run that is not tracked: it may have been dropped before."""
+        """Note the end of a run that is not tracked: it may have been dropped before.
+
+        A lapse confirms that the lease was over.
+        """
         key = (worker_id, end.task, end.run_id)
         proof = self._proofs.pop(key, None)
-        if proof is not None:
+        is_confirmed = proof is RunProof.LEASE_OVER and end.how == "lapsed"
+        if proof is not None and not is_confirmed:
             self._note(key, proof, late_end=end.how)
 
     def _note(self, key, proof, **values):
