Loss notes: a worker that has answered since is noted again when it is lost

A loss was noted once in the life of a worker's entry in the scheduler: a worker that counted as crashed, answered and was lost again was removed without a note, and its loss kept the outcome "unknown" instead of "gone".

--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -95,7 +95,7 @@
         self._confirm_worker(worker, now)
         if worker.unreachable:
             self.needs_full_plan = True
-        worker.unreachable = False
+        worker.unreachable = worker.is_loss_noted = False
         actions += pace_background_tasks(self, worker, now)
         return actions
 
