--- a/anvilflow/jobs/_dropped_runs.py
+++ b/anvilflow/jobs/_dropped_runs.py
@@ -22,8 +22,8 @@
 class NoteDroppedRun(Struct, kw_only=True):
     """Report that a run is taken for over without its end.
 
-    `late_end` is how the run ended by a worker's later report, empty until there is one: then the
-    `proof` was none.
+    `late_end` is how the run ended by a worker's later report, empty until there is one. Unless the
+    lease was over, the `proof` was none.
     """
 
     worker_id: str
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -379,8 +379,10 @@
         )
 
     def note_leaving(self, now):
-        """Note until when a draining worker stays, according to its registry entry."""
-        if self.info.draining and self.info.leaves_in_s is not None:
+        """Note until when a worker stays, according to its registry entry; None: for good."""
+        if not self.info.draining:
+            self.leaves_at = None
+        elif self.info.leaves_in_s is not None:
             leaves_at = now + self.info.leaves_in_s
             self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
 
--- a/anvilflow/jobs/tests/test_lease_lengths.py
+++ b/anvilflow/jobs/tests/test_lease_lengths.py
@@ -33,3 +33,13 @@
     worker.lease_sent(1.0, 3.0)
     worker.lease_sent(1.5, LEAVING_LEASE_S)
     assert worker.lease_over_at == lease_end(1.0, 3.0)
+
+
+def test_worker_that_does_not_leave_after_all_gets_full_leases_again():
+    """Guards against short leases for good after a withdrawn announcement."""
+    worker = Worker(info=make_worker_info(0, draining=True, leaves_in_s=1.0), lease_over_at=0.0)
+    worker.note_leaving(7.0)
+    worker.update_info(make_worker_info(0))
+    worker.note_leaving(8.0)
+    assert worker.next_lease_s(9.0, 3.0) == 3.0
+    assert not worker.is_leaving
