Soak: the next worker listens once the port of the former one is closed

Beside load of 16 on eight cores both timers were due in one iteration of the reactor, and the address stayed unserved (a soak test, CannotListenError).

--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -23,8 +23,8 @@
 #: Delay from the crash of a worker by a task to its restart. Unit: seconds.
 RESTART_DELAY_S = 2.0
 
-#: Time after which a port that is no longer listened on can be used again. Unit: seconds.
-PORT_RELEASE_S = 0.1
+#: Interval at which a port is checked that is being closed. Unit: seconds.
+PORT_POLL_S = 0.01
 
 _CALLER = b"x-caller"
 
@@ -190,6 +190,13 @@
         worker_slot.address = worker_slot.proxy.address
         worker_slot.port = worker_slot.proxy.port.getHost().port
 
+    def _listen_again(self, worker_slot):
+        """Accept connections if the former worker no longer does, once its port is closed."""
+        if worker_slot.proxy.is_closing:
+            self.reactor.callLater(PORT_POLL_S, self._listen_again, worker_slot)
+        elif worker_slot.proxy in self.closing_proxies:
+            self._listen(worker_slot)
+
     def start_worker(self, worker_slot, *, worker_id=None):
         """Start a worker in a slot, in place of any earlier one; return it.
 
@@ -211,8 +218,7 @@
             born_ms=round(1000 * time.time()),
         )
         worker_slot.worker = worker
-        if worker_slot.proxy in self.closing_proxies:
-            self._listen(worker_slot)
+        self._listen_again(worker_slot)
         worker.on_crash = lambda: self._worker_crashed(worker_slot, worker)
         self.workers[worker.worker_id] = worker
         self.advice.allowed.add(worker.worker_id)
@@ -238,7 +244,7 @@
         worker.is_leaving = True
         worker.remaining_s = departure.remaining_s
         self.register(worker)
-        replaced_after_s = departure.replaced_after_s or departure.ends_after_s + PORT_RELEASE_S
+        replaced_after_s = departure.replaced_after_s or departure.ends_after_s
         for after_s, act in (
             (departure.closes_after_s, self._stop_listening),
             (departure.unlisted_after_s, self._remove_entry),
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,5 +1,6 @@
 """Loopback proxy that injects faults: delays, resets, one-way partitions and silent connections."""
 
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Factory, Protocol
 
@@ -27,7 +28,8 @@
     back until :meth:`heal`, and `refuses` resets new connections. :meth:`silence` drops all further
     data of the connections that are open, while new ones work. While `is_powered_off`, the target
     has no power, and new connections are accepted but never answered. `refused_at` is the time at
-    which the target last refused a connection.
+    which the target last refused a connection. `is_closing` is set while its port is being
+    closed, which the reactor does in its next iteration.
     """
 
     def __init__(self, *, reactor, host, target, port=0):
@@ -37,6 +39,8 @@
         self.pairs = []
         self.is_powered_off = False
         self.refused_at = float("-inf")
+        self.is_closing = False
+        self._is_stopped = False
         self.link_by_direction = {
             True: SharedLink(reactor=reactor),
             False: SharedLink(reactor=reactor),
@@ -76,8 +80,12 @@
 
     def stop_listening(self):
         """Refuse new connections; those that are open work on."""
-        if self.port.connected:
-            self.port.stopListening()
+        if not self._is_stopped:
+            self._is_stopped = self.is_closing = True
+            maybeDeferred(self.port.stopListening).addBoth(self._closed)
+
+    def _closed(self, _):
+        self.is_closing = False
 
     def close(self):
         """Stop listening and abort all connections."""
--- a/soak/tests/test_leaving_workers.py
+++ b/soak/tests/test_leaving_workers.py
@@ -85,6 +85,15 @@
     ], done.stderr
 
 
+def test_next_worker_listens_even_if_the_port_is_not_closed_yet():
+    """Guards against a worker that cannot be reached: both timers were due in one iteration."""
+    script = _SCRIPT.replace("replaced_after_s=0.7", "replaced_after_s=0.2")
+    done = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, timeout=60
+    )
+    assert done.stdout.splitlines()[1:] == ["200 421", "200 421", "421 421"], done.stderr
+
+
 def test_departures_meet_other_faults_on_the_same_worker():
     """A departure alone does not show what a leader concludes from it beside another fault."""
     faults = make_departures(Random(3), n_faults=40, seconds=20.0)
