Jobs: registry entries and reports, and runs, have modules of their own

_worker.py had 469 lines, of three subjects: what workers register and report, runs with their ends, and the state of a worker with its leases. Moved without a change of code; the tests that use the moved names pass.

--- a/anvilflow/cell/tests/test_restarted_workers.py
+++ b/anvilflow/cell/tests/test_restarted_workers.py
@@ -8,7 +8,7 @@
 
 from anvilflow.cell import _fleet
 from anvilflow.exceptions import WorkerGoneError
-from anvilflow.jobs import Scheduler, _worker
+from anvilflow.jobs import Scheduler, _worker_info
 from anvilflow.platform import WorkerCalls, decode_worker
 from anvilflow.standins import PlatformWorker, WorkerCall
 from anvilflow.utils import encode
@@ -311,7 +311,7 @@
 ):
     """Guards against a second start of a task that a late start has run on the next incarnation."""
     if not safeguard:
-        monkeypatch.setattr(_worker, "MAX_ENDS_PER_REPORT", 10_000)
+        monkeypatch.setattr(_worker_info, "MAX_ENDS_PER_REPORT", 10_000)
     cell = make_cell(n_instances=2, n_workers=1)
     run_earlier_job(cell)
     workers = cell.daemons[cell.leader()].context.leader._scheduler.workers
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -22,8 +22,9 @@
 from ._scheduler import Scheduler
 from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._unanswered_starts import UnansweredStarts
-from ._worker import MAX_ENDS_PER_REPORT, RunEnd, RunReport, Worker, WorkerInfo, WorkerReport
+from ._worker import Worker
 from ._worker_id import make_worker_id
+from ._worker_info import MAX_ENDS_PER_REPORT, RunEnd, RunReport, WorkerInfo, WorkerReport
 from ._worker_speeds import services_with_speeds
 
 __all__ = [
--- a/anvilflow/jobs/_crash_tracker.py
+++ b/anvilflow/jobs/_crash_tracker.py
@@ -6,8 +6,9 @@
 from ._crash_history import LossOutcome
 from ._dropped_runs import RunProof
 from ._job import JobState, TaskState
+from ._run import OrphanRun
 from ._trial_tracker import TrialTracker
-from ._worker import OrphanRun, RunReport
+from ._worker_info import RunReport
 
 #: Workers lost within this time of each other are assumed to have a common cause. Unit: seconds.
 COMMON_CAUSE_S = 1.0
--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct, structs
 
-from ._worker import WorkerInfo
+from ._worker_info import WorkerInfo
 
 #: Time without an answer after which a worker is named as unreachable. An unanswered call is
 #: repeated at once, and if only the call was lost, the answer arrives in some 5 ms. If the leader
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -8,8 +8,8 @@
 from ._dropped_runs import RunProof
 from ._job import JobState, TaskState
 from ._pacing import pace_background_tasks
+from ._run import OrphanRun, PendingEnd
 from ._stalled_runs import note_duration
-from ._worker import OrphanRun, PendingEnd
 from ._worker_speeds import duration_factor, note_run, note_speeds
 
 #: Size of the range of run numbers that each leader may use for a task; the next leader's range
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -11,7 +11,8 @@
 from ._dropped_runs import DroppedRuns, RunProof
 from ._grace_period import GracePeriod
 from ._job import TaskState
-from ._worker import Run, Worker, lease_end
+from ._run import Run
+from ._worker import Worker, lease_end
 
 _NEVER = float("inf")
 
