--- a/anvilflow/cell/_session.py
+++ b/anvilflow/cell/_session.py
@@ -204,9 +204,10 @@
 
     def _change_address(self):
         """After a failure, alternate between the listed address and that of the last answer."""
-        is_listed = self.calls is self._listed_calls
-        self.calls = self._answered_calls if is_listed else self._listed_calls
-        self.calls = self.calls or self._listed_calls
+        if self.calls is self._listed_calls and self._answered_calls is not None:
+            self.calls = self._answered_calls
+        else:
+            self.calls = self._listed_calls
 
     def _track_round_trip(self, call, *, allowed_delay_s=0.0):
         """Record a call's round trip, less the allowed delay `allowed_delay_s`; return the call."""
