Logs: where the leader learned of a job, and reports that no leader confirmed

"job taken on" did not say whether a job came from the tables, the feed, a gateway's report or a submit, nor how old its row was against what the leader had read. A report answered "not home" left no line at all, and nothing showed how many jobs a gateway keeps for the next leader.

"job taken on" now has source, version and read_version, the version through which the leader has read the table of jobs. "job not confirmed" and "unconfirmed jobs reported" are new, and the gauge unconfirmed_jobs counts the list. No behaviour changes.

--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -295,6 +295,12 @@
     def _on_leader_notified(self, reply, job_id):
         if reply.outcome == "ok":
             self._unconfirmed_jobs.pop(job_id, None)
+        else:
+            self.log.info("job not confirmed", job=job_id, outcome=reply.outcome)
+        self._count_unconfirmed_jobs()
+
+    def _count_unconfirmed_jobs(self):
+        self.context.meters.set_gauge("unconfirmed_jobs", len(self._unconfirmed_jobs))
 
     def _notify_new_leader(self):
         """Report to a new leader the jobs that the former leader has not confirmed.
@@ -302,12 +308,15 @@
         The leader also finds them in the feed of the jobs table, but up to a second later.
         """
         unconfirmed_jobs, self._unconfirmed_jobs = self._unconfirmed_jobs, {}
+        if unconfirmed_jobs:
+            self.log.info("unconfirmed jobs reported", n_jobs=len(unconfirmed_jobs))
         for value, version in unconfirmed_jobs.values():
             self._notify_leader(value, version)
 
     def _on_notify_failed(self, failure, job_id):
         failure.trap(AnvilflowError)
         self.log.info("home not told", job=job_id, error=str(failure.value))
+        self._count_unconfirmed_jobs()
 
     @inlineCallbacks
     def _submit_at_leader(self, value):
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -1,5 +1,7 @@
 """Intake of stored and newly accepted jobs by the leader."""
 
+from enum import StrEnum
+
 from ..exceptions import PlatformError
 from ..jobs import EndedJob, JobRecord, JobState
 from ..utils import decode
@@ -10,6 +12,15 @@
 MAX_LEFTOVER_S = 15.0
 
 
+class JobSource(StrEnum):
+    """How the leader learned of a job."""
+
+    TABLES = "tables"
+    FEED = "feed"
+    REPORT = "report"
+    SUBMIT = "submit"
+
+
 class JobIntake:
     """Passes accepted jobs and cancel marks to the scheduler.
 
@@ -30,6 +41,7 @@
         self.garbage_collector = garbage_collector
         self.relay_dispatcher = relay_dispatcher
         self._version = 0
+        self._read_version = 0
         self._unreadable_job_ids = set()
 
     @property
@@ -37,8 +49,12 @@
         """Newest version of the jobs table that this leader has seen."""
         return self._version
 
-    def advance_version(self, version):
-        """Note that the jobs table is known up to `version`."""
+    def table_read(self, version):
+        """Note that the jobs table has been read through `version`."""
+        self._read_version = max(self._read_version, version)
+        self._advance_version(version)
+
+    def _advance_version(self, version):
         self._version = max(self._version, version)
 
     def _now(self):
@@ -51,7 +67,7 @@
         ----------
         state : StoredState
         """
-        self.advance_version(state.jobs_version)
+        self.table_read(state.jobs_version)
         progress = {row.key: self._decode_row(row, JobRecord) for row in state.progress}
         for row in state.ended:
             value = self._decode_row(row, EndedJob)
@@ -65,7 +81,7 @@
         marks = [row for row in state.jobs if row.key.endswith(CANCEL_MARK)]
         for row in state.jobs:
             if not row.key.endswith(CANCEL_MARK):
-                self._add_row(row, progress.get(row.key))
+                self._add_row(row, progress.get(row.key), JobSource.TABLES)
         return [action for row in marks for action in self.process_row(row)]
 
     def process_row(self, row):
@@ -73,7 +89,7 @@
         if row.value is None:
             return []
         if not row.key.endswith(CANCEL_MARK):
-            self._add_row(row, None)
+            self._add_row(row, None, JobSource.FEED)
             return []
         job_id = row.key.removesuffix(CANCEL_MARK)
         if job_id not in self.scheduler.jobs:
@@ -98,21 +114,21 @@
             return None
         return value
 
-    def _add_row(self, row, record):
+    def _add_row(self, row, record, source):
         if self.scheduler.has_job(row.key):
             # Most rows that a new leader reads belong to jobs that have ended.
-            self.advance_version(row.version)
+            self._advance_version(row.version)
             return
         is_unreadable = row.key in self._unreadable_job_ids
         value = None if is_unreadable else self._decode_row(row, JobRow)
         if value is None:
-            self.advance_version(row.version)
+            self._advance_version(row.version)
             return
-        self.add(value, row.version, record)
+        self.add(value, row.version, source=source, record=record)
 
-    def add(self, value, version, record=None):
+    def add(self, value, version, *, source, record=None):
         """Add a job to the scheduler, unless the scheduler has it already."""
-        self.advance_version(version)
+        self._advance_version(version)
         added = self.scheduler.add_job(
             value.spec,
             value.queue,
@@ -131,6 +147,8 @@
                 queue=value.queue.name,
                 account=value.owner,
                 version=version,
+                source=source,
+                read_version=self._read_version,
                 inherited=self.scheduler.jobs[value.spec.job_id].inherited,
                 tasks=sum(step.n_tasks for step in value.spec.steps),
             )
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -419,7 +419,7 @@
             follower.run(version).addErrback(self.fail_with)
 
     def _process_job_rows(self, rows, _, version, requested_at):
-        self._intake.advance_version(version)
+        self._intake.table_read(version)
         for row in rows:
             self.act(self._intake.process_row(row))
         self._scheduler.jobs_read(requested_at)
@@ -437,9 +437,9 @@
                 self._fleet.registry_entry_removed(registry_id)
         self.changed()
 
-    def add_job(self, value, version):
+    def add_job(self, value, version, source):
         """Add a job that a gateway has accepted."""
-        self._intake.add(value, version)
+        self._intake.add(value, version, source=source)
         self.changed()
 
     def serve(self, call):
--- a/anvilflow/cell/_leader_calls.py
+++ b/anvilflow/cell/_leader_calls.py
@@ -5,6 +5,7 @@
 from ..exceptions import JobIdTakenError, PlatformError, PlatformRefusedError
 from ..peers.gen.ttypes import JobReply
 from ..utils import decode
+from ._job_intake import JobSource
 from ._job_store import store_job
 from ._tables import JobRow
 
@@ -19,7 +20,7 @@
     scheduler : Scheduler
     recorder : Recorder
     leader : object
-        Offers ``add_job(value, version)``, ``act(actions)``, ``changed()`` and
+        Offers ``add_job(value, version, source)``, ``act(actions)``, ``changed()`` and
         ``is_store_unavailable``.
     """
 
@@ -43,7 +44,7 @@
         """Answer a :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
         match call.verb:
             case "accepted":
-                self.leader.add_job(decode(call.body, JobRow), call.version)
+                self.leader.add_job(decode(call.body, JobRow), call.version, JobSource.REPORT)
                 return succeed(_reply("ok"))
             case "state":
                 is_visible = self.scheduler.may_access(call.job_id, call.account)
@@ -93,7 +94,7 @@
         except PlatformError:
             return _reply("unsure")
         if version and not self.closed:
-            self.leader.add_job(value, version)
+            self.leader.add_job(value, version, JobSource.SUBMIT)
         return _reply("ok")
 
 
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -31,12 +31,16 @@
     "job's row not written in time": "the store answers, but had not written its row in time",
     "job handed to the home": "given to the home to store: {outcome}; in doubt before: {unsure}",
     "home not told": "the home did not hear of it at once: {error}",
+    "job not confirmed": "the home did not confirm that it knows of the job: {outcome}",
     "job refused": (
         "refused: {reason} would be short for {wait_s} s, and its objective of {objective_s} s "
         "allows a wait of {max_wait_s} s; the report was {report_age_s} s old; it may come again "
         "after {retry_after_s} s"
     ),
-    "job taken on": "the home knows of it; begun by an earlier home: {inherited}",
+    "job taken on": (
+        "the home knows of it, from {source}; begun by an earlier home: {inherited}; its row has "
+        "version {version}, and the table was read through {read_version}"
+    ),
     "job cancelled": "cancelled",
     "job cancelled by an entry": "cancelled through the store",
     "job cancelled without its home": "cancelled through the store; found: {found}",
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -67,6 +67,7 @@
     "account_use": "Largest share of its maximum that any account's runs occupy, at the home.",
     "slowest_kind_factor": "Duration of tasks on the slowest kind of worker; 1: the mean.",
     "capacity_wait_seconds": "Longest wait of a new job for free capacity, as last reported.",
+    "unconfirmed_jobs": "Jobs accepted by this instance that no leader has confirmed.",
     "config_proof_age_seconds": "Time since which the configuration may be outdated; -1: unknown.",
 }
 
