Leader: refuse a report of a job that is over and removed

Cause: the leader took every reported job that it did not know for one that it had not heard of yet. After status_s the rows of an ended job are removed and the leader forgets it, so that "not known" also means "over". The gateway's list of unconfirmed jobs only supplies such reports; a paused process, a lost answer or a reconnection supply them as well.

Change: a reported job that the leader does not know is over if the version of its row is not newer than the version through which the leader has read the table. Rows are removed only after the job's end is durable, so a row that was written before the read and is missing from it cannot be one of a live job. Between the removal of a row and the next read of the feed the leader keeps the version of the removal instead. A row that an outdated read brings after the removal is skipped by the same mark.

Weighed against it: a read of the row for each report of an unknown job. It costs one call to the store for each report, at a change of leader, when the store is asked for the tables, and delays the first start by that call. The version costs no call and no write.

--- a/anvilflow/cell/_garbage_collector.py
+++ b/anvilflow/cell/_garbage_collector.py
@@ -40,19 +40,23 @@
     Parameters
     ----------
     context : CellContext
+    on_rows_removed : callable
+        Called with the ids of jobs whose rows in the table of jobs have been removed, and with the
+        version of the transaction.
     on_removed : callable
-        Called with the id of each job whose rows have been removed.
+        Called with the id of each job whose rows have all been removed.
 
     Notes
     -----
     The job's row is removed before its final state: a job that has a row but no final state would
-    appear to be running. Once the row is removed, a late copy of the job would be accepted again.
-    For the same reason the leader keeps in memory that a job has ended until its row is removed;
-    otherwise it would adopt the job and run it again.
+    appear to be running. The leader keeps in memory that a job has ended until its row is removed;
+    otherwise it would adopt the job and run it again. After the removal it recognizes late reports
+    of the job by the version of the row, see :class:`JobIntake`.
     """
 
-    def __init__(self, *, context, on_removed):
+    def __init__(self, *, context, on_rows_removed, on_removed):
         self.context = context
+        self.on_rows_removed = on_rows_removed
         self.on_removed = on_removed
         self._ended = deque()
         self._jobs_to_shorten = {}
@@ -116,7 +120,8 @@
                 keys = [key for job_id in chunk for key in (job_id, job_id + CANCEL_MARK)]
                 rows = [write(JOBS, key, None, part=part) for key in keys]
                 rows += [write(PAYLOADS, job_id, None, part=part) for job_id in chunk]
-                yield self.context.store.commit([], rows)
+                version = yield self.context.store.commit([], rows)
+                self.on_rows_removed(chunk, version)
         for chunk in _chunks(job_ids):
             yield self.context.store.commit([], [write(ENDED, job_id, None) for job_id in chunk])
             for job_id in chunk:
--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -55,6 +55,9 @@
 #: others share one label value.
 _VERBS = frozenset({"POST", "GET", "DELETE"})
 
+#: The leader's outcomes for the report of an accepted job after which it is not reported again.
+_SETTLED_OUTCOMES = frozenset({"ok", "gone"})
+
 _STATE_NAMES = frozenset(map(str, JobState))
 
 #: Time without the store and without the leader after which the balancer's check fails, so that it
@@ -293,9 +296,9 @@
         done.addErrback(self._on_notify_failed, job_id)
 
     def _on_leader_notified(self, reply, job_id):
-        if reply.outcome == "ok":
+        if reply.outcome in _SETTLED_OUTCOMES:
             self._unconfirmed_jobs.pop(job_id, None)
-        else:
+        if reply.outcome != "ok":
             self.log.info("job not confirmed", job=job_id, outcome=reply.outcome)
         self._count_unconfirmed_jobs()
 
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -32,6 +32,14 @@
     garbage_collector : GarbageCollector
     relay_dispatcher : RelayDispatcher
         Is notified which gateway keeps the payload of each job.
+
+    Notes
+    -----
+    A gateway's report of an accepted job may arrive long after the job has ended and its rows were
+    removed. The store's versions tell such a report from news: rows are removed only after the
+    job's end is durable, and the leader knows every job whose row was in the table when it read
+    the table. Therefore a job that it does not know is over if the reported row is older than that
+    read.
     """
 
     def __init__(self, *, context, log, scheduler, garbage_collector, relay_dispatcher):
@@ -42,6 +50,7 @@
         self.relay_dispatcher = relay_dispatcher
         self._version = 0
         self._read_version = 0
+        self._removal_versions = {}
         self._unreadable_job_ids = set()
 
     @property
@@ -52,8 +61,17 @@
     def table_read(self, version):
         """Note that the jobs table has been read through `version`."""
         self._read_version = max(self._read_version, version)
+        self._removal_versions = {
+            job_id: removed_at
+            for job_id, removed_at in self._removal_versions.items()
+            if removed_at > self._read_version
+        }
         self._advance_version(version)
 
+    def rows_removed(self, job_ids, version):
+        """Note that the transaction `version` has removed the rows of these ended jobs."""
+        self._removal_versions.update(dict.fromkeys(job_ids, version))
+
     def _advance_version(self, version):
         self._version = max(self._version, version)
 
@@ -114,19 +132,50 @@
             return None
         return value
 
+    def _is_removed(self, job_id, version):
+        """Whether a row of an unknown job has been removed since it was written at `version`."""
+        return version <= max(self._read_version, self._removal_versions.get(job_id, 0))
+
+    def add_reported(self, value, version, source):
+        """Add a job by a gateway's report or after a submit; return whether its row still exists.
+
+        Parameters
+        ----------
+        value : JobRow
+        version : int
+            Version that the store gave the job's row when it was written.
+        source : JobSource
+        """
+        job_id = value.spec.job_id
+        if not self.scheduler.has_job(job_id) and self._is_removed(job_id, version):
+            self.context.meters.count("late_reports")
+            self.log.info(
+                "report of a removed job",
+                job=job_id,
+                version=version,
+                source=source,
+                read_version=self._read_version,
+            )
+            return False
+        self._add(value, version, source)
+        return True
+
     def _add_row(self, row, record, source):
         if self.scheduler.has_job(row.key):
             # Most rows that a new leader reads belong to jobs that have ended.
             self._advance_version(row.version)
             return
+        if row.version <= self._removal_versions.get(row.key, 0):
+            # The read began before the row was removed.
+            return
         is_unreadable = row.key in self._unreadable_job_ids
         value = None if is_unreadable else self._decode_row(row, JobRow)
         if value is None:
             self._advance_version(row.version)
             return
-        self.add(value, row.version, source=source, record=record)
+        self._add(value, row.version, source, record)
 
-    def add(self, value, version, *, source, record=None):
+    def _add(self, value, version, source, record=None):
         """Add a job to the scheduler, unless the scheduler has it already."""
         self._advance_version(version)
         added = self.scheduler.add_job(
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -193,7 +193,9 @@
             context=self.context, log=self.log, token=claimed.token
         )
         self._garbage_collector = GarbageCollector(
-            context=self.context, on_removed=scheduler.drop_ended_job
+            context=self.context,
+            on_rows_removed=self._job_rows_removed,
+            on_removed=scheduler.drop_ended_job,
         )
         self._fleet = Fleet(
             context=self.context,
@@ -437,10 +439,15 @@
                 self._fleet.registry_entry_removed(registry_id)
         self.changed()
 
+    def _job_rows_removed(self, job_ids, version):
+        if self._intake is not None:
+            self._intake.rows_removed(job_ids, version)
+
     def add_job(self, value, version, source):
-        """Add a job that a gateway has accepted."""
-        self._intake.add(value, version, source=source)
+        """Add a job that a gateway has accepted; return False if it is over and was removed."""
+        exists = self._intake.add_reported(value, version, source)
         self.changed()
+        return exists
 
     def serve(self, call):
         """Answer a gateway's :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
--- a/anvilflow/cell/_leader_calls.py
+++ b/anvilflow/cell/_leader_calls.py
@@ -44,8 +44,9 @@
         """Answer a :class:`JobCall`; the Deferred fires with a :class:`JobReply`."""
         match call.verb:
             case "accepted":
-                self.leader.add_job(decode(call.body, JobRow), call.version, JobSource.REPORT)
-                return succeed(_reply("ok"))
+                value = decode(call.body, JobRow)
+                exists = self.leader.add_job(value, call.version, JobSource.REPORT)
+                return succeed(_reply("ok" if exists else "gone"))
             case "state":
                 is_visible = self.scheduler.may_access(call.job_id, call.account)
                 state = self.scheduler.state_of(call.job_id) if is_visible else None
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -41,6 +41,10 @@
         "the home knows of it, from {source}; begun by an earlier home: {inherited}; its row has "
         "version {version}, and the table was read through {read_version}"
     ),
+    "report of a removed job": (
+        "the home refused a late report, as the job is over: its row had version {version}, and "
+        "the table was read through {read_version}"
+    ),
     "job cancelled": "cancelled",
     "job cancelled by an entry": "cancelled through the store",
     "job cancelled without its home": "cancelled through the store; found: {found}",
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -39,6 +39,7 @@
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "unproven_refusals": ("Calls refused as their API keys could not be checked.", ()),
     "refusals": ("Jobs refused as they would be done too late, by what is short.", ("reason",)),
+    "late_reports": ("Reports of accepted jobs that are over and removed, at the home.", ()),
     "store_calls": ("Calls to the store, by kind and table.", ("kind", "table")),
 }
 
