Messages: the schema compiles again

"make thrift" failed: "service" is a reserved word of the schema language, and the field CapacityWait.service had been added without it. The field is called service_name now; names of fields are not sent, so that messages are the same.

--- a/anvilflow/cell/_backlog_message.py
+++ b/anvilflow/cell/_backlog_message.py
@@ -54,7 +54,7 @@
 
 def _write_wait(wait):
     return CapacityWait(
-        service=wait.service,
+        service_name=wait.service,
         priority=wait.priority,
         wait_ms=_bounded(1000 * wait.wait_s, MAX_WAIT_MS),
         guaranteed_ms=_bounded(1000 * wait.guaranteed_wait_s, MAX_WAIT_MS),
@@ -114,7 +114,7 @@
 
 def _is_plausible(wait):
     return (
-        bool(wait.service)
+        bool(wait.service_name)
         and wait.priority is not None
         and abs(wait.priority) <= MAX_PRIORITY
         and _is_within(wait.wait_ms, MAX_WAIT_MS)
@@ -127,7 +127,7 @@
 
 def _read_wait(wait):
     return QueueWait(
-        service=wait.service,
+        service=wait.service_name,
         priority=wait.priority,
         wait_s=wait.wait_ms / 1000,
         guaranteed_wait_s=wait.guaranteed_ms / 1000,
--- a/anvilflow/cell/tests/test_backlog_message.py
+++ b/anvilflow/cell/tests/test_backlog_message.py
@@ -113,8 +113,8 @@
         ("inflow_permille", 2**31 - 1),
         ("objective_ms", -1),
         ("priority", None),
-        ("service", None),
-        ("service", ""),
+        ("service_name", None),
+        ("service_name", ""),
     ],
 )
 def test_wait_that_cannot_be_true_is_left_out(field, value):
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -1777,7 +1777,7 @@
 class CapacityWait(object):
     """
     Attributes:
-     - service
+     - service_name
      - priority
      - wait_ms
      - guaranteed_ms
@@ -1788,7 +1788,7 @@
     """
 
     __slots__ = (
-        'service',
+        'service_name',
         'priority',
         'wait_ms',
         'guaranteed_ms',
@@ -1798,8 +1798,8 @@
     )
 
 
-    def __init__(self, service=None, priority=None, wait_ms=None, guaranteed_ms=None, rate_milli=None, inflow_permille=None, objective_ms=None,):
-        self.service = service
+    def __init__(self, service_name=None, priority=None, wait_ms=None, guaranteed_ms=None, rate_milli=None, inflow_permille=None, objective_ms=None,):
+        self.service_name = service_name
         self.priority = priority
         self.wait_ms = wait_ms
         self.guaranteed_ms = guaranteed_ms
@@ -1818,7 +1818,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1861,9 +1861,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('CapacityWait')
-        if self.service is not None:
-            oprot.writeFieldBegin('service', TType.STRING, 1)
-            oprot.writeString(self.service.encode('utf-8') if sys.version_info[0] == 2 else self.service)
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.priority is not None:
             oprot.writeFieldBegin('priority', TType.I32, 2)
@@ -2060,32 +2060,32 @@
             elif fid == 12:
                 if ftype == TType.MAP:
                     self.unanswered_starts = {}
-                    (_ktype53, _vtype54, _size52) = iprot.readMapBegin()
-                    for _i56 in range(_size52):
-                        _key57 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val58 = iprot.readI32()
-                        self.unanswered_starts[_key57] = _val58
+                    (_ktype48, _vtype49, _size47) = iprot.readMapBegin()
+                    for _i51 in range(_size47):
+                        _key52 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val53 = iprot.readI32()
+                        self.unanswered_starts[_key52] = _val53
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.capacity_waits = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = CapacityWait()
-                        _elem66.read(iprot)
-                        self.capacity_waits.append(_elem66)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = CapacityWait()
+                        _elem59.read(iprot)
+                        self.capacity_waits.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.excess_accounts = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excess_accounts.append(_elem72)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excess_accounts.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2119,15 +2119,15 @@
         if self.successors is not None:
             oprot.writeFieldBegin('successors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.successors))
-            for iter47 in self.successors:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter66 in self.successors:
+                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter48 in self.addresses:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter67 in self.addresses:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lag_ms is not None:
@@ -2137,9 +2137,9 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting))
-            for kiter49, viter50 in self.waiting.items():
-                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
-                oprot.writeI32(viter50)
+            for kiter68, viter69 in self.waiting.items():
+                oprot.writeString(kiter68.encode('utf-8') if sys.version_info[0] == 2 else kiter68)
+                oprot.writeI32(viter69)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.jobs_version is not None:
@@ -2149,9 +2149,9 @@
         if self.start_waits is not None:
             oprot.writeFieldBegin('start_waits', TType.MAP, 9)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.start_waits))
-            for kiter51, viter52 in self.start_waits.items():
-                oprot.writeI32(kiter51)
-                oprot.writeI32(viter52)
+            for kiter70, viter71 in self.start_waits.items():
+                oprot.writeI32(kiter70)
+                oprot.writeI32(viter71)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.carried is not None:
@@ -2165,23 +2165,23 @@
         if self.unanswered_starts is not None:
             oprot.writeFieldBegin('unanswered_starts', TType.MAP, 12)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.unanswered_starts))
-            for kiter59, viter60 in self.unanswered_starts.items():
-                oprot.writeString(kiter59.encode('utf-8') if sys.version_info[0] == 2 else kiter59)
-                oprot.writeI32(viter60)
+            for kiter72, viter73 in self.unanswered_starts.items():
+                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
+                oprot.writeI32(viter73)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.capacity_waits is not None:
             oprot.writeFieldBegin('capacity_waits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.capacity_waits))
-            for iter73 in self.capacity_waits:
-                iter73.write(oprot)
+            for iter74 in self.capacity_waits:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.excess_accounts is not None:
             oprot.writeFieldBegin('excess_accounts', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.excess_accounts))
-            for iter74 in self.excess_accounts:
-                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
+            for iter75 in self.excess_accounts:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_instances is not None:
@@ -2488,10 +2488,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem58)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2516,8 +2516,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter59 in self.workers:
-                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
+            for iter82 in self.workers:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2589,20 +2589,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem65)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tickets.append(_elem71)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tickets.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2633,15 +2633,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter72 in self.workers:
-                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
+            for iter95 in self.workers:
+                oprot.writeString(iter95.encode('utf-8') if sys.version_info[0] == 2 else iter95)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.tickets))
-            for iter73 in self.tickets:
-                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
+            for iter96 in self.tickets:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_s is not None:
@@ -3234,22 +3234,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.active = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = ActiveRun()
-                        _elem79.read(iprot)
-                        self.active.append(_elem79)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = ActiveRun()
+                        _elem102.read(iprot)
+                        self.active.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = ListedEnd()
-                        _elem85.read(iprot)
-                        self.ended.append(_elem85)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = ListedEnd()
+                        _elem108.read(iprot)
+                        self.ended.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3287,15 +3287,15 @@
         if self.active is not None:
             oprot.writeFieldBegin('active', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.active))
-            for iter86 in self.active:
-                iter86.write(oprot)
+            for iter109 in self.active:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter87 in self.ended:
-                iter87.write(oprot)
+            for iter110 in self.ended:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.born_ms is not None:
@@ -3696,11 +3696,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = Message()
-                        _elem93.read(iprot)
-                        self.messages.append(_elem93)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = Message()
+                        _elem116.read(iprot)
+                        self.messages.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3717,8 +3717,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter94 in self.messages:
-                iter94.write(oprot)
+            for iter117 in self.messages:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3880,7 +3880,7 @@
 all_structs.append(CapacityWait)
 CapacityWait.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'service', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'priority', None, None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
     (4, TType.I32, 'guaranteed_ms', None, None, ),  # 4
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -123,7 +123,7 @@
 
 // How long a new job of a service and priority waits for free capacity.
 struct CapacityWait {
-  1: string service,
+  1: string service_name,
   2: i32 priority,
   3: i32 wait_ms,
   // The same without the jobs beyond the guaranteed rates of their accounts.
