Gateway: keep a job for the next leader only until its row has been read

A gateway kept every job whose report was refused by a loading leader, timed out, or found no leader, without bound, and sent all of them at each later change of leader or reconnection. Reports that a loading leader refused were not repeated when it began to lead: the job waited for the feed.

Cause: only the leader's confirmation ended an entry, and only a new connection to a leader repeated a report.

Change: the leader's heartbeats carry the version through which it has read the table of jobs. A gateway drops the jobs with rows up to it, since the leader has read them, and repeats reports that no leader has taken. An instance that leads hears of its own reads in the same way; it no longer drops its list when it claims, as it may accept jobs after it has read the table.

The list has a module of its own, cell/_unconfirmed_jobs.py.

Tests: three in test_late_reports.py; the first two fail with the mechanism switched off, the third without the limit.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -48,6 +48,12 @@
     former: object = None
 
 
+class JobsRead(Struct, kw_only=True):
+    """Event: the leader, this instance or another, has read the jobs table through `version`."""
+
+    version: int
+
+
 class Deposed(Struct, kw_only=True):
     """Event: another instance has become the leader in place of this one."""
 
--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -23,10 +23,11 @@
 from ..utils import encode
 from ._access import authorize, refuse_if_above_maximum
 from ._admission_request import make_request, refuse_if_late
-from ._context import Claimed, LeaderChanged
+from ._context import JobsRead, LeaderChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job_with_read_back
 from ._recorder import answer_timeout
 from ._tables import MAX_ROW_BYTES, JobRow, without_payload
+from ._unconfirmed_jobs import UnconfirmedJobs
 
 #: Timeout of a call to the leader, after which the store is read instead. The leader answers within
 #: a few milliseconds unless it is just being replaced. Unit: seconds.
@@ -55,9 +56,6 @@
 #: others share one label value.
 _VERBS = frozenset({"POST", "GET", "DELETE"})
 
-#: The leader's outcomes for the report of an accepted job after which it is not reported again.
-_SETTLED_OUTCOMES = frozenset({"ok", "gone"})
-
 _STATE_NAMES = frozenset(map(str, JobState))
 
 #: Time without the store and without the leader after which the balancer's check fails, so that it
@@ -87,7 +85,7 @@
     def __init__(self, *, context):
         super().__init__(context=context)
         self._final_states = OrderedDict()
-        self._unconfirmed_jobs = {}
+        self._unconfirmed_jobs = UnconfirmedJobs(context=context, log=self.log)
         self.front = None
         self._front_port = None
 
@@ -120,9 +118,8 @@
         ready.log = lambda request: None
         self._listen(listen.ready, ready)
         self._front_port = self._listen(listen.front, front)
-        self.on(LeaderChanged, lambda *_: self._notify_new_leader())
-        # As the new leader, this instance reads the rows of all jobs: nothing has to be reported.
-        self.on(Claimed, lambda *_: self._unconfirmed_jobs.clear())
+        self.on(LeaderChanged, lambda *_: self._unconfirmed_jobs.report_all())
+        self.on(JobsRead, lambda _, read: self._unconfirmed_jobs.table_read(read.version))
         self.log.info("listening to clients", address=listen.front)
 
     def _listen(self, address, site):
@@ -247,7 +244,7 @@
                     if gateway:
                         self.context.payloads.keep(job_id, spec.payload)
                         value = without_payload(value)
-                    self._notify_leader(value, version)
+                    self._unconfirmed_jobs.add(value, version)
                 return
         outcome = yield self._submit_at_leader(value)
         self.log.info("job handed to the home", job=job_id, outcome=outcome, unsure=in_doubt)
@@ -281,46 +278,6 @@
         wait = self.context.store_health.failing_for_s * RETRY_AFTER_SHARE
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
 
-    def _notify_leader(self, value, version):
-        job_id = value.spec.job_id
-        self._unconfirmed_jobs[job_id] = (value, version)
-        done = self.context.links.call_leader(
-            LEADER_TIMEOUT_S,
-            verb="accepted",
-            job_id=job_id,
-            queue=value.queue.name,
-            version=version,
-            body=encode(value),
-        )
-        done.addCallback(self._on_leader_notified, job_id)
-        done.addErrback(self._on_notify_failed, job_id)
-
-    def _on_leader_notified(self, reply, job_id):
-        if reply.outcome in _SETTLED_OUTCOMES:
-            self._unconfirmed_jobs.pop(job_id, None)
-        if reply.outcome != "ok":
-            self.log.info("job not confirmed", job=job_id, outcome=reply.outcome)
-        self._count_unconfirmed_jobs()
-
-    def _count_unconfirmed_jobs(self):
-        self.context.meters.set_gauge("unconfirmed_jobs", len(self._unconfirmed_jobs))
-
-    def _notify_new_leader(self):
-        """Report to a new leader the jobs that the former leader has not confirmed.
-
-        The leader also finds them in the feed of the jobs table, but up to a second later.
-        """
-        unconfirmed_jobs, self._unconfirmed_jobs = self._unconfirmed_jobs, {}
-        if unconfirmed_jobs:
-            self.log.info("unconfirmed jobs reported", n_jobs=len(unconfirmed_jobs))
-        for value, version in unconfirmed_jobs.values():
-            self._notify_leader(value, version)
-
-    def _on_notify_failed(self, failure, job_id):
-        failure.trap(AnvilflowError)
-        self.log.info("home not told", job=job_id, error=str(failure.value))
-        self._count_unconfirmed_jobs()
-
     @inlineCallbacks
     def _submit_at_leader(self, value):
         """Have the leader store a job; return ok, refused (certainly not stored) or unsure."""
--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -58,6 +58,11 @@
         """Newest version of the jobs table that this leader has seen."""
         return self._version
 
+    @property
+    def read_version(self):
+        """Version through which this leader has read the jobs table."""
+        return self._read_version
+
     def table_read(self, version):
         """Note that the jobs table has been read through `version`."""
         self._read_version = max(self._read_version, version)
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -20,7 +20,7 @@
 from ..runtime import Part
 from ..utils import jitter, to_builtins
 from ._advice_dispatcher import AdviceDispatcher
-from ._context import LAG_PERIOD_S, Claimed, ConfigChanged, Deposed, Leaving
+from ._context import LAG_PERIOD_S, Claimed, ConfigChanged, Deposed, JobsRead, Leaving
 from ._fleet import Fleet
 from ._follower import TableFollower
 from ._garbage_collector import SWEEP_S, GarbageCollector
@@ -249,6 +249,7 @@
             workers=len(state.workers),
         )
         self._leader_heartbeat.send_heartbeat()
+        self.post(JobsRead(version=self.jobs_read_version))
         self._recorder.run().addErrback(self.fail_with)
         self._follow_all(state.jobs_version, state.workers_version)
 
@@ -330,6 +331,11 @@
         """Return the counts of pending jobs by queue, for the other instances."""
         return PendingCounts(counts=self._scheduler.n_waiting(), version=self._intake.version)
 
+    @property
+    def jobs_read_version(self):
+        """Version through which this leader has read the jobs table."""
+        return self._intake.read_version
+
     def start_delays(self):
         """Return the expected start delays of new jobs by queue priority. Unit: seconds."""
         scheduler = self._scheduler
@@ -425,6 +431,7 @@
         for row in rows:
             self.act(self._intake.process_row(row))
         self._scheduler.jobs_read(requested_at)
+        self.post(JobsRead(version=self.jobs_read_version))
         self._fleet.resume_renewals()
         self._recorder.trigger()
         self.changed()
--- a/anvilflow/cell/_leader_heartbeat.py
+++ b/anvilflow/cell/_leader_heartbeat.py
@@ -19,7 +19,8 @@
     log : Logger
     leader : object
         Offers ``measure_load()``, ``term``, ``is_loading``, ``has_failed_loading``,
-        ``is_store_unavailable``, ``loaded_at``, ``pending_counts()`` and ``backlog()``.
+        ``is_store_unavailable``, ``loaded_at``, ``jobs_read_version``, ``pending_counts()`` and
+        ``backlog()``.
     """
 
     def __init__(self, *, context, log, leader):
@@ -61,6 +62,7 @@
         write_report(heartbeat, report)
         heartbeat.waiting = pending_counts.counts
         heartbeat.jobs_version = pending_counts.version
+        heartbeat.jobs_read_version = self.leader.jobs_read_version
         self._full_heartbeat_at = self.context.clock.seconds()
         return heartbeat
 
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -8,7 +8,7 @@
 from ..runtime import Part
 from ..utils import decode, jitter
 from ._backlog_message import read_report
-from ._context import Claimed, Deposed, LeaderChanged
+from ._context import Claimed, Deposed, JobsRead, LeaderChanged
 from ._leader_eligibility import can_lead
 from ._links import DIAL_TIMEOUT_S, LeaderLinkLost
 from ._pending_jobs import PendingCounts
@@ -138,6 +138,8 @@
             )
             self.context.pending_job_counts.record_report(pending_counts)
             self._record_backlog(heartbeat)
+        if heartbeat.jobs_read_version is not None:
+            self.post(JobsRead(version=heartbeat.jobs_read_version))
         config = self.context.config
         if config is None or heartbeat.config_version > config.version:
             self.context.config_part.hint(heartbeat.config_version)
--- a/anvilflow/cell/tests/test_late_reports.py
+++ b/anvilflow/cell/tests/test_late_reports.py
@@ -4,10 +4,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from anvilflow.cell import Bounds
+from anvilflow.cell import Bounds, _unconfirmed_jobs
 from anvilflow.cell._garbage_collector import RETENTION_MARGIN_S, SWEEP_S
 from anvilflow.cell._job_intake import JobIntake
 from anvilflow.cell._tables import JOBS, job_part
+from anvilflow.cell._unconfirmed_jobs import UnconfirmedJobs
 from anvilflow.platform import REGISTRY_TABLE
 
 from ._helpers import JOB, cancel, make_cell
@@ -222,3 +223,48 @@
     _submit(cell, _last(cell))
     cell.advance(0.1)
     assert len(cell.spans) == STEP["count"]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_report_refused_by_a_loading_leader_is_repeated_once_it_leads(monkeypatch, safeguard):
+    """Guards against a wait for the feed: the leader read the table before the job was in it."""
+    if not safeguard:
+        monkeypatch.setattr(UnconfirmedJobs, "table_read", lambda self, version: None)
+    cell = _make_cell()
+    _delay_loading(cell)
+    for daemon in cell.daemons.values():
+        _silence_feed(daemon.context.store)
+    _kill_leader(cell)
+    cell.advance(LOAD_S / 2)
+    _submit(cell, _last(cell))
+    cell.advance(LOAD_S)
+    assert (len(cell.spans) == STEP["count"]) is safeguard
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_job_is_not_kept_for_the_next_leader_once_its_row_has_been_read(monkeypatch, safeguard):
+    """Guards against a list that grows beside a leader whose answers come too late."""
+    if not safeguard:
+        monkeypatch.setattr(UnconfirmedJobs, "table_read", lambda self, version: None)
+    cell = _make_cell()
+    gateway = _last(cell)
+    _submit_to_paused_leader(cell, gateway)
+    unconfirmed_jobs = cell.daemons[gateway].supervisor.part("entry")._unconfirmed_jobs
+    assert len(unconfirmed_jobs) == 1
+    cell.advance(2.0)
+    assert (len(unconfirmed_jobs) == 0) is safeguard
+
+
+def test_number_of_jobs_kept_for_the_next_leader_is_limited(monkeypatch):
+    """Guards against growth in memory while there is no leader."""
+    monkeypatch.setattr(_unconfirmed_jobs, "MAX_UNCONFIRMED_JOBS", 3)
+    cell = _make_cell()
+    gateway = _last(cell)
+    for name in list(cell.daemons):
+        if name != gateway:
+            cell.isolate(name)
+    for number in range(5):
+        cell.submit(gateway, f"{number:016x}", STEP, spec="0.3 done 1000")
+    cell.advance(0.2)
+    unconfirmed_jobs = cell.daemons[gateway].supervisor.part("entry")._unconfirmed_jobs
+    assert list(unconfirmed_jobs._jobs) == [f"{number:016x}" for number in range(2, 5)]
--- a/anvilflow/peers/gen/ttypes.py
+++ b/anvilflow/peers/gen/ttypes.py
@@ -1932,6 +1932,7 @@
      - capacity_waits
      - excess_accounts
      - n_instances
+     - jobs_read_version
 
     """
 
@@ -1951,10 +1952,11 @@
         'capacity_waits',
         'excess_accounts',
         'n_instances',
+        'jobs_read_version',
     )
 
 
-    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None, carried=None, sent_ms=None, unanswered_starts=None, capacity_waits=None, excess_accounts=None, n_instances=None,):
+    def __init__(self, term=None, config_version=None, yielding=None, successors=None, addresses=None, lag_ms=None, waiting=None, jobs_version=None, start_waits=None, carried=None, sent_ms=None, unanswered_starts=None, capacity_waits=None, excess_accounts=None, n_instances=None, jobs_read_version=None,):
         self.term = term
         self.config_version = config_version
         self.yielding = yielding
@@ -1970,6 +1972,7 @@
         self.capacity_waits = capacity_waits
         self.excess_accounts = excess_accounts
         self.n_instances = n_instances
+        self.jobs_read_version = jobs_read_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2094,6 +2097,11 @@
                     self.n_instances = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.jobs_read_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2188,6 +2196,10 @@
             oprot.writeFieldBegin('n_instances', TType.I32, 15)
             oprot.writeI32(self.n_instances)
             oprot.writeFieldEnd()
+        if self.jobs_read_version is not None:
+            oprot.writeFieldBegin('jobs_read_version', TType.I64, 16)
+            oprot.writeI64(self.jobs_read_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3906,6 +3918,7 @@
     (13, TType.LIST, 'capacity_waits', (TType.STRUCT, [CapacityWait, None], False), None, ),  # 13
     (14, TType.LIST, 'excess_accounts', (TType.STRING, 'UTF8', False), None, ),  # 14
     (15, TType.I32, 'n_instances', None, None, ),  # 15
+    (16, TType.I64, 'jobs_read_version', None, None, ),  # 16
 )
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
--- a/anvilflow/peers/messages.thrift
+++ b/anvilflow/peers/messages.thrift
@@ -166,6 +166,8 @@
   14: optional list<string> excess_accounts,
   // Instances that are connected to the home, itself included.
   15: optional i32 n_instances,
+  // Version through which the home has read the table of jobs, in beats that tell what waits.
+  16: optional i64 jobs_read_version,
 }
 
 // From an entry to the home: a job was accepted, or a client asks about one.
