--- /dev/null
+++ b/anvilflow/cell/_leader_row.py
@@ -0,0 +1,53 @@
+"""Content of the leader's row: what the next leader has to know of the workers."""
+
+from ..jobs import make_handover
+from ._tables import LeaderRow
+
+#: Most registry entries without a worker that the leader's row lists, some 2 kB of the row. After a
+#: change of an entry that is left out, a new leader waits 3.8 s for leases that no worker has.
+MAX_NAMELESS = 100
+
+
+def make_leader_row(*, context, scheduler, term):
+    """Return the leader's row as of now.
+
+    Parameters
+    ----------
+    context : CellContext
+    scheduler : Scheduler
+    term : int
+        Number of leaders so far, including this one.
+    """
+    now = context.clock.seconds()
+    handover = make_handover(scheduler, now)
+    grace_period = scheduler.grace_period
+    is_over = grace_period.is_over(now)
+    # While this leader may not know all workers of earlier leaders, the row gives registry
+    # version 0: the next leader must not assume that the registry's later history names them.
+    is_known = is_over or grace_period.is_known
+    missing = [] if is_over else sorted(grace_period.missing)
+    return LeaderRow(
+        holder=context.name,
+        incarnation=context.incarnation,
+        address=context.settings.listen.peers_address,
+        term=term,
+        handover=handover,
+        registry_version=scheduler.registry_version if is_known else 0,
+        n_workers=len(scheduler.current_workers()) + len(missing),
+        missing=sorted(_unlisted_ids(scheduler, handover).union(missing)),
+        nameless=sorted(scheduler.nameless)[:MAX_NAMELESS],
+        unanswered_starts=scheduler.unanswered_starts.handover(now),
+    )
+
+
+def _unlisted_ids(scheduler, handover):
+    """Return the ids of the workers outside the registry that the row does not describe.
+
+    The row describes a limited number of workers. The next leader waits for the others.
+    """
+    described = {worker.info.worker_id for worker in handover}
+    return {
+        worker.info.registry_id
+        for worker_id, worker in scheduler.workers.items()
+        if not worker.listed and worker_id not in described
+    }
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -4,9 +4,9 @@
 from twisted.internet.task import deferLater
 
 from ..exceptions import PlatformError, PlatformRefusedError, PreconditionError
-from ..jobs import make_handover
 from ..utils import decode, jitter
 from ._context import StoreHealth
+from ._leader_row import make_leader_row
 from ._pending_result import PendingResult
 from ._tables import (
     LEADER_KEY,
@@ -48,10 +48,6 @@
 #: was refused and repeated forever, so that nothing was recorded any more. Unit: bytes.
 BYTES_PER_COMMIT = 600_000
 
-#: Most registry entries without a worker that the leader's row lists, some 2 kB of the row. After a
-#: change of an entry that is left out, a new leader waits 3.8 s for leases that no worker has.
-MAX_NAMELESS = 100
-
 #: Remaining waits shorter than this count as over: the clock cannot distinguish them from zero.
 #: Unit: seconds.
 _CLOCK_TOLERANCE_S = 1e-4
@@ -190,33 +186,14 @@
         return snapshot
 
     def _make_row(self):
-        handover = make_handover(self.scheduler, self.context.clock.seconds())
-        nameless = sorted(self.scheduler.nameless)[:MAX_NAMELESS]
+        row = make_leader_row(context=self.context, scheduler=self.scheduler, term=self._term)
         # If an entry in `nameless` becomes that of a worker, the worker gets no task until a row
         # without the entry is durable.
-        self._handover = frozenset([worker.info.worker_id for worker in handover] + nameless)
-        for worker in handover:
-            self.scheduler.workers[worker.info.worker_id].in_handover = True
-        grace_period = self.scheduler.grace_period
-        is_over = grace_period.is_over(self.context.clock.seconds())
-        # While this leader may not know all workers of earlier leaders, the row gives registry
-        # version 0: the next leader must not assume that the registry's later history names them.
-        is_known = is_over or grace_period.is_known
-        missing = [] if is_over else sorted(grace_period.missing)
-        return LeaderRow(
-            holder=self.context.name,
-            incarnation=self.context.incarnation,
-            address=self.context.settings.listen.peers_address,
-            term=self._term,
-            handover=handover,
-            registry_version=self.scheduler.registry_version if is_known else 0,
-            n_workers=len(self.scheduler.current_workers()) + len(missing),
-            missing=sorted(_unlisted_ids(self.scheduler, handover).union(missing)),
-            nameless=nameless,
-            unanswered_starts=self.scheduler.unanswered_starts.handover(
-                self.context.clock.seconds()
-            ),
-        )
+        worker_ids = [worker.info.worker_id for worker in row.handover]
+        self._handover = frozenset(worker_ids + row.nameless)
+        for worker_id in worker_ids:
+            self.scheduler.workers[worker_id].in_handover = True
+        return row
 
     @inlineCallbacks
     def _commit_until_settled(self, conditions, writes, snapshot):
@@ -381,16 +358,3 @@
 def answer_timeout(answer_s):
     """Return how long to wait for a transaction's answer if the last took `answer_s`."""
     return min(MAX_ANSWER_TIMEOUT_S, max(MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_FACTOR * answer_s))
-
-
-def _unlisted_ids(scheduler, handover):
-    """Return the ids of the workers outside the registry that the row does not describe.
-
-    The row describes a limited number of workers. The next leader waits for the others.
-    """
-    described = {worker.info.worker_id for worker in handover}
-    return {
-        worker.info.registry_id
-        for worker_id, worker in scheduler.workers.items()
-        if not worker.listed and worker_id not in described
-    }
--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import succeed
 
-from anvilflow.cell import _fleet, _leader_state, _leadership, _recorder
+from anvilflow.cell import _fleet, _leader_row, _leader_state, _leadership
 from anvilflow.jobs import Scheduler, Worker, WorkerInfo, _handover
 from anvilflow.utils import encode
 
@@ -18,8 +18,8 @@
     handover in the leader's row it would start tasks elsewhere that still run.
     """
     if not safeguard:
-        monkeypatch.setattr(_recorder, "make_handover", lambda scheduler, now: [])
-        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
+        monkeypatch.setattr(_leader_row, "make_handover", lambda scheduler, now: [])
+        monkeypatch.setattr(_leader_row, "_unlisted_ids", lambda scheduler, handover: set())
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
     cell.advance(1.0)
@@ -38,7 +38,7 @@
     wait until the longest lease has ended, which takes 3.2 s.
     """
     if not safeguard:
-        monkeypatch.setattr(_recorder, "make_handover", lambda scheduler, now: [])
+        monkeypatch.setattr(_leader_row, "make_handover", lambda scheduler, now: [])
     cell = make_cell(n_instances=3, n_workers=4)
     cell.worker_faults["i-3"].silent = True
     cell.advance(1.0)
@@ -228,7 +228,7 @@
         worker.confirmed = worker.has_listed_all_ends = worker.unreachable = True
         worker.unreachable_since = 0.0
         worker.orphan_runs = {(f"{number:016x}.1000.10.{each}", 1001): None for each in range(30)}
-    handover = _recorder.make_handover(scheduler, 10.0)
+    handover = _leader_row.make_handover(scheduler, 10.0)
     assert len(handover) == 20
     assert len(encode(handover)) < 60_000
 
@@ -302,7 +302,7 @@
     """
     if not safeguard:
         monkeypatch.setattr(_handover, "_is_unlisted", _is_hidden_if_confirmed)
-        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
+        monkeypatch.setattr(_leader_row, "_unlisted_ids", lambda scheduler, handover: set())
     cell = make_cell(n_instances=4, n_workers=3)
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="30.0 done 1000")
     cell.advance(1.0)
--- a/anvilflow/cell/tests/test_handover_limits.py
+++ b/anvilflow/cell/tests/test_handover_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anvilflow.cell import _recorder
+from anvilflow.cell import _leader_row, _recorder
 from anvilflow.jobs import _handover
 
 from ._helpers import JOB, make_cell
@@ -38,7 +38,7 @@
     """
     monkeypatch.setattr(_handover, "MAX_HANDOVER_WORKERS", 0)
     if not safeguard:
-        monkeypatch.setattr(_recorder, "_unlisted_ids", lambda scheduler, handover: set())
+        monkeypatch.setattr(_leader_row, "_unlisted_ids", lambda scheduler, handover: set())
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit("a0", JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
     cell.advance(1.0)
