Recorder: remove final states in transactions fenced by the leader's row

Callers would have seen all tasks of a job that was done run again if its leader handed over, or was deposed, while it removed the job's rows and the store was slow.

The new leader read the job's row before and the table of final states after the removals, so that the job seemed not to have begun.

Change: the removal of final states is part of the leader's records, under the condition that the leader's row is as this leader last wrote it. After a claim no final state is removed by a former leader, so that a new leader finds the final state of each job's row that it reads, in whatever order, with any delay of any call, and in however many pages. Rows of jobs are still removed without a condition, before the final states; a new leader that misses one finds only the final state.

Weighed: reading the final states before the jobs (one more call in sequence at each change of leader: up to a second in a slow store), and a transaction over both parts (twice as long as others, for each part of the table).

Cost: a removal adds an entry to a transaction that is made anyway, 20 at most; the transactions that removed final states alone, one for 33 jobs, are gone. Nothing is added to a change of leader.

--- a/anvilflow/cell/_garbage_collector.py
+++ b/anvilflow/cell/_garbage_collector.py
@@ -7,7 +7,6 @@
 from ..exceptions import PlatformError, PreconditionError
 from ._tables import (
     CANCEL_MARK,
-    ENDED,
     JOBS,
     PAYLOADS,
     condition,
@@ -43,8 +42,8 @@
     on_rows_removed : callable
         Called with the ids of jobs whose rows in the table of jobs have been removed, and with the
         version of the transaction.
-    on_removed : callable
-        Called with the id of each job whose rows have all been removed.
+    remove_final_states : callable
+        Called with the ids of the same jobs; removes their final states, see `Recorder`.
 
     Notes
     -----
@@ -52,12 +51,16 @@
     appear to be running. The leader keeps in memory that a job has ended until its row is removed;
     otherwise it would adopt the job and run it again. After the removal it recognizes late reports
     of the job by the version of the row, see :class:`JobIntake`.
+
+    Rows of jobs are removed without a condition, also by a former leader that does not know of its
+    successor yet. The successor may have read such a row before. Therefore final states are removed
+    only as long as this instance is the leader: a new leader finds that of each row that it reads.
     """
 
-    def __init__(self, *, context, on_rows_removed, on_removed):
+    def __init__(self, *, context, on_rows_removed, remove_final_states):
         self.context = context
         self.on_rows_removed = on_rows_removed
-        self.on_removed = on_removed
+        self.remove_final_states = remove_final_states
         self._ended = deque()
         self._jobs_to_shorten = {}
 
@@ -122,10 +125,7 @@
                 rows += [write(PAYLOADS, job_id, None, part=part) for job_id in chunk]
                 version = yield self.context.store.commit([], rows)
                 self.on_rows_removed(chunk, version)
-        for chunk in _chunks(job_ids):
-            yield self.context.store.commit([], [write(ENDED, job_id, None) for job_id in chunk])
-            for job_id in chunk:
-                self.on_removed(job_id)
+        self.remove_final_states(job_ids)
 
 
 def _chunks(jobs):
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -192,11 +192,6 @@
         self._relay_dispatcher = RelayDispatcher(
             context=self.context, log=self.log, token=claimed.token
         )
-        self._garbage_collector = GarbageCollector(
-            context=self.context,
-            on_rows_removed=self._job_rows_removed,
-            on_removed=scheduler.drop_ended_job,
-        )
         self._fleet = Fleet(
             context=self.context,
             log=self.log,
@@ -210,9 +205,15 @@
             claimed=claimed,
             scheduler=scheduler,
             on_recorded=self._recorded,
+            on_removed=scheduler.drop_ended_job,
             on_deposed=self.deposed,
             on_confirmed=self._fleet.confirm,
         )
+        self._garbage_collector = GarbageCollector(
+            context=self.context,
+            on_rows_removed=self._job_rows_removed,
+            remove_final_states=self._recorder.remove_final_states,
+        )
         self._calls = LeaderCalls(
             context=self.context,
             log=self.log,
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -1,5 +1,9 @@
 """Durable records of the progress of jobs, many changes in one transaction."""
 
+from collections import deque
+from itertools import islice
+
+from msgspec import Struct
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -9,6 +13,7 @@
 from ._leader_row import make_leader_row
 from ._pending_result import PendingResult
 from ._tables import (
+    ENDED,
     LEADER_KEY,
     LEADER_TABLE,
     MAX_ROW_BYTES,
@@ -43,6 +48,11 @@
 #: second.
 JOBS_PER_COMMIT = 45
 
+#: Most final states of removed jobs in one transaction: few enough not to delay the records. With
+#: those of 45 jobs there is room for eight more entries. Unit: rows.
+REMOVALS_PER_COMMIT = 20
+MAX_ENTRIES = 100
+
 #: Largest total of the records in one transaction, unless a single record is larger. A call holds
 #: 1 MB; records are a third larger on the wire, and the leader's row has up to 64 kB. A larger call
 #: was refused and repeated forever, so that nothing was recorded any more. Unit: bytes.
@@ -72,6 +82,17 @@
 RETRY_DELAY_S = 0.15
 
 
+class _Batch(Struct, kw_only=True):
+    """Content of one transaction.
+
+    `records` are the jobs, each with its change number and writes. `removed_ids` are the jobs whose
+    final states it removes.
+    """
+
+    records: list
+    removed_ids: list[str]
+
+
 class Recorder:
     """Writes the records of jobs in transactions that are fenced by the leader's row.
 
@@ -86,6 +107,8 @@
     scheduler : Scheduler
     on_recorded : callable
         Called after each transaction with the jobs whose ends it has made durable.
+    on_removed : callable
+        Called with the id of each job whose final state has been removed.
     on_deposed : callable
         Called when the leader's row shows another leader.
     on_confirmed : callable
@@ -98,10 +121,13 @@
     leader that took this for an outage asked for a take-over again and again.
     """
 
-    def __init__(self, *, context, claimed, scheduler, on_recorded, on_deposed, on_confirmed):
+    def __init__(
+        self, *, context, claimed, scheduler, on_recorded, on_removed, on_deposed, on_confirmed
+    ):
         self.context = context
         self.scheduler = scheduler
         self.on_recorded = on_recorded
+        self.on_removed = on_removed
         self.on_deposed = on_deposed
         self.on_confirmed = on_confirmed
         self.stopped = False
@@ -110,6 +136,7 @@
         self._term = claimed.term
         self._handover = frozenset()
         self._progress_job_ids = set()
+        self._removable_ids = deque()
         self.own_store_health = StoreHealth(clock=context.clock)
         self._answer_timeout_s = answer_timeout(context.store_health.answer_s)
         self._wake = None
@@ -123,6 +150,10 @@
         """Note jobs that have a progress row, which must be removed when they end."""
         self._progress_job_ids.update(job_ids)
 
+    def remove_final_states(self, job_ids):
+        """Remove the final states of jobs with the next transactions."""
+        self._removable_ids.extend(job_ids)
+
     def close(self):
         """Stop writing."""
         self.stopped = True
@@ -167,23 +198,27 @@
 
     @inlineCallbacks
     def _commit(self, jobs):
-        snapshot = self._make_batch(jobs)
+        records = self._make_records(jobs)
         conditions = [condition(LEADER_TABLE, LEADER_KEY, self._row_version)]
         writes = [write(LEADER_TABLE, LEADER_KEY, self._make_row())]
-        writes += [item for _, _, items in snapshot for item in items]
-        yield self._commit_until_settled(conditions, writes, snapshot)
-
-    def _make_batch(self, jobs):
+        writes += [item for _, _, items in records for item in items]
+        n_removals = min(REMOVALS_PER_COMMIT, MAX_ENTRIES - len(conditions) - len(writes))
+        removed_ids = list(islice(self._removable_ids, n_removals))
+        writes += [write(ENDED, job_id, None) for job_id in removed_ids]
+        batch = _Batch(records=records, removed_ids=removed_ids)
+        yield self._commit_until_settled(conditions, writes, batch)
+
+    def _make_records(self, jobs):
         """Return the jobs that fit in one transaction, each with its change number and writes."""
-        snapshot = []
+        records = []
         n_bytes = 0
         for job in jobs:
             writes = self._writes(job)
             n_bytes += sum(len(item.value or b"") for item in writes)
-            if snapshot and n_bytes > BYTES_PER_COMMIT:
+            if records and n_bytes > BYTES_PER_COMMIT:
                 break
-            snapshot.append((job, job.change, writes))
-        return snapshot
+            records.append((job, job.change, writes))
+        return records
 
     def _make_row(self):
         row = make_leader_row(context=self.context, scheduler=self.scheduler, term=self._term)
@@ -196,7 +231,7 @@
         return row
 
     @inlineCallbacks
-    def _commit_until_settled(self, conditions, writes, snapshot):
+    def _commit_until_settled(self, conditions, writes, batch):
         """Repeat a transaction until its outcome is known.
 
         A transaction without an answer may have been committed. Repeated under the same condition
@@ -211,7 +246,7 @@
             writing = PendingResult(commit)
             row = yield self._wait_for_answer(writing)
             if row is not None:
-                self._leader_row_changed(row, snapshot, True)
+                self._leader_row_changed(row, batch, True)
                 return
             if not writing.is_known:
                 may_be_committed = True
@@ -222,14 +257,14 @@
                 self._store_answered()
                 rows = {(row.table, row.key): row for row in exc.details["rows"]}
                 self._leader_row_changed(
-                    rows.get((LEADER_TABLE, LEADER_KEY)), snapshot, may_be_committed
+                    rows.get((LEADER_TABLE, LEADER_KEY)), batch, may_be_committed
                 )
                 return
             except PlatformError as exc:
                 may_be_committed = may_be_committed or not isinstance(exc, PlatformRefusedError)
                 row = yield self._read_row()
                 if self._has_changed(row):
-                    self._leader_row_changed(row, snapshot, may_be_committed)
+                    self._leader_row_changed(row, batch, may_be_committed)
                     return
                 yield self._sleep(jitter(self.context.random_state, RETRY_DELAY_S))
                 continue
@@ -239,7 +274,7 @@
             self._answer_timeout_s = answer_timeout(answer_s)
             self.on_confirmed(began)
             self.scheduler.grace_period.row_written(version, began)
-            self._committed(snapshot, version)
+            self._committed(batch, version)
             return
 
     @inlineCallbacks
@@ -299,23 +334,26 @@
         self.own_store_health.record_answer()
         self.context.store_health.record_answer()
 
-    def _committed(self, snapshot, version):
+    def _committed(self, batch, version):
         self.n_commits += 1
         self._row_version = version
         self.scheduler.note_handover(self._handover)
         now = self.context.clock.seconds()
         ended = []
-        for job, change, _ in snapshot:
+        for job, change, _ in batch.records:
             if job.changed_at is not None:
                 self.context.meters.record_duration("record", now - job.changed_at)
             # If a job ended while the transaction was in flight, its end is not durable yet.
             if self.scheduler.recorded(job.job_id, change, now):
                 self._progress_job_ids.discard(job.job_id)
                 ended.append(job)
+        for job_id in batch.removed_ids:
+            self._removable_ids.popleft()
+            self.on_removed(job_id)
         if not self.stopped:
             self.on_recorded(ended)
 
-    def _leader_row_changed(self, leader_row, snapshot, may_be_committed):
+    def _leader_row_changed(self, leader_row, batch, may_be_committed):
         """Handle a changed leader's row: written by an earlier attempt or by another leader."""
         holder = None
         if leader_row is not None and leader_row.value:
@@ -324,7 +362,7 @@
             self.stopped = True
             self.on_deposed()
         elif may_be_committed:
-            self._committed(snapshot, leader_row.version)
+            self._committed(batch, leader_row.version)
         else:
             self._row_version = leader_row.version
 
