--- a/anvilflow/cell/tests/test_late_reports.py
+++ b/anvilflow/cell/tests/test_late_reports.py
@@ -268,3 +268,78 @@
     cell.advance(0.2)
     unconfirmed_jobs = cell.daemons[gateway].supervisor.part("entry")._unconfirmed_jobs
     assert list(unconfirmed_jobs._jobs) == [f"{number:016x}" for number in range(2, 5)]
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_row_that_an_outdated_read_of_the_feed_brings_is_skipped(monkeypatch, safeguard):
+    """Guards against an answer of the store that is processed after the row was removed."""
+    if not safeguard:
+        monkeypatch.setattr(JobIntake, "rows_removed", lambda self, job_ids, version: None)
+    cell = _make_cell()
+    release = _hold_feed(cell.daemons[cell.leader()].context.store, JOB)
+    _submit(cell, _last(cell))
+    n_runs = _await_removal(cell)
+    release()
+    cell.advance(1.0)
+    assert (len(cell.spans) == n_runs) is safeguard
+
+
+def _hold_feed(store, job_id):
+    """Hold back the answer with the row of a job; return what passes it on."""
+    follow = store.follow
+    held = []
+
+    def follow_until_held(table, version, **values):
+        done = follow(table, version, **values)
+        if table == JOBS:
+            done.addCallback(hold_if_found)
+        return done
+
+    def hold_if_found(answer):
+        rows, _ = answer
+        if not any(row.key == job_id for row in rows):
+            return answer
+        done = Deferred()
+        held.append((done, answer))
+        return done
+
+    def release():
+        [(done, answer)] = held
+        done.callback(answer)
+
+    store.follow = follow_until_held
+    return release
+
+
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_submit_at_the_leader_that_is_answered_after_the_removal_runs_nothing(
+    monkeypatch, safeguard
+):
+    """Guards against an answer of the store to the write of a row that has been removed since."""
+    if not safeguard:
+        monkeypatch.setattr(JobIntake, "_is_removed", lambda self, job_id, version: False)
+    cell = _make_cell()
+    gateway = _last(cell)
+    _delay_answer(cell.daemons[cell.leader()].context.store, cell.clock, REMOVAL_S + 1.0)
+    cell.store_faults.only = {gateway}
+    cell.store_faults.silent = True
+    cell.advance(2.0)
+    cell.submit(gateway, JOB, STEP, spec="0.3 done 1000")
+    cell.advance(REMOVAL_S)
+    n_runs = len(cell.spans)
+    assert n_runs == STEP["count"]
+    cell.advance(2.0)
+    assert (len(cell.spans) == n_runs) is safeguard
+
+
+def _delay_answer(store, clock, seconds):
+    """Delay the answer to the write of a job's row; the write itself takes effect at once."""
+    commit = store.commit
+
+    def commit_and_wait(conditions, writes, **values):
+        done = commit(conditions, writes, **values)
+        if writes[-1].table == JOBS and writes[-1].value is not None:
+            done.addCallback(lambda version: deferLater(clock, seconds, lambda: version))
+        return done
+
+    store.commit = commit_and_wait
