Tests: the drawn removals hand over while rows are removed

Now the first leader that removes rows hands over just then in some plays, and a slow store delays each kind of call by a time of its own; with one delay for all the claim waits behind the removal.

--- a/anvilflow/cell/tests/test_drawn_removals.py
+++ b/anvilflow/cell/tests/test_drawn_removals.py
@@ -7,6 +7,7 @@
 
 from anvilflow.cell import Bounds
 from anvilflow.cell._garbage_collector import RETENTION_MARGIN_S, SWEEP_S
+from anvilflow.cell._tables import JOBS, PART
 from anvilflow.standins import PlatformCell
 
 #: Groups of a fault and the jobs that are submitted beside it, and time within which these come.
@@ -15,8 +16,14 @@
 JOBS_PER_GROUP = 4
 GROUP_S = 0.7
 
-#: Share of the groups with a slow store.
+#: Share of the groups with a slow store, and least time for which it is slow. Unit of
+#: `SLOW_STORE_S`: seconds.
 SLOW_STORE_SHARE = 0.4
+SLOW_STORE_S = 2.0
+
+#: Share of the plays in which the first leader that removes rows hands over just then, in a slow
+#: store.
+HANDOVER_SHARE = 0.6
 
 NAMES = tuple(f"a{number}" for number in range(4))
 
@@ -36,7 +43,11 @@
 
 #: Durations of pauses and cuts, and of single calls to a slow store. Unit: seconds.
 FAULT_DURATIONS_S = (0.1, 0.3, 0.45, 0.55, 1.0, 2.0)
-CALL_DURATIONS_S = (0.02, 0.1, 0.3, 0.6, 1.0)
+CALL_DURATIONS_S = (0.02, 0.3, 1.0)
+
+#: Calls that a slow store delays, each for a time of its own: transactions, those on the parts of
+#: the table of jobs, and reads by table.
+SLOW_CALLS = ("commit", "commit jobs", "jobs", "ended", "progress", "servers", "home")
 
 #: Faults while jobs are submitted, and changes of leader later, with their weights.
 EARLY_FAULTS = {
@@ -77,6 +88,7 @@
         self.faults = []
         self.accepted = {}
         self.call_s = {}
+        self.hands_over = self.random_state.random() < HANDOVER_SHARE
         self.events = sorted(self._draw_events(), key=lambda event: event[0])
 
     def _draw_events(self):
@@ -161,10 +173,9 @@
                     link.abort()
             case "slow store":
                 self.call_s = {
-                    name: self.random_state.choice(CALL_DURATIONS_S)
-                    for name in ("jobs", "ended", "progress", "servers", "home")
+                    name: self.random_state.choice(CALL_DURATIONS_S) for name in SLOW_CALLS
                 }
-                cell.clock.callLater(for_s + 1.0, self.call_s.clear)
+                cell.clock.callLater(for_s + SLOW_STORE_S, self.call_s.clear)
 
     def _cut(self, here, there, for_s):
         self.cell.network.block(here, there)
@@ -181,23 +192,30 @@
         self._start_instance(name)
 
     def _delay_calls(self, name):
-        """Let the calls of an instance to the store take as long as `call_s` says, by table."""
+        """Let the calls of an instance to the store take as long as `call_s` says."""
         store, clock = self.cell.daemons[name].context.store, self.cell.clocks[name]
         commit, follow, read = store.commit, store.follow, store.read
 
-        def later(table, call):
-            return deferLater(clock, self.call_s.get(table, 0.0), call)
+        def later(kind, call):
+            return deferLater(clock, self.call_s.get(kind, 0.0), call)
 
-        store.commit = lambda conditions, writes, **values: later(
-            (writes or conditions)[-1].table, lambda: commit(conditions, writes, **values)
-        )
+        def commit_later(conditions, writes, **values):
+            is_removal = any(row.table == JOBS and row.value is None for row in writes)
+            if is_removal and self.hands_over:
+                self.hands_over = False
+                self._inject("slow store")
+                self._inject("drain leader")
+            kind = "commit jobs" if writes and writes[-1].part != PART else "commit"
+            return later(kind, lambda: commit(conditions, writes, **values))
+
+        store.commit = commit_later
         store.follow = lambda table, version, **values: later(
             table, lambda: follow(table, version, **values)
         )
         store.read = lambda table, part, **values: later(table, lambda: read(table, part, **values))
 
 
-@pytest.mark.parametrize("seed", [0, 13, 88, 111])
+@pytest.mark.parametrize("seed", [0, 4, 13, 51])
 def test_no_task_runs_again_after_the_rows_of_its_job_were_removed(seed):
     """Guards against messages and reads that outlast the rows which they speak of."""
     assert RemovalScenario(seed=seed).play() == []
