--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,16 +21,21 @@
 FOLDER = Path("out/soak")
 
 #: Command-line options of a seed in ``seeds.txt``, by the mode that follows its number.
-_OPTIONS = {"config": ("--config=True",), "series": ("--config=True", "--series=2")}
+_OPTIONS = {
+    "config": ("--config=True",),
+    "series": ("--config=True", "--series=2"),
+    "removals": ("--removals=True",),
+}
 
 
-def one(seed, folder=None, config=False, instances=5, series=0, pressure=False):
+def one(seed, folder=None, config=False, instances=5, series=0, pressure=False, removals=False):
     """Run one seed; exit with status 1 if an invariant was violated.
 
     With `config`, only faults that leave most instances undisturbed are injected, so that the
     configuration in force is checked more often. `series` is the number of additional faults that
     are repeated in quick succession. With `pressure`, the parts of the scheduler for more work than
-    capacity are in use.
+    capacity are in use. With `removals`, states are kept for a short time, and the leader changes
+    after the rows of all jobs are removed.
     """
     verdict = run_seed(
         seed,
@@ -39,6 +44,7 @@
         n_instances=instances,
         n_series=series,
         expects_pressure=pressure,
+        has_removals=removals,
     )
     print(
         f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs, "
@@ -49,7 +55,16 @@
     sys.exit(1 if verdict.broken else 0)
 
 
-def many(first=None, seeds=8, jobs=4, config=False, instances=5, series=0, pressure=False):
+def many(
+    first=None,
+    seeds=8,
+    jobs=4,
+    config=False,
+    instances=5,
+    series=0,
+    pressure=False,
+    removals=False,
+):
     """Run several seeds in parallel, by default from a random one; keep logs of failed ones."""
     first = random.SystemRandom().randrange(10**6) if first is None else first
     with ThreadPoolExecutor(max_workers=jobs) as pool:
@@ -58,6 +73,7 @@
             f"--instances={instances}",
             f"--series={series}",
             f"--pressure={pressure}",
+            f"--removals={removals}",
         ]
         results = list(pool.map(lambda seed: _play(seed, *options), range(first, first + seeds)))
     bad = [seed for seed, is_good in results if not is_good]
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -34,7 +34,8 @@
 
     `how` is the outcome of the job's tasks, `shown` the last state that a call returned. `in_doubt`
     is set when a submit may have been accepted without an acknowledgement. `cancelled` is set
-    before the cancellation is sent, `cancelled_at` is when it was acknowledged.
+    before the cancellation is sent, `cancelled_at` is when it was acknowledged. `ended_at` is when
+    a final state was first shown.
     """
 
     job_id: str
@@ -47,6 +48,7 @@
     cancelled: bool = False
     cancelled_at: float | None = None
     shown: str = ""
+    ended_at: float | None = None
 
 
 class Callers:
@@ -156,6 +158,8 @@
         status, value = yield self._send_to_random_instance(b"GET", call.path)
         if status == 200:
             before, call.shown = call.shown, value["state"]
+            if call.shown in END_STATES and call.ended_at is None:
+                call.ended_at = self._now()
             self.checker.state_shown(call, before)
             if call.shown == "completed":
                 self.acknowledged("completed")
@@ -163,10 +167,13 @@
             self.checker.job_not_found(call)
 
     @inlineCallbacks
-    def recheck_end_states(self):
-        """Poll every job shown in a final state once more: the state must not have changed."""
+    def recheck_end_states(self, *, kept_s=float("inf")):
+        """Poll every job shown in a final state once more: the state must not have changed.
+
+        `kept_s` is the time for which the states of ended jobs are kept. Unit: seconds.
+        """
         for call in self.calls:
-            if call.shown in END_STATES:
+            if call.shown in END_STATES and self._now() < call.ended_at + kept_s:
                 yield self._poll(call)
 
     def _send_to_random_instance(self, method, path, body=b""):
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -28,6 +28,8 @@
         Returns an address that is not in use.
     contracts : list of str, default=()
         Contracts in the settings of the instances.
+    bounds : dict, default=None
+        Bounds in the settings of the instances that are not the defaults.
     disturbances : DisturbanceTracker, default=None
         Records each start and each signal except SIGHUP, which does not disturb an instance.
     """
@@ -40,9 +42,11 @@
         n_instances,
         free_address,
         contracts=(),
+        bounds=None,
         disturbances=None,
     ):
         self.contracts = contracts
+        self.bounds = bounds
         self.environment = environment
         self.disturbances = disturbances
         self.folder = Path(folder)
@@ -82,6 +86,7 @@
             "store": proxies[f"{name} store"].address,
             "advice": proxies[f"{name} advice"].address,
             "contracts": list(self.contracts),
+            "bounds": self.bounds or {},
         }
         (self.folder / f"{name}.json").write_bytes(encode(settings))
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,6 +28,7 @@
 from ._final_phase import FinalPhase, FinalPhaseRunner, make_final_phase
 from ._instances import Instances
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
+from ._removal_phase import STATUS_KEPT_S, RemovalPhase
 
 #: Contract in force where clients may ask for more than the workers can run.
 PRESSURE_CONTRACT = "pressure"
@@ -78,6 +79,8 @@
         Number of additional faults that are repeated in quick succession.
     expects_pressure : bool, default=False
         Whether the parts of the scheduler for more work than capacity are in use.
+    has_removals : bool, default=False
+        Whether the soak ends with the removal of all jobs and changes of leader after it.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         only_config=False,
         n_series=0,
         expects_pressure=False,
+        has_removals=False,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -106,6 +110,7 @@
         self.only_config = only_config
         self.n_series = n_series
         self.expects_pressure = expects_pressure
+        self.has_removals = has_removals
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -123,6 +128,7 @@
             n_instances=self.n_instances,
             free_address=lambda: _free_address(host),
             contracts=[PRESSURE_CONTRACT] if self.expects_pressure else (),
+            bounds={"status_kept_s": STATUS_KEPT_S} if self.has_removals else None,
             disturbances=disturbances,
         )
         faults, later_random_state = self._draw_faults(rng)
@@ -227,7 +233,17 @@
         watch.stop()
         yield gatherResults(watching)
         yield final_phase_runner.check_config()
-        yield callers.recheck_end_states()
+        if self.has_removals:
+            yield callers.recheck_end_states(kept_s=STATUS_KEPT_S)
+            removal_phase = RemovalPhase(
+                reactor=self.reactor,
+                environment=environment,
+                instances=instances,
+                random_state=Random(f"{self.seed} removal"),
+            )
+            checker.violations += yield removal_phase.play()
+        else:
+            yield callers.recheck_end_states()
         broken = checker.finish(callers.calls)
         yield gatherResults(calls, consumeErrors=True)
         return Verdict(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -32,6 +32,11 @@
     _play(5, tmp_path, grows=False, expects_pressure=True, **_SHORT)
 
 
+def test_short_soak_that_outlasts_the_removal_of_rows_violates_no_invariant(tmp_path):
+    """Guards against jobs that run again at a change of leader after their rows were removed."""
+    _play(6, tmp_path, grows=False, has_removals=True, **_SHORT)
+
+
 def test_short_soak_with_a_growing_configuration_breaks_no_promise(tmp_path):
     """An instance lacks acknowledged routes, or has none after a restart.
 
