Leader: wait for a worker that registers while the registry is read

Cause: a new leader reads the registry, and then its changes since the former leader's version, to find the workers that left. A worker whose entry came back between the two was in neither result: not in the entries, as it was not back yet, and not missing, as its newest change was a live entry. All other workers answered, so that the leader took all runs for known and started the worker's tasks again. Standby tables were read in the same order.

Change: every worker whose entry has changed since counts as missing unless the leader has read its entry, whatever the newest change is. Its entry arrives with the next read of the feed, which ends the wait; the feed continues from the first of the two reads. A worker that registers for the first time just then is waited for as well, for one read of the feed. No call is added.

Tests: test_returning_workers.py, with and without standby tables; on the code before both fail (a task runs on two workers).

--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -105,20 +105,31 @@
 def _read_workers(store, former, config):
     workers, version = yield store.read(REGISTRY_TABLE, "")
     # Called after the read, so that a worker that leaves between the two is in one of the results.
-    missing = yield find_missing(store, former, config)
-    if missing is not None:
-        missing -= {row.key for row in workers if is_worker_entry(row, config)}
+    missing = yield find_missing(store, former, workers, config)
     return workers, version, missing
 
 
 @inlineCallbacks
-def find_missing(store, former, config=None):
-    """Return the ids of workers that left the registry after `former` was written, if known.
+def find_missing(store, former, entries, config=None):
+    """Return the ids of workers whose entries changed after `former` was written, if known.
+
+    Those that `entries` name are left out, and entries that the former leader knew to name no
+    worker.
 
     Registry entries lapse while the store is unavailable, and the leader that renews the workers'
     leases cannot record this. The tasks keep running, on workers that the next leader would not
     look for. An entry that another program has overwritten does not give its worker's address
-    either. Entries that the former leader knew to name no worker are left out.
+    either. An entry that is back, but was not when `entries` were read, counts as missing until it
+    is read.
+
+    Parameters
+    ----------
+    store : StoreClient
+    former : LeaderRow or None
+    entries : list of Row
+        The registry, as this leader has read it before.
+    config : CellConfig, default=None
+        As in :func:`read_state`.
     """
     if former is None:
         return frozenset()
@@ -128,13 +139,9 @@
         rows, _ = yield store.follow(REGISTRY_TABLE, former.registry_version, wait_s=0.0)
     except RevisionGoneError:
         return None
-    missing = set(former.missing)
-    for row in rows:
-        if is_worker_entry(row, config):
-            missing.discard(row.key)
-        else:
-            missing.add(row.key)
-    return frozenset(missing.difference(former.nameless))
+    found = {row.key for row in entries if is_worker_entry(row, config)}
+    changed = {*former.missing, *(row.key for row in rows)}
+    return frozenset(changed - found - set(former.nameless))
 
 
 def make_scheduler(context, claimed, missing):
--- a/anvilflow/cell/_standby_tables.py
+++ b/anvilflow/cell/_standby_tables.py
@@ -8,7 +8,6 @@
 from ._job_store import read_jobs
 from ._leader_eligibility import can_lead
 from ._leader_state import StoredState, find_missing, gather, max_concurrent_reads
-from ._registry import is_worker_entry
 from ._tables import ENDED, JOBS, PART, PROGRESS
 
 #: Number of successors that follow the tables: the next leader, and the one after it.
@@ -160,20 +159,19 @@
             return None
         try:
             yield self._catch_up()
-            missing = yield find_missing(self.context.store, former, config)
+            workers = list(self._tables[REGISTRY_TABLE].rows.values())
+            workers_version = self._tables[REGISTRY_TABLE].version
+            missing = yield find_missing(self.context.store, former, workers, config)
         except RevisionGoneError:
             self._tables = {}
             return None
         rows = {name: list(table.rows.values()) for name, table in self._tables.items()}
-        workers = rows[REGISTRY_TABLE]
-        if missing is not None:
-            missing -= {row.key for row in workers if is_worker_entry(row, config)}
         return StoredState(
             jobs=rows[JOBS],
             jobs_version=self._tables[JOBS].version,
             progress=rows[PROGRESS],
             ended=rows[ENDED],
             workers=workers,
-            workers_version=self._tables[REGISTRY_TABLE].version,
+            workers_version=workers_version,
             missing=missing,
         )
--- /dev/null
+++ b/anvilflow/cell/tests/test_returning_workers.py
@@ -0,0 +1,53 @@
+"""Tests that a worker whose entry comes back during a change of leader keeps its tasks."""
+
+import pytest
+from twisted.internet.task import deferLater
+
+from anvilflow.cell._standby_tables import StandbyTablesPart
+from anvilflow.platform import REGISTRY_TABLE
+
+from ._helpers import JOB, make_cell
+
+#: Delay of the reads of changes in a slow store. Unit: seconds.
+FEED_DELAY_S = 0.5
+
+
+@pytest.mark.parametrize("slow", [(), ("a0", "a1", "a2")])
+def test_worker_that_registers_between_two_reads_of_a_new_leader_is_waited_for(monkeypatch, slow):
+    """Guards against a second run of its tasks: the first read is before, the second after it.
+
+    The entry lapsed in an outage of the store, and the worker's tasks go on. Instances on slow
+    links have standby tables.
+    """
+    cell = make_cell(n_instances=3, n_workers=4, slow=slow)
+    cell.submit(cell.other(), JOB, {"count": 2, "cpu": 16000}, spec="4.0 done 16000")
+    cell.advance(1.0)
+    worker = cell.workers[cell.spans[0].worker]
+    cell.store.remove("servers", worker.worker_id)
+    former = cell.leader()
+    cell.kill(former)
+    monkeypatch.setattr(StandbyTablesPart, "_should_follow", lambda self: False)
+    for name in cell.daemons:
+        _register_after_read(cell, name, worker)
+    cell.advance(2.0)
+    assert cell.leader() != former
+    assert cell.store.value("servers", worker.worker_id) is not None
+    assert cell.check() == []
+
+
+def _register_after_read(cell, name, worker):
+    """Write a worker's entry after an instance that leads has read the registry; delay its feed."""
+    store = cell.daemons[name].context.store
+    follow = store.follow
+    former = cell.store.value("home", "home", part="cell")
+
+    def follow_late(table, version, *, wait_s, **values):
+        if table == REGISTRY_TABLE and wait_s:
+            return deferLater(
+                cell.clock, FEED_DELAY_S, follow, table, version, wait_s=wait_s, **values
+            )
+        if table == REGISTRY_TABLE and version == former["registry_version"]:
+            cell.store.put("servers", worker.worker_id, worker.entry())
+        return follow(table, version, wait_s=wait_s, **values)
+
+    store.follow = follow_late
