Benchmark of a change of leader under load

make bench-takeover plays the loss of a leader under 15 jobs a second in virtual time, with calls to the store of 0, 0.05 and 0.3 s, and the writes for each job from its acceptance to the removal of its rows.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-narrow bench-scheduler bench-hard-load days bench-decisions bench-path capacity fuzz idle processes reference lock thrift
+.PHONY: install demo test lint format ablation chaos soak soak-regressions bench-cell bench-takeover bench-narrow bench-scheduler bench-hard-load days bench-decisions bench-path capacity fuzz idle processes reference lock thrift
 
 install: $(STAMP)
 
@@ -58,6 +58,10 @@
 bench-cell: $(STAMP)
 	$(BIN)/python benchmarks/bench_cell.py
 
+# A change of leader under load, and the removal of ended jobs; takes a quarter of a minute.
+bench-takeover: $(STAMP)
+	$(BIN)/python benchmarks/bench_takeover.py
+
 # Equal small instances on slow links: starts per second, bytes and processor time of the leader, and
 # take-over times.
 bench-narrow: $(STAMP)
