--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -48,11 +48,12 @@
 #: second.
 JOBS_PER_COMMIT = 45
 
-#: Most final states of removed jobs in one transaction: few enough not to delay the records. With
-#: those of 45 jobs there is room for eight more entries. Unit: rows.
-REMOVALS_PER_COMMIT = 20
+#: Largest number of conditions and writes in one transaction, a limit of the platform.
 MAX_ENTRIES = 100
 
+#: Most final states of removed jobs in one transaction, so that they do not delay its records.
+REMOVALS_PER_COMMIT = 20
+
 #: Largest total of the records in one transaction, unless a single record is larger. A call holds
 #: 1 MB; records are a third larger on the wire, and the leader's row has up to 64 kB. A larger call
 #: was refused and repeated forever, so that nothing was recorded any more. Unit: bytes.
--- a/anvilflow/cell/tests/test_late_reports.py
+++ b/anvilflow/cell/tests/test_late_reports.py
@@ -29,8 +29,10 @@
 #: Pause after which another instance has become the leader. Unit: seconds.
 REPLACEMENT_S = 2.0
 
+#: Longest wait for a condition. Unit: seconds.
+LIMIT_S = 5.0
+
 STEP = {"count": 2, "cpu": 1000}
-TASK = f"{JOB}.0.0.0"
 
 
 def _make_cell():
@@ -58,12 +60,19 @@
         del daemon.context.store.read
 
 
+def _advance_until(cell, holds):
+    """Advance virtual time until a condition holds."""
+    until = cell.clock.seconds() + LIMIT_S
+    while not holds():
+        assert cell.clock.seconds() < until
+        cell.advance(0.005)
+
+
 def _kill_leader(cell):
     """Kill the leader, and return once another instance has claimed."""
     former = cell.leader()
     cell.kill(former)
-    while cell.leader() == former:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: cell.leader() != former)
 
 
 def _replace_leader(cell):
@@ -78,8 +87,7 @@
 
 def _submit(cell, instance, spec="0.3 done 1000"):
     answers = cell.submit(instance, JOB, STEP, spec=spec)
-    while not answers:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: answers)
     assert answers[0][0] == 200
 
 
@@ -87,8 +95,7 @@
     """Submit a job whose report the leader answers after the gateway has stopped waiting."""
     leadership = cell.daemons[gateway].supervisor.part("leadership")
     heard_at = leadership._last_heartbeat_at
-    while leadership._last_heartbeat_at == heard_at:
-        cell.advance(0.005)
+    _advance_until(cell, lambda: leadership._last_heartbeat_at != heard_at)
     cell.pause(cell.leader())
     _submit(cell, gateway, **values)
     cell.advance(PAUSE_S - MARGIN_S)
