--- a/anvilflow/cell/tests/test_drawn_faults.py
+++ b/anvilflow/cell/tests/test_drawn_faults.py
@@ -41,6 +41,7 @@
         self.cell = PlatformCell(
             n_instances=4, n_workers=N_WORKERS, random_state=seed, policy=policy
         )
+        self.submissions = {}
         self.calls = {}
         self.acked_at = {}
         self.reachable_since = {}
@@ -79,6 +80,7 @@
         for at, act, subject in [*self.events, (DURATION_S, lambda _: None, None)]:
             while cell.clock.seconds() - began_at < at:
                 cell.advance(STEP_S)
+                self._repeat_refused_submissions()
                 self._follow_cancellations()
             act(subject)
         assert len(self.acked_at) == N_JOBS
@@ -89,6 +91,12 @@
             )
         return broken
 
+    def _repeat_refused_submissions(self):
+        """Send jobs again that an instance refused, as their clients do."""
+        for job_id, (step, answers) in list(self.submissions.items()):
+            if answers and answers[0][0] == 503:
+                self._send(job_id, self._accepting_instance(), step)
+
     def _follow_cancellations(self):
         now = self.cell.clock.seconds()
         for job_id, (sent_at, answers) in list(self.calls.items()):
@@ -103,7 +111,16 @@
 
     def _submit(self, job_id):
         step = {"count": self.random_state.choice([1, 6]), "cpu": 1000}
-        self.cell.submit(self._draw_instance(), job_id, step, spec="40.0 done 1000")
+        self._send(job_id, self._draw_instance(), step)
+
+    def _send(self, job_id, instance, step):
+        answers = self.cell.submit(instance, job_id, step, spec="40.0 done 1000")
+        self.submissions[job_id] = (step, answers)
+
+    def _accepting_instance(self):
+        """Return an instance that can reach the store."""
+        cut_off = self.cell.store_faults.only or ()
+        return next(name for name in self.cell.daemons if name not in cut_off)
 
     def _cancel(self, job_id):
         answers = self.cell.call(self._draw_instance(), "DELETE", f"/urgent/{job_id}")
@@ -138,10 +155,9 @@
 
     def _submit(self, job_id):
         # An instance that cannot reach the store may refuse the job, which could not be cancelled.
-        cut_off = self.cell.store_faults.only or ()
-        gateway = next(name for name in self.cell.daemons if name not in cut_off)
+        gateway = self._accepting_instance()
         step = {"count": self.random_state.choice([1, 6]), "cpu": 1000}
-        self.cell.submit(gateway, job_id, step, spec="40.0 done 1000")
+        self._send(job_id, gateway, step)
 
     def _block_store(self, how):
         faults = self.cell.store_faults
