Leader: an overwritten entry does not hide a worker that an earlier leader waited for

What callers saw: a task that still ran was started a second time elsewhere (TWICE), when a worker's registry entry was overwritten by another program while the leader changed, and the leader changed again within 4 s.

Cause: the second leader finds the entry changed and not a worker's, so its row names the worker as missing; it does not know the worker, so the row names the same entry as nameless. The third leader took all nameless entries out of the workers that it waits for, missing ones included. "Nameless" says that the entry names no worker now; it was read as proof that no worker with that id has runs.

Change: nameless entries are taken out of the changed ones alone. Those that the former leader itself waits for stay, also where the row was written by an earlier release.

No call or write is added; a leader waits longer only for workers that its predecessor waited for.

--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -140,8 +140,8 @@
     except RevisionGoneError:
         return None
     found = {row.key for row in entries if is_worker_entry(row, config)}
-    changed = {*former.missing, *(row.key for row in rows)}
-    return frozenset(changed - found - set(former.nameless))
+    changed = {row.key for row in rows}.difference(former.nameless)
+    return frozenset(changed.union(former.missing) - found)
 
 
 def make_scheduler(context, claimed, missing):
--- a/anvilflow/cell/tests/test_returning_workers.py
+++ b/anvilflow/cell/tests/test_returning_workers.py
@@ -35,6 +35,37 @@
     assert cell.check() == []
 
 
+@pytest.mark.parametrize("leads_s", [0.3, 0.6, 1.0, 1.5])
+def test_worker_with_an_overwritten_entry_is_waited_for_by_each_next_leader(leads_s):
+    """Guards against a second run of its tasks: the third leader took the entry for a foreign one.
+
+    The second leader, which leads for `leads_s` seconds, waits for the worker, and has never read
+    an entry that gives its address.
+    """
+    cell = make_cell(n_instances=5, n_workers=4)
+    cell.submit(cell.other(), JOB, {"count": 2, "cpu": 16000}, spec="14.0 done 16000")
+    cell.advance(1.0)
+    worker_id = cell.spans[0].worker
+    first = cell.leader()
+    cell.kill(first)
+    cell.store.put("servers", worker_id, {"hello": 1})
+    _advance_to_next_leader(cell, first)
+    cell.advance(leads_s)
+    row = cell.store.value("home", "home", part="cell")
+    assert worker_id in row["missing"]
+    cell.kill(cell.leader())
+    cell.advance(6.0)
+    assert cell.check() == []
+
+
+def _advance_to_next_leader(cell, former, *, timeout_s=4.0):
+    """Advance until the leader's row names another instance than `former`."""
+    until = cell.clock.seconds() + timeout_s
+    while cell.leader() == former:
+        assert cell.clock.seconds() < until
+        cell.advance(0.01)
+
+
 def _register_after_read(cell, name, worker):
     """Write a worker's entry after an instance that leads has read the registry; delay its feed."""
     store = cell.daemons[name].context.store
