Leader: workers of a service that is no longer configured are taken on

What callers saw: tasks were started a second time while their first runs went on (TWICE), after the operator had moved a queue to another service and removed the former one, and the leader changed before the workers had written their entries again (they do so every 1.5 s).

Cause: the next leader ignored their entries, as no queue had the service. They were not among the missing workers either, as they had not changed since the former leader wrote its row. The row said nothing of them: the former leader knew them as workers. An entry that this leader does not use was taken for proof that no worker with that id has runs. The configuration by which entries were counted as read could also differ from the one by which they were processed later in the load.

Change: a new leader waits for every id that an entry names as a worker, of whatever service, unless the former leader's row lists it as nameless or describes the worker. An entry of such an id is processed as a worker's: the leader asks it for its runs, renews their leases, and gives it no new tasks, as no queue has the service. Ids leave the set as their workers are found, so that the entries are not compared with a configuration of their own any more.

Evidence: the new test fails in all four variants before (the former leader with and without the new configuration, instances with and without standby tables), and passes now; the tasks run to their end, once. No call or write is added. An entry of a foreign server beyond the 100 that the row lists costs a wait for leases at a change of leader, as a changed one did before.

The switch-off of test_entry_overwritten_as_the_leader_fails_hides_no_tasks replaced a function that no longer decides this; it replaces find_missing now, and the check is the same.

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -259,13 +259,12 @@
         """Return the stored state, from the standby tables if possible, else from the store."""
         context = self.context
         if context.standby_tables is not None:
-            state = yield context.standby_tables.state(claimed.former, context.config)
+            state = yield context.standby_tables.state(claimed.former)
             if state is not None:
                 return state
         state = yield read_state(
             context.store,
             claimed.former,
-            context.config,
             max_concurrent=self._max_concurrent_reads(claimed),
         )
         return state
--- a/anvilflow/cell/_leader_row.py
+++ b/anvilflow/cell/_leader_row.py
@@ -3,8 +3,9 @@
 from ..jobs import make_handover
 from ._tables import LeaderRow
 
-#: Most registry entries without a worker that the leader's row lists, some 2 kB of the row. After a
-#: change of an entry that is left out, a new leader waits 3.8 s for leases that no worker has.
+#: Most registry entries without a worker that the leader's row lists, some 2 kB of the row. A new
+#: leader waits 3.8 s for leases that no worker has if an entry that is left out has changed, or is
+#: that of a server of another service.
 MAX_NAMELESS = 100
 
 
--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -9,7 +9,7 @@
 from ..jobs import GracePeriod, Scheduler
 from ..platform import REGISTRY_TABLE, Row
 from ._job_store import gather, join_parts
-from ._registry import is_worker_entry
+from ._registry import names_worker
 from ._tables import ENDED, JOB_PARTS, JOBS, PART, PROGRESS
 from ._worker_sessions import LEASE_S
 
@@ -54,8 +54,8 @@
 class StoredState(Struct, kw_only=True):
     """Rows of the tables, with the versions from which to follow the jobs and the registry.
 
-    `missing` are the workers that have left the registry since the former leader wrote its row;
-    None if they are no longer known.
+    `missing` are the ids of all workers that may have runs; None if some are no longer known. The
+    leader waits for those that it does not find in `workers`.
     """
 
     jobs: list[Row]
@@ -68,7 +68,7 @@
 
 
 @inlineCallbacks
-def read_state(store, former, config=None, *, max_concurrent=MAX_CONCURRENT_READS):
+def read_state(store, former, *, max_concurrent=MAX_CONCURRENT_READS):
     """Read the tables; the Deferred fires with a :class:`StoredState`.
 
     Parameters
@@ -76,15 +76,13 @@
     store : StoreClient
     former : LeaderRow or None
         The former leader's row; None if there was none.
-    config : CellConfig, default=None
-        Names the services whose registry entries count; None if those of any service do.
     max_concurrent : int
         Largest number of concurrent reads.
     """
     reads = [
         partial(store.read, PROGRESS, PART),
         partial(store.read, ENDED, PART),
-        partial(_read_workers, store, former, config),
+        partial(_read_workers, store, former),
         *(partial(store.read, JOBS, part) for part in JOB_PARTS),
     ]
     (progress, _), (ended, _), found, *parts = yield gather(reads, max_concurrent)
@@ -102,25 +100,26 @@
 
 
 @inlineCallbacks
-def _read_workers(store, former, config):
+def _read_workers(store, former):
     workers, version = yield store.read(REGISTRY_TABLE, "")
     # Called after the read, so that a worker that leaves between the two is in one of the results.
-    missing = yield find_missing(store, former, workers, config)
+    missing = yield find_missing(store, former, workers)
     return workers, version, missing
 
 
 @inlineCallbacks
-def find_missing(store, former, entries, config=None):
-    """Return the ids of workers whose entries changed after `former` was written, if known.
+def find_missing(store, former, entries):
+    """Return the ids of the workers that may have runs of earlier leaders, if they are known.
 
-    Those that `entries` name are left out, and entries that the former leader knew to name no
-    worker.
+    These are the workers that the former leader waited for, those whose entries have changed since
+    it wrote its row, and those that `entries` name, without the entries that it knew to name no
+    worker. The workers that its row describes are left out: this leader takes them from there.
 
     Registry entries lapse while the store is unavailable, and the leader that renews the workers'
     leases cannot record this. The tasks keep running, on workers that the next leader would not
     look for. An entry that another program has overwritten does not give its worker's address
-    either. An entry that is back, but was not when `entries` were read, counts as missing until it
-    is read.
+    either. An entry that is back may not be among `entries` yet. A worker of a service that is no
+    longer configured may run tasks that began before.
 
     Parameters
     ----------
@@ -128,8 +127,6 @@
     former : LeaderRow or None
     entries : list of Row
         The registry, as this leader has read it before.
-    config : CellConfig, default=None
-        As in :func:`read_state`.
     """
     if former is None:
         return frozenset()
@@ -139,9 +136,11 @@
         rows, _ = yield store.follow(REGISTRY_TABLE, former.registry_version, wait_s=0.0)
     except RevisionGoneError:
         return None
-    found = {row.key for row in entries if is_worker_entry(row, config)}
-    changed = {row.key for row in rows}.difference(former.nameless)
-    return frozenset(changed.union(former.missing) - found)
+    named = {row.key for row in entries if names_worker(row)}
+    changed = {row.key for row in rows}
+    described = {worker.info.registry_id for worker in former.handover}
+    unknown = named.union(changed).difference(former.nameless).union(former.missing)
+    return frozenset(unknown - described)
 
 
 def make_scheduler(context, claimed, missing):
--- a/anvilflow/cell/_registry.py
+++ b/anvilflow/cell/_registry.py
@@ -4,22 +4,13 @@
 from ..platform import decode_worker
 
 
-def is_worker_entry(row, config):
-    """Whether an entry can be decoded and belongs to a configured service.
-
-    Parameters
-    ----------
-    row : Row
-    config : CellConfig or None
-        If None, any service counts as configured.
-    """
-    if row.value is None:
-        return False
+def names_worker(row):
+    """Whether an entry can be decoded as that of a worker, of any service."""
     try:
-        info, _ = decode_worker(row.key, row.value)
+        decode_worker(row.key, row.value)
     except PlatformError:
         return False
-    return config is None or config.has_service(info.service)
+    return True
 
 
 class Registry:
@@ -53,7 +44,7 @@
         except PlatformError as exc:
             return self._ignore(row, str(exc))
         self.log_start_time(row.key, error)
-        if not self._is_used(info.service):
+        if not self._is_used(info):
             return self._ignore(row, f"no queue has the service {info.service!r}")
         if self._ignored_rows.pop(row.key, None) is not None:
             self.log.info("worker's entry understood again", worker=row.key)
@@ -73,16 +64,19 @@
         self._invalid_start_times.discard(key)
         self.scheduler.nameless.discard(key)
 
-    def _is_used(self, service):
-        """Whether tasks may run on a worker of the service.
+    def _is_used(self, info):
+        """Whether tasks may run on a worker.
 
-        Tasks of a removed queue run to their end. A leader that ignored the workers of such a
-        queue would start these tasks a second time.
+        Tasks of a removed queue run to their end, also where their job's queue has another service
+        by now. A leader that ignored the workers of the former service would start these tasks a
+        second time.
         """
         scheduler = self.scheduler
-        if scheduler.config is None or scheduler.config.has_service(service):
+        if scheduler.config is None or scheduler.config.has_service(info.service):
+            return True
+        if info.registry_id in scheduler.grace_period.missing:
             return True
-        return any(job.queue.service == service for job in scheduler.jobs.values())
+        return any(job.queue.service == info.service for job in scheduler.jobs.values())
 
     def _ignore(self, row, why):
         # Logged once per entry: the other program may write it again each second.
--- a/anvilflow/cell/_standby_tables.py
+++ b/anvilflow/cell/_standby_tables.py
@@ -146,13 +146,12 @@
             table.apply_changes(rows, version)
 
     @inlineCallbacks
-    def state(self, former, config):
+    def state(self, former):
         """Return the current :class:`StoredState`, or None if the tables are not complete.
 
         Parameters
         ----------
         former : LeaderRow or None
-        config : CellConfig or None
             As in :func:`read_state`.
         """
         if not self.is_complete:
@@ -161,7 +160,7 @@
             yield self._catch_up()
             workers = list(self._tables[REGISTRY_TABLE].rows.values())
             workers_version = self._tables[REGISTRY_TABLE].version
-            missing = yield find_missing(self.context.store, former, workers, config)
+            missing = yield find_missing(self.context.store, former, workers)
         except RevisionGoneError:
             self._tables = {}
             return None
--- a/anvilflow/cell/tests/test_registry.py
+++ b/anvilflow/cell/tests/test_registry.py
@@ -2,6 +2,7 @@
 
 import pytest
 from logbook import TestHandler as LogRecorder
+from twisted.internet.defer import succeed
 
 from anvilflow.cell import _leader, _leader_state, _registry
 from anvilflow.standins import PlatformCell, make_platform_config
@@ -104,9 +105,7 @@
     treated the entry like any other, the task ran a second time beside the first run.
     """
     if not safeguard:
-        monkeypatch.setattr(
-            _leader_state, "is_worker_entry", lambda row, config: row.value is not None
-        )
+        monkeypatch.setattr(_leader_state, "find_missing", lambda *args: succeed(frozenset()))
     cell = make_cell(n_instances=3, n_workers=3)
     cell.submit(cell.other(), JOB, {"count": 2, "cpu": 9000}, spec="30.0 done 9000")
     cell.advance(1.0)
@@ -143,6 +142,43 @@
     assert workers[early.identity].info.service == "new"
 
 
+@pytest.mark.parametrize("slow", [(), ("a0", "a1", "a2")])
+@pytest.mark.parametrize("known_for_s", [0.0, 0.5])
+def test_tasks_on_workers_of_a_removed_service_are_kept_by_the_next_leader(slow, known_for_s):
+    """Guards against second runs after a queue moved to another service and the leader changed.
+
+    The former leader has known the configuration for `known_for_s` seconds or not at all. Instances
+    on slow links have standby tables.
+    """
+    cell = PlatformCell(n_instances=3, n_workers=2, config=_config_of("former"), slow=slow)
+    for worker_id in cell.workers:
+        _register(cell, worker_id, "former")
+    cell.start()
+    cell.submit(cell.other(), JOB, {"count": 2, "cpu": 9000}, spec="6.0 done 9000")
+    cell.advance(1.0)
+    for worker_id in ("i-8", "i-9"):
+        cell.add_worker(worker_id, f"{worker_id}:1", is_registered=False)
+        _register(cell, worker_id, "next")
+    cell.advance(1.0)
+    cell.store.put("op", "config", _config_of("next", version=2))
+    cell.advance(known_for_s)
+    cell.kill(cell.leader())
+    cell.advance(9.0)
+    assert cell.check() == []
+    assert [span.how for span in cell.spans] == ["done", "done"]
+
+
+def _config_of(service, *, version=1):
+    """Return a configuration whose queues belong to `service`, the only one."""
+    queues = [{"name": "urgent", "prefix": "/urgent/", "priority": 0, "service": service}]
+    config = make_platform_config(version=version, queues=queues)
+    return {**config, "services": [{"name": service}]}
+
+
+def _register(cell, worker_id, service):
+    cell.store.put("servers", worker_id, {**cell.workers[worker_id].entry(), "service": service})
+
+
 @pytest.mark.parametrize("safeguard", [True, False])
 def test_reads_of_the_registry_are_bounded_however_often_entries_change(monkeypatch, safeguard):
     """Guards against a read for each heartbeat of each worker; a draining one is still found."""
--- a/anvilflow/cell/tests/test_standby_tables.py
+++ b/anvilflow/cell/tests/test_standby_tables.py
@@ -63,8 +63,8 @@
     cell.store.remove("servers", "i-3")
     cell.advance(2.0)
     context = cell.daemons[_standbys(cell)[0]].context
-    followed = _result(context.standby_tables.state(None, context.config))
-    read = _result(read_state(context.store, None, context.config))
+    followed = _result(context.standby_tables.state(None))
+    read = _result(read_state(context.store, None))
     cell.advance(0.1)
     for name in ("jobs", "progress", "ended", "workers"):
         assert _versions(getattr(followed[0], name)) == _versions(getattr(read[0], name)), name
