Leader: the count of workers outlasts a leader without the registry's history

What callers saw: tasks were started a second time (TWICE) 4 s after a second change of leader, while a leader that was cut off from the store still controlled their workers. It takes a store that has dropped its history, entries that have lapsed, and a leader that is cut off from the workers that are still registered.

Cause: a leader waits until more than half of all workers refuse its predecessors. Where the history is gone, a new leader knows only the workers that are registered, and takes their number from the former leader's row. Its own row, though, gave the number that it knew: two of five in the test. To the leader after it two workers were all. Entries that are absent were taken for workers that are gone.

Change: while a leader may not know all workers, its row gives the larger of the two numbers. Where the history is known, the workers that have left it are in the count by their ids, as before.

Evidence: the new test fails for both times before (four tasks on two workers each) and passes now. No call, write or byte is added; the wait is longer only where the history was lost.

--- a/anvilflow/cell/_leader_row.py
+++ b/anvilflow/cell/_leader_row.py
@@ -27,6 +27,9 @@
     # version 0: the next leader must not assume that the registry's later history names them.
     is_known = is_over or grace_period.is_known
     missing = [] if is_over else sorted(grace_period.missing)
+    n_workers = len(scheduler.current_workers()) + len(missing)
+    if not is_known:
+        n_workers = max(n_workers, grace_period.n_workers)
     return LeaderRow(
         holder=context.name,
         incarnation=context.incarnation,
@@ -34,7 +37,7 @@
         term=term,
         handover=handover,
         registry_version=scheduler.registry_version if is_known else 0,
-        n_workers=len(scheduler.current_workers()) + len(missing),
+        n_workers=n_workers,
         missing=sorted(_unlisted_ids(scheduler, handover).union(missing)),
         nameless=sorted(scheduler.nameless)[:MAX_NAMELESS],
         unanswered_starts=scheduler.unanswered_starts.handover(now),
--- a/anvilflow/cell/tests/test_split_cell.py
+++ b/anvilflow/cell/tests/test_split_cell.py
@@ -53,6 +53,28 @@
     assert (cell.check() == []) is safeguard
 
 
+@pytest.mark.parametrize("leads_s", [0.3, 1.0])
+def test_number_of_workers_outlasts_a_leader_without_the_registrys_history(leads_s):
+    """Guards against the third leader's majority of the few workers that are registered.
+
+    The entries of the three workers that the first leader still controls have lapsed, and the
+    second one, which leads for `leads_s` seconds, cannot read that in the history.
+    """
+    cell = _make_cell_with_long_job()
+    first = cell.leader()
+    for name in _split(cell):
+        cell.store.remove("servers", name)
+    cell.store.drop_history()
+    cell.advance(1.5)
+    second = cell.leader()
+    assert second != first
+    cell.advance(leads_s)
+    cell.kill(second)
+    cell.advance(9.0)
+    assert len(cell.leaders()) == 2
+    assert cell.check() == []
+
+
 def test_workers_lost_for_good_do_not_keep_the_next_leader_waiting():
     """Guards against a wait without an end: the entries of most workers are gone."""
     cell = _make_cell_with_long_job()
