Leader: no tasks for a worker that the row of the claim still lists as nameless

What callers saw: a task was started a second time (TWICE) when a leader was lost within its first writes, after an entry that named no worker had become a worker's.

Cause: a worker gets no task until the row that lists its entry as nameless has been replaced, since the next leader does not wait for such an id. A leader kept this for its own rows only. The row of its claim has the nameless entries of the former leader, and stands until the first write, which takes as long as the store does. A task that was started on such a worker meanwhile was unknown to the next leader if the entry had lapsed, or was overwritten, by then. The same held between the removal of a nameless entry and the next write of the row, for a worker that registered in that time.

Change: the scheduler keeps the ids that the durable row names, from the claim on, and looks them up when a worker is found.

Evidence: the new test fails for both entries before (one task on two workers) and passes now.

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -230,6 +230,8 @@
             relay_dispatcher=self._relay_dispatcher,
         )
         self.act(self._intake.load_state(state))
+        if claimed.former is not None:
+            scheduler.note_handover(claimed.former.nameless)
         for row in state.workers:
             self._fleet.take_registry_entry(row)
         if claimed.former is not None:
--- a/anvilflow/cell/tests/test_registry.py
+++ b/anvilflow/cell/tests/test_registry.py
@@ -3,6 +3,7 @@
 import pytest
 from logbook import TestHandler as LogRecorder
 from twisted.internet.defer import succeed
+from twisted.internet.task import deferLater
 
 from anvilflow.cell import _leader, _leader_state, _registry
 from anvilflow.standins import PlatformCell, make_platform_config
@@ -142,6 +143,52 @@
     assert workers[early.identity].info.service == "new"
 
 
+@pytest.mark.parametrize("entry", [None, {"hello": 2}])
+def test_worker_gets_no_task_while_a_claim_names_its_entry_as_nameless(entry):
+    """Guards against a second run: the next leader would not wait for the worker.
+
+    The row of a claim has the nameless entries of the former leader until the new leader's first
+    write of it, which is late here; meanwhile one entry becomes a worker's, and `entry` again when
+    this leader fails.
+    """
+    cell = PlatformCell(n_instances=5, n_workers=2)
+    for worker_id in cell.workers:
+        overwrite(cell, worker_id, {"hello": 1})
+    cell.start()
+    cell.advance(1.0)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 9000}, spec="6.0 done 9000")
+    cell.advance(0.5)
+    first = cell.leader()
+    cell.kill(first)
+    cell.store.put("servers", "i-0", cell.workers["i-0"].entry())
+    stores = [daemon.context.store for daemon in cell.daemons.values()]
+    commits = [store.commit for store in stores]
+    for store in stores:
+        store.commit = _delay_writes_after_claim(cell, store.commit, first)
+    cell.advance(0.9)
+    second = cell.leader()
+    assert second != first
+    cell.kill(second)
+    for store, commit in zip(stores, commits, strict=True):
+        store.commit = commit
+    if entry is None:
+        cell.store.remove("servers", "i-0")
+    else:
+        overwrite(cell, "i-0", entry)
+    cell.store.put("servers", "i-1", cell.workers["i-1"].entry())
+    cell.advance(4.0)
+    assert cell.spans
+    assert cell.check() == []
+
+
+def _delay_writes_after_claim(cell, commit, former):
+    def commit_late(*args, **values):
+        delay_s = 2.0 if cell.leader() != former else 0.0
+        return deferLater(cell.clock, delay_s, commit, *args, **values)
+
+    return commit_late
+
+
 @pytest.mark.parametrize("slow", [(), ("a0", "a1", "a2")])
 @pytest.mark.parametrize("known_for_s", [0.0, 0.5])
 def test_tasks_on_workers_of_a_removed_service_are_kept_by_the_next_leader(slow, known_for_s):
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -79,6 +79,7 @@
         self.needs_full_plan = True
         self.last_full_plan_at = float("-inf")
         self.nameless = set()
+        self._ids_in_row = frozenset()
         self.pace_changed_at = {}
         self.dropped_runs = DroppedRuns()
         self.workers_with_more_ends = set()
@@ -98,7 +99,8 @@
             # The leader's row may still list the entry as nameless. If the entry were removed, the
             # next leader would not count this worker as missing. Therefore, the worker gets no new
             # tasks until a row without the entry is durable.
-            worker.in_handover = info.registry_id in self.nameless
+            in_row = info.registry_id in self._ids_in_row
+            worker.in_handover = in_row or info.registry_id in self.nameless
             self.nameless.discard(info.registry_id)
         worker.update_info(info)
         self.speeds.add_worker(info.worker_id, info.service, info.kind)
@@ -194,8 +196,10 @@
     def note_handover(self, worker_ids):
         """Note which workers the leader's row names, now that the row is durable.
 
-        `worker_ids` includes the keys of the `nameless` entries.
+        `worker_ids` includes the keys of the `nameless` entries. The row of a claim names those of
+        the former leader.
         """
+        self._ids_in_row = frozenset(worker_ids)
         for worker_id, worker in self.workers.items():
             is_named = worker_id in worker_ids or worker.info.registry_id in worker_ids
             if worker.in_handover and not is_named:
