Leader: a whole read of the registry drops ignored entries that are gone

Cause: where the history of the registry is lost, the leader reads it whole, and removes what is not among the rows. It compared only the workers: an entry that it ignored, and whose removal it did not see, stayed. The next configuration with its service made a worker of it, without an entry and with a session that fails until its leases count as over, and the leader's row went on listing it as nameless.

Change: ignored entries are compared as well.

Evidence: the new test fails before (the scheduler has the worker) and passes now.

--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -74,8 +74,9 @@
     # Registry
 
     def registry_ids(self):
-        """Return the ids under which the workers are registered."""
-        return {worker.info.registry_id for worker in self.scheduler.workers.values()}
+        """Return the ids of the workers in the registry, and of the entries that are ignored."""
+        ids = {worker.info.registry_id for worker in self.scheduler.workers.values()}
+        return ids.union(row.key for row in self._registry.ignored_rows)
 
     def take_registry_entry(self, row):
         """Process a row of the registry: an entry of a worker is new, changed or removed."""
--- a/anvilflow/cell/tests/test_registry.py
+++ b/anvilflow/cell/tests/test_registry.py
@@ -2,10 +2,12 @@
 
 import pytest
 from logbook import TestHandler as LogRecorder
-from twisted.internet.defer import succeed
+from twisted.internet.defer import fail, succeed
 from twisted.internet.task import deferLater
 
 from anvilflow.cell import _leader, _leader_state, _registry
+from anvilflow.exceptions import RevisionGoneError
+from anvilflow.platform import REGISTRY_TABLE
 from anvilflow.standins import PlatformCell, make_platform_config
 
 from ._helpers import JOB, STEP, make_cell
@@ -143,6 +145,37 @@
     assert workers[early.identity].info.service == "new"
 
 
+def test_ignored_entry_that_was_removed_unseen_is_not_used_later():
+    """Guards against a worker without an entry: the history with its removal was lost."""
+    cell = PlatformCell(n_workers=1)
+    early = cell.add_worker("i-9", "w9:1", is_registered=False)
+    _register(cell, "i-9", "new")
+    cell.start()
+    store = cell.daemons[cell.leader()].context.store
+    follow, store.follow = store.follow, _follow_without_history(cell, store.follow)
+    cell.advance(_leader.WORKERS_FEED_S + 0.5)
+    cell.store.remove("servers", "i-9")
+    cell.advance(1.0)
+    store.follow = follow
+    config = make_platform_config(version=2)
+    cell.store.put("op", "config", {**config, "services": [*config["services"], {"name": "new"}]})
+    cell.advance(0.5)
+    leader = cell.daemons[cell.leader()].context.leader
+    assert leader._scheduler.config.has_service("new")
+    assert early.identity not in leader._scheduler.workers
+    assert "i-9" not in cell.store.value("home", "home", part="cell")["nameless"]
+
+
+def _follow_without_history(cell, follow):
+    def follow_or_fail(table, version, **values):
+        if table != REGISTRY_TABLE:
+            return follow(table, version, **values)
+        failure = RevisionGoneError("the history is lost")
+        return deferLater(cell.clock, 0.5, lambda: fail(failure))
+
+    return follow_or_fail
+
+
 @pytest.mark.parametrize("entry", [None, {"hello": 2}])
 def test_worker_gets_no_task_while_a_claim_names_its_entry_as_nameless(entry):
     """Guards against a second run: the next leader would not wait for the worker.
