Standby tables: a leader loads the tables that it began to load

Cause: while an instance loads from its standby tables, it goes on to follow them. If the store lost the history meanwhile, the second read withdrew the tables, and the load ended with a KeyError, which the supervisor treats as a fault of the part: the instance gave up the place that it had just claimed.

Change: the load holds the tables that it has caught up with; they are consistent, whatever another read finds later.

Evidence: the new test fails before (KeyError) and passes now.

--- a/anvilflow/cell/_standby_tables.py
+++ b/anvilflow/cell/_standby_tables.py
@@ -108,7 +108,7 @@
             return
         try:
             if self.is_complete:
-                yield self._catch_up()
+                yield self._catch_up(self._tables)
             else:
                 yield self._read()
         except RevisionGoneError:
@@ -133,8 +133,7 @@
         self.log.info("tables followed", rows=sum(len(table.rows) for table in tables.values()))
 
     @inlineCallbacks
-    def _catch_up(self):
-        tables = dict(self._tables)
+    def _catch_up(self, tables):
         reads = [
             lambda name=name, table=table: self.context.store.follow(
                 name, table.version, wait_s=0.0
@@ -156,18 +155,20 @@
         """
         if not self.is_complete:
             return None
+        # A concurrent read of the changes may withdraw the tables, if it finds the history lost.
+        tables = self._tables
         try:
-            yield self._catch_up()
-            workers = list(self._tables[REGISTRY_TABLE].rows.values())
-            workers_version = self._tables[REGISTRY_TABLE].version
+            yield self._catch_up(tables)
+            workers = list(tables[REGISTRY_TABLE].rows.values())
+            workers_version = tables[REGISTRY_TABLE].version
             missing = yield find_missing(self.context.store, former, workers)
         except RevisionGoneError:
             self._tables = {}
             return None
-        rows = {name: list(table.rows.values()) for name, table in self._tables.items()}
+        rows = {name: list(table.rows.values()) for name, table in tables.items()}
         return StoredState(
             jobs=rows[JOBS],
-            jobs_version=self._tables[JOBS].version,
+            jobs_version=tables[JOBS].version,
             progress=rows[PROGRESS],
             ended=rows[ENDED],
             workers=workers,
--- a/anvilflow/cell/tests/test_standby_tables.py
+++ b/anvilflow/cell/tests/test_standby_tables.py
@@ -4,6 +4,7 @@
 
 from anvilflow.cell._leader_state import read_state
 from anvilflow.cell._standby_tables import N_STANDBYS, StandbyTablesPart
+from anvilflow.cell._tables import LeaderRow
 
 from ._helpers import JOB, STEP, cancel, make_cell
 from .test_slow_links import NARROW_BYTES_PER_S, NARROW_MBPS, _cell_with_large_rows
@@ -90,6 +91,30 @@
     assert len(cell.spans) == STEP["count"]
 
 
+def test_leader_loads_while_the_history_is_lost_to_another_read_of_the_changes():
+    """Guards against an error of the part: the tables were withdrawn while it waited."""
+    cell = make_cell(n_instances=5, weak=NAMES)
+    cell.advance(2.0)
+    context = cell.daemons[_standbys(cell)[0]].context
+    tables, follow = context.standby_tables, context.store.follow
+
+    def follow_as_history_is_lost(table, version, **values):
+        if version == former.registry_version:
+            cell.store.put("jobs", "unreadable", 1, part="jobs-00")
+            cell.store.drop_history()
+            tables._follow()
+        return follow(table, version, **values)
+
+    former = LeaderRow(holder="", incarnation="", address="", term=1, registry_version=1)
+    context.store.follow = follow_as_history_is_lost
+    loaded = _result(tables.state(former))
+    cell.advance(0.1)
+    assert not tables.is_complete
+    [state] = loaded
+    assert len(state.workers) == 4
+    assert state.missing is None
+
+
 def test_outdated_answer_changes_nothing():
     """Two reads of the changes, from before and after a claim, may be pending at once."""
     cell = make_cell(n_instances=5, weak=NAMES)
