Leader: a new worker gets no tasks before a durable row accounts for its entry

Cause: a leader that yields, as on SIGTERM or after a failed call to the store, goes on until it is deposed, 0.15 s and more after the claim. A worker that registers after the next leader has read the registry is found by both through the feed, but not at the same time: the next leader pauses 0.1 s before its first read of changes, and has asked all other workers for their runs by then. It takes all runs for known, and starts waiting tasks that the former leader has just started on the new worker.

Change: a worker that a leader finds gets its first task once a row of that leader is durable that was written after the entry was read. The claim of the next leader is later than that row then, and its reads are later than the claim: they find the entry, or its removal. A leader that has been replaced writes no row, and starts nothing there. Workers whose entries are older than the claim need no wait.

No call or write is added.

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -230,8 +230,8 @@
             relay_dispatcher=self._relay_dispatcher,
         )
         self.act(self._intake.load_state(state))
-        if claimed.former is not None:
-            scheduler.note_handover(claimed.former.nameless)
+        nameless = claimed.former.nameless if claimed.former is not None else ()
+        scheduler.note_leader_row(nameless, claimed.token)
         for row in state.workers:
             self._fleet.take_registry_entry(row)
         if claimed.former is not None:
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -136,6 +136,7 @@
         self._row_version = claimed.row_version
         self._term = claimed.term
         self._handover = frozenset()
+        self._registry_version = 0
         self._progress_job_ids = set()
         self._removable_ids = deque()
         self.own_store_health = StoreHealth(clock=context.clock)
@@ -227,6 +228,7 @@
         # without the entry is durable.
         worker_ids = [worker.info.worker_id for worker in row.handover]
         self._handover = frozenset(worker_ids + row.nameless)
+        self._registry_version = self.scheduler.registry_version
         for worker_id in worker_ids:
             self.scheduler.workers[worker_id].in_handover = True
         return row
@@ -338,7 +340,7 @@
     def _committed(self, batch, version):
         self.n_commits += 1
         self._row_version = version
-        self.scheduler.note_handover(self._handover)
+        self.scheduler.note_leader_row(self._handover, self._registry_version)
         now = self.context.clock.seconds()
         ended = []
         for job, change, _ in batch.records:
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -95,11 +95,11 @@
             return
         if former is not None and former.worker_id != info.worker_id:
             self._supersede(former, info, "registry")
-        self._list_worker(info)
+        self._list_worker(info, version=row.version)
 
-    def _list_worker(self, info):
+    def _list_worker(self, info, *, version=0):
         self._unlisted_at.pop(info.worker_id, None)
-        if self.scheduler.worker_listed(info, self._now()):
+        if self.scheduler.worker_listed(info, self._now(), version=version):
             self.log.info(
                 "worker found", worker=info.worker_id, address=info.address, rack=info.rack
             )
--- a/anvilflow/cell/tests/test_returning_workers.py
+++ b/anvilflow/cell/tests/test_returning_workers.py
@@ -8,6 +8,12 @@
 
 from ._helpers import JOB, make_cell
 
+#: Id of a job that occupies all workers.
+BUSY_JOB = "00000000000000b1"
+
+#: Step of virtual time. Unit: seconds.
+STEP_S = 0.005
+
 #: Delay of the reads of changes in a slow store. Unit: seconds.
 FEED_DELAY_S = 0.5
 
@@ -58,6 +64,43 @@
     assert cell.check() == []
 
 
+@pytest.mark.parametrize("reads_s", [0.02, 0.04])
+def test_worker_that_registers_as_a_leader_hands_over_gets_no_task_from_it_alone(reads_s):
+    """Guards against a second run: the former leader finds the worker before the next one does.
+
+    The next leader knows all other workers by then, and a place for the waiting task becomes free
+    there `reads_s` seconds later, before its first read of changes of the registry.
+    """
+    cell = make_cell(n_instances=4, n_workers=3)
+    cell.submit(cell.other(), BUSY_JOB, {"count": 3, "cpu": 16000}, spec="4.0 done 16000")
+    cell.advance(1.0)
+    cell.submit(cell.other(), JOB, {"count": 1, "cpu": 16000}, spec="3.0 done 16000")
+    cell.advance(0.3)
+    worker = cell.add_worker("i-9", "w9:1", is_registered=False)
+    former = cell.leader()
+    cell.daemons[former].drain()
+    _advance_until_all_runs_are_known(cell, former)
+    cell.store.put("servers", "i-9", worker.entry())
+    cell.advance(reads_s)
+    busy = cell.spans[0]
+    cell.workers[busy.worker]._end(busy.task, "done")
+    cell.advance(4.0)
+    assert len(cell.runs_of(f"{JOB}.0.0.0")) == 1
+    assert cell.check() == []
+
+
+def _advance_until_all_runs_are_known(cell, former, *, timeout_s=4.0):
+    """Advance until an instance other than `former` leads and knows the runs of all workers."""
+    until = cell.clock.seconds() + timeout_s
+    while cell.clock.seconds() < until:
+        cell.advance(STEP_S)
+        for name in cell.leaders():
+            scheduler = cell.daemons[name].context.leader._scheduler
+            if name != former and scheduler.are_all_runs_known(cell.clocks[name].seconds()):
+                return
+    raise AssertionError("no other leader")
+
+
 def _advance_to_next_leader(cell, former, *, timeout_s=4.0):
     """Advance until the leader's row names another instance than `former`."""
     until = cell.clock.seconds() + timeout_s
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -35,8 +35,10 @@
     `unreachable` that calls to it fail, since `unreachable_since`. `runs_known` means that an
     earlier leader named all runs that may be active on a worker that has not responded to this
     leader. `in_handover` means that the leader's row names the worker, see `_handover`; the
-    worker then gets no new tasks. `is_superseded` means that the worker has started again: this
-    incarnation is over, and its runs are dropped once the next one lists its own.
+    worker then gets no new tasks. Nor does it while `is_recorded` is False: its entry was written
+    at `found_version` of the registry, and the leader's row in the store dates from before the
+    leader had read that. `is_superseded` means that the worker has started again: this incarnation
+    is over, and its runs are dropped once the next one lists its own.
 
     `answered_address` is the address of its last answer, to this leader or to the one that named
     it in the handover, None before. `is_loss_noted` means that its loss has been reported.
@@ -54,11 +56,13 @@
         "answered_address",
         "confirmed",
         "cpu_free",
+        "found_version",
         "gpu_free",
         "has_listed_all_ends",
         "in_handover",
         "info",
         "is_loss_noted",
+        "is_recorded",
         "is_superseded",
         "last_ended",
         "lease_over_at",
@@ -87,6 +91,8 @@
         self.is_loss_noted = False
         self.runs_known = False
         self.in_handover = False
+        self.found_version = 0
+        self.is_recorded = True
         self.is_superseded = False
         self.listed = True
         self.lease_over_at = lease_over_at
@@ -187,6 +193,7 @@
             self.confirmed
             and not self.is_superseded
             and not self.in_handover
+            and self.is_recorded
             and self.listed
             and not self.unreachable
             and not self.orphan_runs
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -80,6 +80,7 @@
         self.last_full_plan_at = float("-inf")
         self.nameless = set()
         self._ids_in_row = frozenset()
+        self._row_registry_version = 0
         self.pace_changed_at = {}
         self.dropped_runs = DroppedRuns()
         self.workers_with_more_ends = set()
@@ -88,8 +89,14 @@
         self.grace_period = grace_period or GracePeriod(term=term, lease_s=lease_s, now=now)
         self.registry_version = 0
 
-    def worker_listed(self, info, now):
-        """Add or update a worker listed in the registry; return whether it is new."""
+    def worker_listed(self, info, now, *, version=0):
+        """Add or update a worker listed in the registry; return whether it is new.
+
+        `version` is that of its entry. A worker that registers during a change of leader may be
+        found by the former leader alone. Therefore, a new worker gets no tasks until a row that was
+        written after the leader had found it is durable: the next leader, whose claim is later
+        still, finds the entry or its removal.
+        """
         worker = self.workers.get(info.worker_id)
         is_new = worker is None
         if is_new:
@@ -101,6 +108,8 @@
             # tasks until a row without the entry is durable.
             in_row = info.registry_id in self._ids_in_row
             worker.in_handover = in_row or info.registry_id in self.nameless
+            worker.found_version = version
+            worker.is_recorded = version <= self._row_registry_version
             self.nameless.discard(info.registry_id)
         worker.update_info(info)
         self.speeds.add_worker(info.worker_id, info.service, info.kind)
@@ -193,18 +202,22 @@
             worker.unreachable = True
             worker.unreachable_since = now
 
-    def note_handover(self, worker_ids):
+    def note_leader_row(self, worker_ids, registry_version):
         """Note which workers the leader's row names, now that the row is durable.
 
         `worker_ids` includes the keys of the `nameless` entries. The row of a claim names those of
-        the former leader.
+        the former leader. `registry_version` is the version up to which the leader had read the
+        registry when it wrote the row; for a claim it is that of the claim itself.
         """
         self._ids_in_row = frozenset(worker_ids)
+        self._row_registry_version = registry_version
         for worker_id, worker in self.workers.items():
             is_named = worker_id in worker_ids or worker.info.registry_id in worker_ids
-            if worker.in_handover and not is_named:
+            is_recorded = worker.found_version <= registry_version
+            if (worker.in_handover and not is_named) or (is_recorded and not worker.is_recorded):
                 self.needs_full_plan = True
             worker.in_handover = is_named
+            worker.is_recorded = is_recorded
 
     # Runs
 
