Benchmark of a change of leader: workers write their entries every 1.5 s

Cause: no entry changed in the benchmark, so that a wait for a leader's row that accounts for a new entry could not show.

Change: each worker writes its entry periodically, at moments of its own.

--- a/benchmarks/bench_takeover.py
+++ b/benchmarks/bench_takeover.py
@@ -20,6 +20,9 @@
 CALL_DURATIONS_S = (0.0, 0.05, 0.3)
 N_PLAYS = 8
 
+#: Period with which a worker writes its registry entry. Unit: seconds.
+HEARTBEAT_S = 1.5
+
 #: From the start of the load to the loss, and from the loss to the end of the load and of the
 #: measurement. Unit: seconds.
 BEFORE_S = 2.0
@@ -49,6 +52,8 @@
     """Return the time until the next leader, the calls to the store, and the waits of jobs."""
     cell = PlatformCell(n_instances=9, n_workers=24, random_state=number)
     cell.start()
+    for worker_id in cell.workers:
+        _keep_entry(cell, worker_id)
     cell.store_faults.slow_s = call_s
     load = _Load(cell)
     load.run(BEFORE_S)
@@ -66,6 +71,16 @@
     return led_at - lost_at, n_calls, waits
 
 
+def _keep_entry(cell, worker_id):
+    """Let a worker write its registry entry periodically, at moments of its own."""
+
+    def write():
+        cell.store.put("servers", worker_id, cell.workers[worker_id].entry())
+        cell.clock.callLater(HEARTBEAT_S, write)
+
+    cell.clock.callLater(cell.random_state.uniform(0.0, HEARTBEAT_S), write)
+
+
 def _remove_jobs():
     """Print the writes for each job from its acceptance to the removal of its rows."""
     cell = PlatformCell(n_instances=9, n_workers=24, bounds=Bounds(status_kept_s=1.0))
