Soak: lapses of registry entries in outages, late returns, overwritten entries

Cause: the soak removed single entries, but never let them lapse in an outage, returned none late, and its slow store delayed calls by 0.3 s before they were carried out, for 4 s, with nothing else.

Change: kinds of their own, drawn from a generator of their own, so that seeds that failed before keep their faults: the entries of all workers, some or a few lapse in an outage and are back within 2 s; a second outage while they come back; entries that another program overwrites; a store that returns slow, with half of the delay before a call is carried out and half after it; series of up to four changes of leader after half of them.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,8 @@
 # Real processes under random faults, about 30 s per seed: make soak SOAK_FIRST=1 SOAK_SEEDS=50. Without
 # SOAK_FIRST, new seeds are used. The logs of failed seeds are kept under out/soak.
 # With SOAK_OPTIONS=--removals each seed ends with changes of leader after the rows of all jobs are
-# removed, and takes about 70 s.
+# removed, and takes about 70 s. With SOAK_OPTIONS="--faults=0 --lapses=6" nearly all faults are lapses of registry
+# entries, late returns and overwritten entries, with changes of leader after them.
 SOAK_SEEDS ?= 8
 SOAK_JOBS ?= 4
 soak: $(STAMP)
--- a/anvilflow/standins/_wire.py
+++ b/anvilflow/standins/_wire.py
@@ -36,6 +36,8 @@
         If not 0, calls are executed after this delay and not answered. Unit: seconds.
     slow_s : float
         Delay before calls are executed and answered. Unit: seconds.
+    answer_delay_s : float
+        Delay of the answers of calls that have been executed. Unit: seconds.
     only : set of str or None
         Names of the callers that the faults apply to; None: all.
     """
@@ -51,6 +53,7 @@
         self.loses_answers = False
         self.late_s = 0.0
         self.slow_s = 0.0
+        self.answer_delay_s = 0.0
         self.only = None
 
     def apply_to(self, caller):
@@ -239,7 +242,8 @@
         if peer is not None:
             result.addCallback(peer.check)
             result.addCallback(lambda _: self._act(server, call))
-        result.addCallbacks(self._answer, self._refuse, (clock, done), {}, (clock, done), {})
+        answer = (clock, done, faults.answer_delay_s if faults.apply_to(caller) else 0.0)
+        result.addCallbacks(self._answer, self._refuse, answer, {}, (clock, done), {})
         result.addErrback(self._raise)
 
     def _remove_from_server(self, result, server, done, clock):
@@ -251,9 +255,10 @@
         failure.trap(AnvilflowError)
         self.clock.callLater(ONE_WAY_DELAY_S, clock.callLater, 0, _settle, done, failure)
 
-    def _answer(self, result, clock, done):
+    def _answer(self, result, clock, done, delay_s=0.0):
         if done not in self._dropped_answers:
-            self.clock.callLater(ONE_WAY_DELAY_S, clock.callLater, 0, _settle, done, result)
+            arrives_in_s = ONE_WAY_DELAY_S + delay_s
+            self.clock.callLater(arrives_in_s, clock.callLater, 0, _settle, done, result)
 
     def _raise(self, failure):
         failure.printTraceback()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,23 +28,38 @@
 }
 
 
-def one(seed, folder=None, config=False, instances=5, series=0, pressure=False, removals=False):
+def one(
+    seed,
+    folder=None,
+    config=False,
+    instances=5,
+    workers=6,
+    series=0,
+    pressure=False,
+    removals=False,
+    faults=12,
+    lapses=None,
+):
     """Run one seed; exit with status 1 if an invariant was violated.
 
     With `config`, only faults that leave most instances undisturbed are injected, so that the
     configuration in force is checked more often. `series` is the number of additional faults that
     are repeated in quick succession. With `pressure`, the parts of the scheduler for more work than
     capacity are in use. With `removals`, states are kept for a short time, and the leader changes
-    after the rows of all jobs are removed.
+    after the rows of all jobs are removed. `faults` is the number of faults of the first group, by
+    which those of the other groups are counted too, `lapses` that of the faults of the registry.
     """
     verdict = run_seed(
         seed,
         folder or FOLDER / str(seed),
         only_config=config,
         n_instances=instances,
+        n_workers=workers,
         n_series=series,
         expects_pressure=pressure,
         has_removals=removals,
+        n_faults=faults,
+        n_lapses=lapses,
     )
     print(
         f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs, "
@@ -61,9 +76,12 @@
     jobs=4,
     config=False,
     instances=5,
+    workers=6,
     series=0,
     pressure=False,
     removals=False,
+    faults=12,
+    lapses=None,
 ):
     """Run several seeds in parallel, by default from a random one; keep logs of failed ones."""
     first = random.SystemRandom().randrange(10**6) if first is None else first
@@ -74,6 +92,9 @@
             f"--series={series}",
             f"--pressure={pressure}",
             f"--removals={removals}",
+            f"--workers={workers}",
+            f"--faults={faults}",
+            f"--lapses={lapses}",
         ]
         results = list(pool.map(lambda seed: _play(seed, *options), range(first, first + seeds)))
     bad = [seed for seed, is_good in results if not is_good]
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qsl
 
 from twisted.internet.defer import maybeDeferred
+from twisted.internet.task import deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
@@ -66,6 +67,9 @@
     def _handle(self, request, disconnects, call):
         loses = self.faults.loses_answers
         done = maybeDeferred(self.standin.handle, *call)
+        if self.faults.answer_delay_s:
+            delay = (self.reactor, self.faults.answer_delay_s)
+            done.addCallback(lambda result: deferLater(*delay, lambda: result))
         if not loses:
             done.addCallback(_answer, request, disconnects)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -151,14 +151,19 @@
     random_state : random.Random
     disturbances : DisturbanceTracker, default=None
         Records which instances a fault of connections or of the store disturbs.
+    lapses : LapseInjector, default=None
+        Injects the faults of the registry.
     """
 
-    def __init__(self, *, reactor, environment, instances, random_state, disturbances=None):
+    def __init__(
+        self, *, reactor, environment, instances, random_state, disturbances=None, lapses=None
+    ):
         self.reactor = reactor
         self.environment = environment
         self.instances = instances
         self.random_state = random_state
         self.disturbances = disturbances
+        self.lapses = lapses
 
     def schedule_faults(self, faults):
         """Schedule the injection of each fault."""
@@ -223,6 +228,9 @@
                 self._inject_connection_fault(fault, proxy, "cut both" if what == "cut" else what)
             case ["store", *what]:
                 self._inject_store_fault(" ".join(what), fault.for_s)
+            case ["lapse" | "overwritten", *_]:
+                self._disturb(self.instances.names, self.lapses.disturbed_s(fault))
+                self.lapses.inject(fault)
             case ["worker", *what]:
                 self._inject_worker_fault(" ".join(what), self._worker_slot(fault), fault)
             case _:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,6 +28,7 @@
 from ._final_phase import FinalPhase, FinalPhaseRunner, make_final_phase
 from ._instances import Instances
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
+from ._lapses import LapseInjector, make_lapses
 from ._removal_phase import STATUS_KEPT_S, RemovalPhase
 
 #: Contract in force where clients may ask for more than the workers can run.
@@ -81,6 +82,9 @@
         Whether the parts of the scheduler for more work than capacity are in use.
     has_removals : bool, default=False
         Whether the soak ends with the removal of all jobs and changes of leader after it.
+    n_lapses : int, default=None
+        Number of faults of the registry; by default, a sixth of `n_faults`, or none with
+        `only_config`.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         n_series=0,
         expects_pressure=False,
         has_removals=False,
+        n_lapses=None,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -111,6 +116,7 @@
         self.n_series = n_series
         self.expects_pressure = expects_pressure
         self.has_removals = has_removals
+        self.n_lapses = n_lapses
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -181,8 +187,15 @@
         departures = make_departures(
             Random(f"{self.seed} departures"), n_faults=n_faults // 3, seconds=seconds
         )
+        n_lapses = 0 if self.only_config else n_faults // 6
+        lapses = make_lapses(
+            Random(f"{self.seed} lapses"),
+            n_faults=n_lapses if self.n_lapses is None else self.n_lapses,
+            seconds=seconds,
+        )
         faults = config if self.only_config else faults + config
-        return faults + series + capacity + restarts + departures, later_random_state
+        faults += series + capacity + restarts + departures + lapses
+        return faults, later_random_state
 
     @inlineCallbacks
     def _play(self, rng, environment, instances, disturbances, faults, ending):
@@ -203,6 +216,7 @@
             instances=instances,
             random_state=rng,
             disturbances=disturbances,
+            lapses=LapseInjector(reactor=self.reactor, environment=environment),
         )
         injector.schedule_faults(faults)
         watch = ConfigWatch(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak._config_watch import ConfigQuery, _is_allowed_answer
 from soak._disturbances import UNDISTURBED_S, DisturbanceTracker
 from soak._faults import KINDS, make_faults
+from soak._lapses import LAPSE_KINDS, make_lapses
 from soak._shared_link import SharedLink
 
 
@@ -21,6 +22,16 @@
     assert {fault.kind for fault in first} <= set(KINDS)
 
 
+def test_lapses_are_followed_by_series_of_changes_of_leader():
+    """Guards against a soak in which no leader is replaced while entries come back."""
+    faults = make_lapses(Random(7), n_faults=20, seconds=10.0)
+    lapses = [fault for fault in faults if fault.kind in LAPSE_KINDS]
+    changes = [fault for fault in faults if fault.kind not in LAPSE_KINDS]
+    assert len(lapses) == 20
+    assert len(changes) > len(lapses)
+    assert all("home" in fault.kind for fault in changes)
+
+
 @pytest.mark.parametrize("seed", [3])
 def test_short_soak_violates_no_invariant(seed, tmp_path):
     """Three processes and four workers, random faults within six seconds, then a loss of power."""
@@ -37,6 +48,11 @@
     _play(6, tmp_path, grows=False, has_removals=True, **_SHORT)
 
 
+def test_short_soak_with_lapses_of_registry_entries_violates_no_invariant(tmp_path):
+    """Guards against second runs on workers whose entries lapse, come back or are overwritten."""
+    _play(8, tmp_path, grows=False, n_lapses=3, **{**_SHORT, "n_faults": 0})
+
+
 def test_short_soak_with_a_growing_configuration_breaks_no_promise(tmp_path):
     """An instance lacks acknowledged routes, or has none after a restart.
 
