Soak: many passes its options on to each seed

Cause: each option stood in the signatures of one and of many, and in a list of flags.

Change: many takes any option of one, and passes it on as it is.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,32 +70,14 @@
     sys.exit(1 if verdict.broken else 0)
 
 
-def many(
-    first=None,
-    seeds=8,
-    jobs=4,
-    config=False,
-    instances=5,
-    workers=6,
-    series=0,
-    pressure=False,
-    removals=False,
-    faults=12,
-    lapses=None,
-):
-    """Run several seeds in parallel, by default from a random one; keep logs of failed ones."""
+def many(first=None, seeds=8, jobs=4, **options):
+    """Run several seeds in parallel, by default from a random one; keep logs of failed ones.
+
+    `options` are those of :func:`one`.
+    """
     first = random.SystemRandom().randrange(10**6) if first is None else first
+    options = [f"--{name}={value}" for name, value in options.items()]
     with ThreadPoolExecutor(max_workers=jobs) as pool:
-        options = [
-            f"--config={config}",
-            f"--instances={instances}",
-            f"--series={series}",
-            f"--pressure={pressure}",
-            f"--removals={removals}",
-            f"--workers={workers}",
-            f"--faults={faults}",
-            f"--lapses={lapses}",
-        ]
         results = list(pool.map(lambda seed: _play(seed, *options), range(first, first + seeds)))
     bad = [seed for seed, is_good in results if not is_good]
     print(f"{seeds} seeds from {first}: {len(bad)} broken {bad}")
