Run numbers: reserved in the job's record before a leader passes those of its term

Cause: a new leader began a task's numbers at (term - 1) x 1,000 + 1. The constant stood for what an earlier leader can have used at most, and nothing enforced it: a lasting task has no limit of attempts.

Change: each leader may use 1,000 numbers beyond its predecessor's without a record, as before. Once 500 are left, the job's next record reserves more, and no number beyond those that a durable record reserves is used; a task that has come to the end waits for the record. The check is on the number, not on a count of starts, so that it holds for adopted and inherited numbers too. The record holds one number per job and the term that reserved it.

--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -5,6 +5,7 @@
 from ._accounts import add_demands, demand_of
 from ._crash_history import CrashHistory
 from ._record import JobRecord
+from ._run_numbers import RunNumbers
 
 #: Longest time that a long-running task waits behind more urgent jobs. Unit: seconds.
 MAX_DOWNTIME_S = 2.0
@@ -181,14 +182,17 @@
         Whether an earlier leader may have started tasks of the job.
     account : ClientAccount, default=None
         ClientAccount that submitted the job.
+    term : int, default=1
+        Number of leaders so far, including this one.
 
     Notes
     -----
     `change` counts the changes of the job's progress, `recorded_change` is its value at the latest
     durable one, and `changed_at` the time since which a change waits to be recorded. `begun` means
     that a task has begun, `is_idle` that plans leave the job out, `is_changed` that the job has
-    changed since its last plan. `due_by` is the target completion time. `steps` holds each
-    :class:`StepRun` by its occurrence and number, `standing` what `anvilflow.shares` keeps.
+    changed since its last plan. `due_by` is the target completion time. `run_numbers` are those
+    that this leader may use. `steps` holds each :class:`StepRun` by its occurrence and number,
+    `standing` what `anvilflow.shares` keeps.
     """
 
     __slots__ = (
@@ -205,6 +209,7 @@
         "next_occurrence",
         "queue",
         "recorded_change",
+        "run_numbers",
         "spec",
         "standing",
         "starts_delayed_until",
@@ -224,6 +229,7 @@
         record=None,
         inherited=False,
         account=None,
+        term=1,
     ):
         self.spec = spec
         self.queue = queue
@@ -233,6 +239,12 @@
         self.starts_delayed_until = 0.0
         self.standing = None
         self.inherited = inherited
+        self.run_numbers = RunNumbers(
+            term=term,
+            is_inherited=inherited,
+            reserved=record.max_run_id if record is not None else 0,
+            reserved_term=record.max_run_id_term if record is not None else 0,
+        )
         self.is_long_running = any(step.long_running for step in spec.steps)
         self.is_idle = False
         self.is_changed = True
@@ -365,6 +377,17 @@
         if self.changed_at is None:
             self.changed_at = now
 
+    def note_run_id(self, run_id, now):
+        """Note that a task has had a run number."""
+        self.run_numbers.note_used(run_id)
+        self.reserve_run_numbers(now)
+
+    def reserve_run_numbers(self, now):
+        """Reserve further run numbers with the job's next record if few are left."""
+        if self.run_numbers.needs_reservation and not self.is_ended:
+            self.touch(now)
+            self.run_numbers.reserve(self.change)
+
     def held(self):
         """Return what the job's runs occupy that have not ended, as :func:`demand_of`."""
         held = (0, 0, 0)
@@ -390,6 +413,8 @@
             failures={},
             checkpoints={},
             lost_runs={},
+            max_run_id=self.run_numbers.reserved,
+            max_run_id_term=self.run_numbers.reserved_term,
         )
         for (occurrence, number), step in self.steps.items():
             key = f"{occurrence}.{number}"
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -264,14 +264,13 @@
     for chosen in _gang_choices(scheduler, step, waiting, [*racks, workers]):
         if chosen:
             # All members get the same run number, so that a failure of the gang counts once.
-            run_id = max(task.run_id for task in waiting)
+            run_id = max(step.job.run_numbers.next_of(task) for task in waiting)
             checkpoint = next((task.checkpoint for task in waiting if task.checkpoint), "")
             for task in waiting:
-                task.run_id = run_id
                 task.checkpoint = checkpoint
             recorded = any(scheduler.must_be_recorded(step, task) for task in waiting)
             return [
-                _start(scheduler, worker, step, task, now, recorded=recorded)
+                _start(scheduler, worker, step, task, now, recorded=recorded, run_id=run_id)
                 for task, worker in zip(waiting, chosen, strict=True)
             ]
     need_advice(scheduler, step, now)
@@ -325,9 +324,10 @@
     return max(0, min(limits))
 
 
-def _start(scheduler, worker, step, task, now, *, recorded=False):
+def _start(scheduler, worker, step, task, now, *, recorded=False, run_id=None):
     recorded = recorded or scheduler.must_be_recorded(step, task)
-    run = scheduler.new_run(worker, step, task, now)
+    run_id = run_id or step.job.run_numbers.next_of(task)
+    run = scheduler.new_run(worker, step, task, run_id, now)
     scheduler.shares.note_started(step.job, now)
     scheduler.begin_trial(task, run)
     if recorded:
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -24,6 +24,9 @@
         By task as above: the checkpoint from which the next run resumes.
     lost_runs : dict of str to list of LostRun
         By task as above: the runs whose workers were lost, and the latest recorded start.
+    max_run_id, max_run_id_term : int
+        Highest run number that the leader of this term may use, see :class:`RunNumbers`; 0: it has
+        not reserved any.
     """
 
     begun: bool = False
@@ -32,6 +35,8 @@
     failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
     lost_runs: dict[str, list[LostRun]] = {}
+    max_run_id: int = 0
+    max_run_id_term: int = 0
 
 
 class EndedJob(Struct, kw_only=True, omit_defaults=True):
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -12,11 +12,6 @@
 from ._stalled_runs import note_duration
 from ._worker_speeds import duration_factor, note_run, note_speeds
 
-#: Size of the range of run numbers that each leader may use for a task; the next leader's range
-#: begins after it. A new leader has no count of the runs that its predecessor started, and a worker
-#: refuses a run number that is not higher than the task's last one.
-RUNS_PER_TERM = 1000
-
 #: Interval between attempts to start tasks of a job whose payload is missing from the store. Unit:
 #: seconds.
 NO_PAYLOAD_RETRY_S = 5.0
@@ -220,10 +215,9 @@
                 if orphan.stopped:
                     run.state = "barred"
 
-    def new_run(self, worker, step, task, now):
+    def new_run(self, worker, step, task, run_id, now):
         """Add the run of a start that is about to be sent; return the run."""
-        floor = (self.term - 1) * RUNS_PER_TERM if step.job.inherited else 0
-        run = self._make_run(worker, step, task, max(task.run_id, floor) + 1, now)
+        run = self._make_run(worker, step, task, run_id, now)
         run.resumes = bool(task.checkpoint)
         run.is_full_run = not run.resumes
         return run
@@ -280,6 +274,7 @@
     def _apply_end(self, worker, step, task, end, run, now):
         """Apply the end of a task's run; `run` is None if this leader did not track it."""
         task.run_id = max(task.run_id, end.run_id)
+        step.job.note_run_id(end.run_id, now)
         actions = []
         if not step.job.is_ended:
             if end.checkpoint and step.spec.checkpointing:
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -102,9 +102,11 @@
             wall_now=wall_now,
             record=record,
             inherited=self.grace_period.may_have_begun(version),
+            term=self.term,
         )
         self.shares.note_accepted(job, now)
         self._bound_inherited_job(job, now)
+        job.reserve_run_numbers(now)
         # The job has no runs here yet, so that the ends reported early cannot cause any stops.
         self._apply_early_reports(job, now)
         self.restore_suspects(job)
@@ -214,6 +216,8 @@
             return False
         job.recorded_change = max(job.recorded_change, change)
         job.changed_at = None if job.recorded_change == job.change else now
+        if job.run_numbers.recorded(change):
+            job.wake()
         if not job.is_ended or job.recorded_change < job.change:
             return False
         del self.jobs[job_id]
@@ -432,8 +436,9 @@
         """Whether tasks of the job may be started now.
 
         Returns False while an earlier leader may have started a run of the job that no worker has
-        listed yet, and while starts are delayed because the payload is missing from the store.
+        listed yet, while starts are delayed because the payload is missing from the store, and
+        while no run numbers are reserved.
         """
-        if now < job.starts_delayed_until:
+        if now < job.starts_delayed_until or not job.run_numbers.may_use_next:
             return False
         return not job.inherited or self.are_all_runs_known(now)
--- a/anvilflow/jobs/_worker_tracker.py
+++ b/anvilflow/jobs/_worker_tracker.py
@@ -238,6 +238,7 @@
         self.usage.add(step.job, step.spec)
         task.runs[worker.info.worker_id] = run
         task.run_id = max(task.run_id, run_id)
+        step.job.note_run_id(run_id, now)
         task.state = TaskState.RUNNING
         return run
 
