Run numbers: skip more after each refusal by a worker without a run of the task

Callers saw a task stay down for as long as there were run numbers that the leader did not know of: after `old` it tried the next number, one in 0.9 s.

Cause: a refusal as `old` taught the leader nothing. A later complete report that lists neither a run nor an end of the task proves that the worker has had a higher number; only how much higher is unknown.

Change: after such a proof the task's next number skips 250, then 64,000, 16,384,000 and so on for refusals in a row, reserved in the job's record as all others. A run or an end that explains the refusal, and a stop of ours before it, skip nothing; a run that begins ends the row. The warning `run number refused` names the number, the count and the next one; the counter is anvilflow_refused_run_numbers.

A number up to 16 million takes three refusals. The arithmetic of the size: at most 2^30 a refusal, so that 2^53 - 1, up to where a double tells whole numbers apart, allows 8 million refusals in a row; skips end there.

The stand-in of a private method in test_cut_reports returns what the method now returns; its checks are as they were.

--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -9,6 +9,7 @@
     LONG_REQUEST_S,
     NoteCrashingTask,
     NoteLostWorker,
+    NoteRefusedNumber,
     NoteUnusableWeight,
     NoteWait,
     RequestAdvice,
@@ -518,6 +519,8 @@
                     self._note_lost_worker(action)
                 case NoteCrashingTask():
                     self._note_crashing_task(action)
+                case NoteRefusedNumber():
+                    self._note_refused_number(action)
         self._fleet.send_starts()
 
     def _note_unusable_weight(self, note):
@@ -536,6 +539,10 @@
         )
         self.log.warning("job failed", **to_builtins(note), error=str(cause))
 
+    def _note_refused_number(self, note):
+        self.context.meters.count("refused_run_numbers")
+        self.log.warning("run number refused", **to_builtins(note))
+
     def _request_advice(self, action):
         done = self._advice_dispatcher.ask(action.step, action.registry_ids, action.length_s)
         done.addCallback(self._advice_received, action, self._scheduler, self.now)
--- a/anvilflow/cell/tests/test_run_numbers.py
+++ b/anvilflow/cell/tests/test_run_numbers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anvilflow.jobs import _run_numbers
+from anvilflow.jobs import Scheduler, _run_numbers
 from anvilflow.jobs._run_numbers import RunNumbers
 
 from ._helpers import JOB, make_cell
@@ -29,6 +29,10 @@
     monkeypatch.setattr(RunNumbers, "needs_reservation", False)
 
 
+def _skip_no_numbers(monkeypatch):
+    monkeypatch.setattr(Scheduler, "_note_refused_number", lambda *_: [])
+
+
 def _fail_often(step, *, n_runs):
     """Return a cell with a task that has failed so often and waits for its next start."""
     cell = make_cell(n_instances=6, n_workers=8)
@@ -63,6 +67,7 @@
     """Guards against a next leader whose run numbers are below those that workers know."""
     if not safeguard:
         _assume_no_more_runs_than_a_term_has(monkeypatch)
+        _skip_no_numbers(monkeypatch)
     cell = _fail_often(step, n_runs=(3 + n_changes) * RUNS_PER_TERM)
     for _ in range(n_changes):
         _replace_leader(cell)
@@ -70,6 +75,18 @@
     assert not cell.check() and not cell.errors
 
 
+@pytest.mark.parametrize("safeguard", [True, False])
+def test_task_of_which_workers_know_higher_numbers_runs_again(monkeypatch, safeguard):
+    """Guards against an outage as long as the numbers that a leader does not know of are many."""
+    if not safeguard:
+        _skip_no_numbers(monkeypatch)
+    cell = _fail_often(LASTING, n_runs=RUNS_PER_TERM // 2)
+    for worker in cell.workers.values():
+        worker.barred_run_ids[f"{JOB}.0.0.0"] = 50_000
+    _replace_leader(cell)
+    assert _is_started_again(cell) is safeguard
+
+
 def test_task_waits_for_a_store_that_cannot_record_its_next_numbers():
     """Guards against numbers in an outage of the store that the next leader takes for unused."""
     cell = _fail_often(LASTING, n_runs=RUNS_PER_TERM // 2)
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -4,6 +4,7 @@
 from ._actions import (
     NoteCrashingTask,
     NoteLostWorker,
+    NoteRefusedNumber,
     NoteUnusableWeight,
     NoteWait,
     RequestAdvice,
@@ -50,6 +51,7 @@
     "NoteCrashingTask",
     "NoteDroppedRun",
     "NoteLostWorker",
+    "NoteRefusedNumber",
     "NoteUnusableWeight",
     "NoteWait",
     "Queue",
--- a/anvilflow/jobs/_actions.py
+++ b/anvilflow/jobs/_actions.py
@@ -82,6 +82,20 @@
     runs_and_losses: dict[str, list[int]]
 
 
+class NoteRefusedNumber(Struct, kw_only=True):
+    """Report that a worker has had a higher run number of a task than the leader knows of.
+
+    `run_id` is the number that it refused without having a run of the task, `n_refusals` counts the
+    refusals in a row, and `next_run_id` is the task's next number.
+    """
+
+    worker_id: str
+    task: str
+    run_id: int
+    n_refusals: int
+    next_run_id: int
+
+
 class NoteCrashingTask(Struct, kw_only=True):
     """Report that a job was failed because one of its tasks crashes workers.
 
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -39,7 +39,8 @@
     `runs` holds by worker the runs that have not been reported as ended. `avoid` holds the workers
     on which the task failed, stalled or was slow; others are preferred. `failed_runs` holds the
     numbers of the failed runs; the first task of a gang holds those of all its members.
-    `n_stalled_runs` counts the runs that were found stalled or slow. `run_id` is the highest run
+    `n_stalled_runs` counts the runs that were found stalled or slow, `n_number_refusals` the starts
+    in a row that were refused by their numbers, see `_run_numbers`. `run_id` is the highest run
     number so far, `started_at` the time at which the first run began.
     """
 
@@ -49,6 +50,7 @@
         "crash_history",
         "failed_runs",
         "index",
+        "n_number_refusals",
         "n_stalled_runs",
         "name",
         "run_id",
@@ -68,6 +70,7 @@
         self.avoid = set()
         self.crash_history = None
         self.n_stalled_runs = 0
+        self.n_number_refusals = 0
         self.runs = {}
         self.waiting_since = now
         self.started_at = None
@@ -378,7 +381,7 @@
             self.changed_at = now
 
     def note_run_id(self, run_id, now):
-        """Note that a task has had a run number."""
+        """Note that a task has had a run number, or skips those up to it."""
         self.run_numbers.note_used(run_id)
         self.reserve_run_numbers(now)
 
--- a/anvilflow/jobs/_run.py
+++ b/anvilflow/jobs/_run.py
@@ -89,8 +89,9 @@
     `is_adopted` that another leader started it, `is_trial` that it is a trial run, see
     :class:`TrialTracker`. `is_explained` means that the run is slow and is left alone, since the
     learnt speed of its worker or the length of its task explains it, `is_noted` that its duration
-    is in the run times of its step. `earlier_percent` and `earlier_at` are the progress at an
-    earlier report, from which the present speed is estimated.
+    is in the run times of its step, `is_number_refused` that its worker has refused its number and
+    has not reported a run of the task that explains this. `earlier_percent` and `earlier_at` are
+    the progress at an earlier report, from which the present speed is estimated.
     """
 
     __slots__ = (
@@ -104,6 +105,7 @@
         "is_explained",
         "is_full_run",
         "is_noted",
+        "is_number_refused",
         "is_sent",
         "is_trial",
         "job",
@@ -143,6 +145,7 @@
         self.resumes = False
         self.is_full_run = False
         self.is_noted = False
+        self.is_number_refused = False
         self.is_sent = False
         self.has_begun = False
         self.is_adopted = False
--- a/anvilflow/jobs/_run_numbers.py
+++ b/anvilflow/jobs/_run_numbers.py
@@ -10,6 +10,42 @@
 RESERVED_RUNS = 1000
 MIN_UNUSED_RUNS = 500
 
+#: Run numbers that are skipped after a worker has refused one without having a run of the task;
+#: each further refusal in a row multiplies them by the factor, up to the maximum. The first skip
+#: rarely needs a record; four pass any count of runs that one leader can reach.
+FIRST_SKIP = 250
+SKIP_FACTOR = 256
+MAX_SKIP = 2**30
+
+#: Largest run number that is reached by skipping: programs that hold a number as a double tell
+#: whole numbers apart up to here.
+MAX_SKIPPED_TO = 2**53 - 1
+
+
+def skipped_runs(run_id, n_refusals):
+    """Return how many numbers to skip after `run_id`, which a worker was the last to refuse.
+
+    Parameters
+    ----------
+    run_id : int
+        Highest number of the task so far.
+    n_refusals : int
+        Refusals in a row by workers that had no run of the task.
+
+    Examples
+    --------
+    >>> [skipped_runs(1, n_refusals) for n_refusals in range(4)]
+    [0, 250, 64000, 16384000]
+    >>> skipped_runs(1, 9) == MAX_SKIP
+    True
+    >>> skipped_runs(MAX_SKIPPED_TO - 5, 1)
+    0
+    """
+    if not n_refusals:
+        return 0
+    n_skipped = min(MAX_SKIP, FIRST_SKIP * SKIP_FACTOR ** (n_refusals - 1))
+    return n_skipped if run_id + n_skipped < MAX_SKIPPED_TO else 0
+
 
 class RunNumbers:
     """Numbers that one leader may give to the runs of one job's tasks.
@@ -67,10 +103,11 @@
 
     def next_of(self, task):
         """Return the number of a task's next run."""
-        return max(task.run_id, self._last_earlier) + 1
+        n_skipped = skipped_runs(task.run_id, task.n_number_refusals)
+        return max(task.run_id + n_skipped, self._last_earlier) + 1
 
     def note_used(self, run_id):
-        """Note that a task has had the number `run_id`."""
+        """Note that a task has had the number `run_id`, or skips those up to it."""
         self._highest = max(self._highest, run_id)
 
     def reserve(self, change):
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from ._actions import StopRun
+from ._actions import NoteRefusedNumber, StopRun
 from ._advice import has_ticket
 from ._completion import CompletionTracker
 from ._dropped_runs import RunProof
@@ -85,7 +85,7 @@
         self._note_pending_ends(worker, report)
         # Otherwise the end of a run that is not listed may be among those not reported yet.
         if report.has_all_ends:
-            self._drop_unlisted_runs(worker, listed, requested_at, now)
+            actions += self._drop_unlisted_runs(worker, listed, requested_at, now)
         self.note_survivals(worker, now)
         self._confirm_worker(worker, now)
         if worker.unreachable:
@@ -105,15 +105,42 @@
     def _drop_unlisted_runs(self, worker, listed, requested_at, now):
         """Drop the runs of a worker that are over by its complete report.
 
-        `listed` holds the task and the number of each run in the report.
+        `listed` holds the task and the number of each run in the report. Returns the notes on run
+        numbers that the worker has refused.
         """
+        notes = []
         for key in set(worker.orphan_runs) - listed:
             del worker.orphan_runs[key]
             self.freed.add(worker.info.worker_id)
         for run in list(worker.runs.values()):
             confirmed = run.state in ("running", "barred", "unknown")
             if confirmed and run.sent_at < requested_at and (run.task, run.run_id) not in listed:
+                if run.is_number_refused:
+                    notes += self._note_refused_number(run, now)
                 self._drop_run(run, RunProof.NOT_LISTED, now)
+        return notes
+
+    def _note_refused_number(self, run, now):
+        """Count a refusal by a worker that has no run of the task: it has had a higher number.
+
+        The task's next run skips numbers, the more the more refusals in a row there were. Returns
+        the notes on the refusal.
+        """
+        step, task = self.find_task(run.task)
+        if task is None or step.job.is_ended:
+            return []
+        task.n_number_refusals += 1
+        next_run_id = step.job.run_numbers.next_of(task)
+        step.job.note_run_id(next_run_id - 1, now)
+        return [
+            NoteRefusedNumber(
+                worker_id=run.worker.info.worker_id,
+                task=run.task,
+                run_id=run.run_id,
+                n_refusals=task.n_number_refusals,
+                next_run_id=next_run_id,
+            )
+        ]
 
     def _handle_active_run(self, worker, item, clock_s, now):
         run = worker.runs.get(item.task)
@@ -133,6 +160,8 @@
 
         An orphan run whose task may still become known is stopped after :data:`UNKNOWN_JOB_S`.
         """
+        if tracked_run is not None:
+            tracked_run.is_number_refused = False
         step, task = self.find_task(item.task)
         wanted = (
             tracked_run is None
@@ -236,6 +265,7 @@
         _, task = self.find_task(run.task)
         if task is None:
             return
+        task.n_number_refusals = 0
         if task.started_at is None:
             task.started_at = now
         history = task.crash_history
@@ -253,6 +283,8 @@
                 self.places.note_stopped(now - run.stopped_at)
             self._free(run)
         else:
+            if run is not None:
+                run.is_number_refused = False
             run = None
             self.dropped_runs.end_listed(worker.info.worker_id, end)
         step, task = self.find_task(end.task)
@@ -399,9 +431,11 @@
     def _keep_until_report(self, run, now):
         """Keep the task of a run that its worker refuses by number until the next report.
 
-        The worker has, or has had, another run of the task, whose end this leader may not know.
+        The worker has, or has had, another run of the task, whose end this leader may not know; or
+        it was told to stop the run.
         """
         run.state = "barred"
+        run.is_number_refused = run.stopped_at is None
         run.sent_at = now
 
     def _stop_rest_of_gang(self, task, run_id, now):
--- a/anvilflow/jobs/tests/test_cut_reports.py
+++ b/anvilflow/jobs/tests/test_cut_reports.py
@@ -132,4 +132,4 @@
 
 def _drop_orphan_runs(self, worker, listed, requested_at, now):
     worker.orphan_runs.clear()
-    _drop_unlisted_runs(self, worker, listed, requested_at, now)
+    return _drop_unlisted_runs(self, worker, listed, requested_at, now)
--- a/anvilflow/jobs/tests/test_run_numbers.py
+++ b/anvilflow/jobs/tests/test_run_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers of runs over several leaders."""
+"""Numbers of runs over several leaders, and starts that workers refuse by their numbers."""
 
 from random import Random
 
@@ -8,7 +8,9 @@
     JobRecord,
     JobRun,
     JobSpec,
+    NoteRefusedNumber,
     RunEnd,
+    RunReport,
     Scheduler,
     StartRun,
     StepSpec,
@@ -116,6 +118,112 @@
     scheduler.report(worker_id, make_report((), [end]), requested_at=now, now=now)
 
 
+def _refuse(scheduler, start, now):
+    scheduler.start_sent(start.worker_id, start.task, start.run_id)
+    scheduler.start_answered(start.worker_id, start.task, start.run_id, "old", now)
+
+
+def _report(scheduler, start, now, *, active=(), ended=()):
+    """Report runs and ends; return the notes and the next starts, once changes are recorded."""
+    report = make_report(active, ended, clock_s=now)
+    notes = scheduler.report(start.worker_id, report, requested_at=now, now=now)
+    for job in scheduler.dirty_jobs():
+        scheduler.recorded(job.job_id, job.change, now)
+    starts = [each for each in scheduler.plan(now, now) if isinstance(each, StartRun)]
+    return [each for each in notes if isinstance(each, NoteRefusedNumber)], starts
+
+
+@pytest.mark.parametrize("highest", [300, 60_000, 16_000_000])
+def test_task_of_which_a_worker_knows_a_higher_number_starts_again(highest):
+    """Guards against an outage of a task that lasts as long as there were runs unknown."""
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, LASTING)
+    refused = []
+    now = 1.0
+    while start.run_id <= highest:
+        _refuse(scheduler, start, now)
+        [note], [start] = _report(scheduler, start, now + 0.5)
+        refused.append(note.run_id)
+        assert note.next_run_id == start.run_id
+        now += 1.0
+    assert len(refused) <= 3
+
+
+@pytest.mark.parametrize("is_active", [True, False])
+def test_refusal_that_another_run_explains_skips_no_numbers(is_active):
+    """Guards against skipped numbers where the worker has, or has just had, another run."""
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, LASTING)
+    _refuse(scheduler, start, 1.0)
+    end = RunEnd(number=1, task=start.task, run_id=7, how="stopped", checkpoint="")
+    if is_active:
+        run = RunReport(task=start.task, run_id=7, checkpoint="", percent=0.0, load=0.0)
+        assert _report(scheduler, start, 1.5, active=[run]) == ([], [])
+    notes, [again] = _report(scheduler, start, 2.0, ended=[end])
+    assert (notes, again.run_id) == ([], 8)
+
+
+def test_start_refused_after_its_stop_skips_no_numbers():
+    """Guards against skipped numbers where the leader's own stop bars the run."""
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, LASTING)
+    [run] = scheduler.workers["w0"].runs.values()
+    run.stopped_at = 0.9
+    _refuse(scheduler, start, 1.0)
+    assert _report(scheduler, start, 1.5)[0] == []
+
+
+def test_run_that_begins_ends_the_row_of_refusals():
+    """Guards against skips that grow with refusals long before."""
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, LASTING)
+    _refuse(scheduler, start, 1.0)
+    _, [start] = _report(scheduler, start, 1.5)
+    scheduler.start_answered(start.worker_id, start.task, start.run_id, "started", 1.6)
+    end = RunEnd(number=1, task=start.task, run_id=start.run_id, how="stopped", checkpoint="")
+    _, [again] = _report(scheduler, start, 2.0, ended=[end])
+    assert again.run_id == start.run_id + 1
+
+
+def test_failures_count_once_each_where_numbers_are_skipped():
+    """Guards against an attempt that counts twice, or not at all, after skipped numbers."""
+    scheduler = make_scheduler(n_workers=1)
+    [start] = add_job(scheduler, StepSpec(n_tasks=1, cpu_milli=1000))
+    _refuse(scheduler, start, 1.0)
+    _, [start] = _report(scheduler, start, 1.5)
+    now = 2.0
+    for number in range(1, QUEUE.max_attempts + 1):
+        assert not scheduler.jobs[JOB].is_ended
+        scheduler.start_answered(start.worker_id, start.task, start.run_id, "started", now)
+        end = RunEnd(
+            number=number, task=start.task, run_id=start.run_id, how="failed", checkpoint=""
+        )
+        # The worker repeats an end until it is acknowledged.
+        _, starts = _report(scheduler, start, now + 1.0, ended=[end])
+        _, more = _report(scheduler, start, now + 20.0, ended=[end])
+        now += 40.0
+        [start, *_] = [*starts, *more, start]
+    assert scheduler.state_of(JOB) == "failed"
+
+
+def test_members_of_a_gang_share_a_number_after_a_refusal():
+    """Guards against a gang that never assembles, as one member skips numbers alone."""
+    scheduler = make_scheduler(n_workers=2)
+    starts = add_job(scheduler, StepSpec(n_tasks=2, cpu_milli=6000, gang=True, long_running=True))
+    for start in starts:
+        scheduler.start_sent(start.worker_id, start.task, start.run_id)
+    refused, taken = starts
+    scheduler.start_answered(refused.worker_id, refused.task, refused.run_id, "old", 1.0)
+    scheduler.stop_answered(refused.worker_id, refused.task, refused.run_id, 1.1)
+    scheduler.start_answered(taken.worker_id, taken.task, taken.run_id, "started", 1.0)
+    end = RunEnd(number=1, task=taken.task, run_id=taken.run_id, how="stopped", checkpoint="")
+    _, starts = _report(scheduler, taken, 1.5, ended=[end])
+    _, more = _report(scheduler, refused, 1.6)
+    numbers = {start.run_id for start in [*starts, *more]}
+    assert len([*starts, *more]) == 2
+    assert len(numbers) == 1 and numbers.pop() > refused.run_id + 1
+
+
 def test_record_of_an_earlier_release_reserves_nothing():
     """Guards against a record without reserved numbers that stops a leader."""
     record = decode(encode({"begun": True}), JobRecord, error=ValueError)
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -24,6 +24,10 @@
     "worker_crashes": ("Workers that were lost, by how the loss was detected.", ("known_by",)),
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
+    "refused_run_numbers": (
+        "Starts refused by their numbers by workers that had no run of the task.",
+        (),
+    ),
     "unanswered_starts": ("Starts without an answer that a worker may execute late.", ()),
     "unanswered_advice": ("Requests for advice that failed or had no answer.", ()),
     "places_taken_back": ("Runs stopped on workers with kept places, for urgent tasks.", ()),
