Scheduling: a long-running task that keeps failing backs off by itself

Callers saw small jobs wait for up to 7 s on an idle cell while one client's service failed at each start.

Cause: each failure counted against the worker. A task that fails at once is started again at once on the next worker, so that all workers soon had a back-off of up to 8 s, which holds the starts of everybody.

Against the worker such a step counts once since its last success, and not if the step has failed on other workers as well without a run of 2 s between: a worker that fails tasks of several steps keeps its back-off. A success on the worker ends the step's back-off there, as it ended the worker's before.

What remains: where other tasks end well on its workers, such a task is started again at once, as before.

--- a/anvilflow/jobs/_advice.py
+++ b/anvilflow/jobs/_advice.py
@@ -84,7 +84,7 @@
     speed_rank = make_speed_rank(scheduler, step)
     with_capacity, others = [], []
     for worker in workers:
-        has_capacity = worker.accepts(now) and n_places(worker) > 0
+        has_capacity = worker.accepts(now, step) and n_places(worker) > 0
         (with_capacity if has_capacity else others).append(worker)
     # Workers that were allowed before will be allowed again. Unhealthy ones come last and are not
     # left out: they may be the only ones that are allowed.
--- a/anvilflow/jobs/_faster_workers.py
+++ b/anvilflow/jobs/_faster_workers.py
@@ -59,7 +59,11 @@
     wait_s = _NEVER
     for worker in scheduler.workers.values():
         info = worker.info
-        if info.service != queue.service or not worker.accepts(now) or not worker.could_fit(spec):
+        if (
+            info.service != queue.service
+            or not worker.accepts(now, step)
+            or not worker.could_fit(spec)
+        ):
             continue
         if spec.label and spec.label not in info.labels:
             continue
--- a/anvilflow/jobs/_job.py
+++ b/anvilflow/jobs/_job.py
@@ -10,6 +10,9 @@
 #: Longest time that a long-running task waits behind more urgent jobs. Unit: seconds.
 MAX_DOWNTIME_S = 2.0
 
+#: Duration from which a run of a long-running task shows that the task itself works. Unit: seconds.
+SOUND_RUN_S = 2.0
+
 
 class TaskState(StrEnum):
     """State of a task."""
@@ -89,13 +92,16 @@
     lists the tasks that need a second run beside a stalled or slow one. `advice_needed_since` is
     the time since which the step has waited for its last advice request. `is_counted` means that
     its demand has been learnt, see `anvilflow.places`. `limited_retry_at` is the time before which
-    the step makes no request while its account has reached its maximum.
+    the step makes no request while its account has reached its maximum. `failed_on` are the ids of
+    the workers on which long-running tasks of the step have failed since one ran for
+    :data:`SOUND_RUN_S`.
     """
 
     __slots__ = (
         "advice_needed_since",
         "copies",
         "durations",
+        "failed_on",
         "is_counted",
         "is_speed_noted",
         "job",
@@ -134,6 +140,7 @@
         self.is_speed_noted = False
         self.is_counted = False
         self.refused = set()
+        self.failed_on = set()
 
     @property
     def is_done(self):
--- a/anvilflow/jobs/_placement.py
+++ b/anvilflow/jobs/_placement.py
@@ -163,7 +163,7 @@
 def _is_eligible(scheduler, step, worker, now):
     """Whether a worker accepts work now and may run the step."""
     info = worker.info
-    if info.service != step.job.queue.service or not worker.accepts(now):
+    if info.service != step.job.queue.service or not worker.accepts(now, step):
         return False
     if step.spec.label and step.spec.label not in info.labels:
         return False
--- a/anvilflow/jobs/_reservations.py
+++ b/anvilflow/jobs/_reservations.py
@@ -312,7 +312,7 @@
         Infinite if the worker accepts no tasks or its total capacity does not suffice. Unit:
         seconds.
         """
-        if not worker.accepts(self._now) or not worker.could_fit(step.spec):
+        if not worker.accepts(self._now, step) or not worker.could_fit(step.spec):
             return _NEVER
         spec = step.spec
         capacity = _FreeCapacity(worker, reserve)
--- a/anvilflow/jobs/_run_tracker.py
+++ b/anvilflow/jobs/_run_tracker.py
@@ -6,7 +6,7 @@
 from ._advice import has_ticket
 from ._completion import CompletionTracker
 from ._dropped_runs import RunProof
-from ._job import JobState, TaskState
+from ._job import SOUND_RUN_S, JobState, TaskState
 from ._pacing import pace_background_tasks
 from ._run import OrphanRun, PendingEnd
 from ._stalled_runs import note_duration
@@ -326,7 +326,7 @@
                     self.run_times.note(step.job.queue.name, step.spec.estimate_s, seconds)
                 return self._task_done(step, task, now)
             case "failed":
-                return self._task_failed(worker, step, task, end.run_id, now)
+                return self._task_failed(worker, step, task, end.run_id, run, now)
             case _:
                 return []
 
@@ -352,12 +352,13 @@
             actions += self.complete_job(job, now)
         return actions
 
-    def _task_failed(self, worker, step, task, run_id, now):
+    def _task_failed(self, worker, step, task, run_id, run, now):
         job = step.job
-        self._note_worker_failure(worker, now)
         task.avoid.add(worker.info.worker_id)
         if step.spec.long_running:
+            self._note_long_running_failure(worker, step, run, now)
             return []
+        self._note_worker_failure(worker, now)
         counted = step.tasks[0] if step.spec.gang else task
         if run_id in counted.failed_runs:
             return []
@@ -367,7 +368,22 @@
             return self._finish(job, JobState.FAILED, now)
         return []
 
+    def _note_long_running_failure(self, worker, step, run, now):
+        """Count a failure of a long-running task, which may be its own fault or the worker's.
+
+        Against the worker it counts once, and not if the step has failed on other workers as well:
+        a worker that fails tasks of several steps is at fault, a step that fails on several workers
+        is itself. `run` is None if this leader did not track it.
+        """
+        if run is not None and now - run.began_at >= SOUND_RUN_S:
+            step.failed_on.clear()
+        step.failed_on.add(worker.info.worker_id)
+        is_first = worker.step_backoffs.note_failure(step.key, now)
+        if is_first and len(step.failed_on) == 1:
+            self._note_worker_failure(worker, now)
+
     def _note_worker_success(self, worker):
+        worker.step_backoffs.clear()
         worker.n_consecutive_failures = 0
         worker.retry_at = 0.0
 
--- a/anvilflow/jobs/_worker.py
+++ b/anvilflow/jobs/_worker.py
@@ -1,5 +1,7 @@
 """State of the workers: their runs, their capacity, and the expiry of their leases."""
 
+from ._step_backoffs import StepBackoffs
+
 #: Fraction by which a worker's clock may run slow, as the worker contract states.
 CLOCK_DRIFT = 0.02
 
@@ -46,7 +48,8 @@
     `lease_over_at` is the time at which all its leases have certainly expired, `leaves_at` the
     earliest time at which a draining worker may leave, `retry_at` the end of its back-off.
     `n_consecutive_failures` counts failed and stalled runs and refused starts since the last
-    success. `last_ended` is the number of the last end that was processed; `ack_queue` holds each
+    success, of a long-running step at most one; `step_backoffs` are those of such steps alone.
+    `last_ended` is the number of the last end that was processed; `ack_queue` holds each
     :class:`PendingEnd`. `slowness` is the ratio of actual to estimated durations of its recent
     runs, see `_stalled_runs`.
     """
@@ -75,6 +78,7 @@
         "runs",
         "runs_known",
         "slowness",
+        "step_backoffs",
         "unreachable",
         "unreachable_since",
     )
@@ -101,6 +105,7 @@
         self.ack_queue = []
         self.n_consecutive_failures = 0
         self.retry_at = 0.0
+        self.step_backoffs = StepBackoffs()
         self.slowness = 1.0
         self.cpu_free = info.cpu_milli
         self.memory_free = info.memory_mb
@@ -187,8 +192,8 @@
             and info.accelerators >= step.accelerators
         )
 
-    def accepts(self, now):
-        """Whether new tasks may be started on the worker at all."""
+    def accepts(self, now, step=None):
+        """Whether new tasks may be started on the worker at all, or those of a step."""
         return (
             self.confirmed
             and not self.is_superseded
@@ -199,6 +204,7 @@
             and not self.orphan_runs
             and not self.info.draining
             and now >= self.retry_at
+            and not (step is not None and self.step_backoffs.holds(step.key, now))
         )
 
     def next_lease_s(self, now, max_s):
