Soak: services that fail until all faults have ended

`--services=N` adds N long-running jobs whose runs fail; the processes of such a soak have 40 run numbers a term, so that a seed passes them. Once the instances are ready again each task has to run within 9 s; the jobs are then cancelled. The draws have a generator of their own: without the option the faults and jobs of a seed are as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
     removals=False,
     faults=12,
     lapses=None,
+    services=0,
 ):
     """Run one seed; exit with status 1 if an invariant was violated.
 
@@ -47,7 +48,8 @@
     are repeated in quick succession. With `pressure`, the parts of the scheduler for more work than
     capacity are in use. With `removals`, states are kept for a short time, and the leader changes
     after the rows of all jobs are removed. `faults` is the number of faults of the first group, by
-    which those of the other groups are counted too, `lapses` that of the faults of the registry.
+    which those of the other groups are counted too, `lapses` that of the faults of the registry,
+    `services` that of the long-running jobs that fail until all faults have ended.
     """
     verdict = run_seed(
         seed,
@@ -60,6 +62,7 @@
         has_removals=removals,
         n_faults=faults,
         n_lapses=lapses,
+        n_services=services,
     )
     print(
         f"seed {seed}: {verdict.n_accepted} of {verdict.n_jobs} jobs, {verdict.n_runs} runs, "
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -119,18 +119,19 @@
         if call.how == "crash":
             seconds = self.crash_random_state.choice(CRASH_DELAYS_S)
         body = make_job_body(*call.steps, spec=f"{seconds} {call.how} 1000")
-        yield self._submit(call, body)
+        yield self.submit(call, body)
         if call.accepted_at is None:
             return
         if cancels:
             yield self._sleep(self.random_state.uniform(0.0, 2.0))
-            yield self._cancel(call)
+            yield self.cancel(call)
         while not self.checker.is_over and call.shown not in END_STATES:
-            yield self._poll(call)
+            yield self.poll(call)
             yield self._sleep(POLL_INTERVAL_S)
 
     @inlineCallbacks
-    def _submit(self, call, body):
+    def submit(self, call, body):
+        """Submit a job until it is accepted or the time for it is over."""
         until = self._now() + SUBMIT_TIMEOUT_S
         while self._now() < until:
             status, _ = yield self._send_to_random_instance(b"POST", call.path, body)
@@ -142,7 +143,8 @@
             yield self._sleep(self.random_state.uniform(0.2, 1.0))
 
     @inlineCallbacks
-    def _cancel(self, call):
+    def cancel(self, call):
+        """Cancel a job until this is acknowledged or the soak is over."""
         # Set before the request is sent: a cancellation without an answer may take effect.
         call.cancelled = True
         while not self.checker.is_over:
@@ -154,7 +156,8 @@
             yield self._sleep(POLL_INTERVAL_S)
 
     @inlineCallbacks
-    def _poll(self, call):
+    def poll(self, call):
+        """Ask for a job's state once, and check it."""
         status, value = yield self._send_to_random_instance(b"GET", call.path)
         if status == 200:
             before, call.shown = call.shown, value["state"]
@@ -174,7 +177,7 @@
         """
         for call in self.calls:
             if call.shown in END_STATES and self._now() < call.ended_at + kept_s:
-                yield self._poll(call)
+                yield self.poll(call)
 
     def _send_to_random_instance(self, method, path, body=b""):
         name = self.random_state.choice(sorted(self.fronts))
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -128,6 +128,7 @@
         self.reactor = reactor
         self.host = host
         self.cpu = cpu
+        self.services_fail = False
         self.spans = []
         self.workers = {}
         self.former_workers = []
@@ -217,7 +218,7 @@
             address=worker_slot.address,
             cpu=self.cpu,
             spans=self.spans,
-            sizes=_sizes,
+            sizes=self._size,
             offset_s=-self.reactor.seconds(),
             born_ms=round(1000 * time.time()),
         )
@@ -229,6 +230,17 @@
         self.store.put("servers", worker.worker_id, worker.entry())
         return worker
 
+    def _size(self, task, payload):
+        """Return duration, end and capacity of a run; a service fails while `services_fail`."""
+        seconds, how, cpu = payload.split()
+        if how == "lasts":
+            return (
+                (float(seconds), "failed", int(cpu))
+                if self.services_fail
+                else (1e6, "done", int(cpu))
+            )
+        return float(seconds), how, int(cpu)
+
     def replace_worker(self, worker_slot, worker):
         """Start a worker in place of one that has ended or leaves, unless there is one already."""
         if worker_slot.worker is worker:
@@ -354,8 +366,3 @@
 
     def handle(self, *call):
         return self.worker.handle(*call)
-
-
-def _sizes(task, payload):
-    seconds, how, cpu = payload.split()
-    return float(seconds), how, int(cpu)
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -32,6 +32,8 @@
         Bounds in the settings of the instances that are not the defaults.
     disturbances : DisturbanceTracker, default=None
         Records each start and each signal except SIGHUP, which does not disturb an instance.
+    runs_per_term : int, default=None
+        Number of run numbers that each leader has; None: the default.
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         contracts=(),
         bounds=None,
         disturbances=None,
+        runs_per_term=None,
     ):
         self.contracts = contracts
         self.bounds = bounds
         self.environment = environment
         self.disturbances = disturbances
+        self.runs_per_term = runs_per_term
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"a{number}" for number in range(n_instances)]
@@ -110,6 +114,8 @@
             "ANVILFLOW_CONFIG": str(self.folder / f"{name}.json"),
             "PYTHONPATH": str(_LAUNCHER.parents[1]),
         }
+        if self.runs_per_term is not None:
+            env["SOAK_RUNS_PER_TERM"] = str(self.runs_per_term)
         self._running[name] = subprocess.Popen(
             [sys.executable, str(_LAUNCHER)], stdout=log, stderr=log, env=env
         )
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -2,8 +2,11 @@
 
 The machine's clock is not changed. ``time.time`` is replaced before any module of the instance is
 imported, so that code that uses the time of day as a clock is affected by the steps.
+
+If the environment has ``SOAK_RUNS_PER_TERM``, leaders have that many run numbers of their own.
 """
 
+import os
 import signal
 import sys
 import time
@@ -26,8 +29,18 @@
     signal.signal(signal.SIGUSR2, step)
 
 
+def limit_run_numbers(runs_per_term):
+    """Give each leader fewer run numbers, so that the tasks of a soak pass them."""
+    from anvilflow.jobs import _run_numbers
+
+    _run_numbers.RUNS_PER_TERM = _run_numbers.RESERVED_RUNS = runs_per_term
+    _run_numbers.MIN_UNUSED_RUNS = runs_per_term // 2
+
+
 if __name__ == "__main__":
     install_adjustable_clock()
+    if "SOAK_RUNS_PER_TERM" in os.environ:
+        limit_run_numbers(int(os.environ["SOAK_RUNS_PER_TERM"]))
     from anvilflow.cell.__main__ import main
 
     sys.exit(main())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -30,6 +30,7 @@
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
 from ._lapses import LapseInjector, make_lapses
 from ._removal_phase import STATUS_KEPT_S, RemovalPhase
+from ._services import RUNS_PER_TERM, Services
 
 #: Contract in force where clients may ask for more than the workers can run.
 PRESSURE_CONTRACT = "pressure"
@@ -85,6 +86,9 @@
     n_lapses : int, default=None
         Number of faults of the registry; by default, a sixth of `n_faults`, or none with
         `only_config`.
+    n_services : int, default=0
+        Number of long-running jobs that fail until all faults have ended; leaders then have few run
+        numbers of their own.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         expects_pressure=False,
         has_removals=False,
         n_lapses=None,
+        n_services=0,
     ):
         self.reactor = reactor
         self.seed = seed
@@ -117,6 +122,11 @@
         self.expects_pressure = expects_pressure
         self.has_removals = has_removals
         self.n_lapses = n_lapses
+        self.n_services = n_services
+
+    @property
+    def _start_s(self):
+        return START_S + START_PER_INSTANCE_S * self.n_instances
 
     def _sleep(self, delay):
         return deferLater(self.reactor, delay, lambda: None)
@@ -136,6 +146,7 @@
             contracts=[PRESSURE_CONTRACT] if self.expects_pressure else (),
             bounds={"status_kept_s": STATUS_KEPT_S} if self.has_removals else None,
             disturbances=disturbances,
+            runs_per_term=RUNS_PER_TERM if self.n_services else None,
         )
         faults, later_random_state = self._draw_faults(rng)
         ending = make_final_phase(later_random_state, n_instances=self.n_instances)
@@ -201,7 +212,7 @@
     def _play(self, rng, environment, instances, disturbances, faults, ending):
         for name in instances.names:
             instances.start(name)
-        yield self._sleep(START_S + START_PER_INSTANCE_S * len(instances.names))
+        yield self._sleep(self._start_s)
         checker = InvariantChecker(environment=environment)
         callers = Callers(
             reactor=self.reactor,
@@ -210,6 +221,14 @@
             checker=checker,
             crash_random_state=Random(f"{self.seed} crashes"),
         )
+        services = Services(
+            reactor=self.reactor,
+            environment=environment,
+            callers=callers,
+            random_state=Random(f"{self.seed} services"),
+            n_services=self.n_services,
+        )
+        services.start()
         injector = Injector(
             reactor=self.reactor,
             environment=environment,
@@ -243,7 +262,7 @@
         yield self._sleep(self.seconds + 2.0)
         yield final_phase_runner.play(ending)
         calling.stop()
-        yield self._settle(environment, instances, callers, checker)
+        yield self._settle(environment, instances, callers, checker, services)
         watch.stop()
         yield gatherResults(watching)
         yield final_phase_runner.check_config()
@@ -281,10 +300,13 @@
         return loop
 
     @inlineCallbacks
-    def _settle(self, environment, instances, callers, checker):
+    def _settle(self, environment, instances, callers, checker, services):
         """End all faults, start the instances that are down, and wait for the last job to end."""
         environment.heal()
         checker.faults_ended_at = self.reactor.seconds()
+        for name in instances.names:
+            instances.start(name)
+        checker.violations += yield services.finish(ready_s=self._start_s)
         until = self.reactor.seconds() + SETTLE_S
         while self.reactor.seconds() < until:
             for name in instances.names:
--- /dev/null
+++ b/soak/_services.py
@@ -0,0 +1,100 @@
+"""Long-running jobs that fail often until their cause is removed, and then have to run again."""
+
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from anvilflow.standins import make_job_body
+
+from ._callers import END_STATES, POLL_INTERVAL_S, Call
+
+#: Run numbers of a term in the processes of such a soak, so that a seed passes them.
+RUNS_PER_TERM = 40
+
+#: Steps of the jobs, and durations of the runs that fail. Unit of `FAILS_AFTER_S`: seconds.
+STEPS = (
+    {"count": 1, "cpu": 500, "long-running": True},
+    {"count": 2, "cpu": 500, "long-running": True},
+    {"count": 2, "cpu": 500, "long-running": True, "gang": True},
+)
+FAILS_AFTER_S = (0.005, 0.05, 0.2)
+
+#: Time from the end of the cause, once the instances are ready, within which each task has to run:
+#: 6 s since its last run, and 3 s more. Unit: seconds.
+RUNS_AGAIN_S = 9.0
+
+
+class Services:
+    """Submits the jobs and checks that they run once their cause to fail is removed.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+    environment : Environment
+    callers : Callers
+    random_state : random.Random
+    n_services : int
+    """
+
+    def __init__(self, *, reactor, environment, callers, random_state, n_services):
+        self.reactor = reactor
+        self.environment = environment
+        self.callers = callers
+        self.calls = [self._make_call(random_state) for _ in range(n_services)]
+        self._specs = [f"{random_state.choice(FAILS_AFTER_S)} lasts 500" for _ in self.calls]
+        self._done = None
+
+    def _make_call(self, random_state):
+        job_id = f"{random_state.getrandbits(64):016x}"
+        step = random_state.choice(STEPS)
+        return Call(
+            job_id=job_id,
+            path=f"/bulk/{job_id}",
+            steps=[step],
+            how="lasts",
+            n_tasks=step["count"],
+        )
+
+    def start(self):
+        """Submit the jobs."""
+        self.environment.services_fail = True
+        self.callers.calls += self.calls
+        self._done = gatherResults(
+            [
+                self.callers.submit(call, make_job_body(*call.steps, spec=spec))
+                for call, spec in zip(self.calls, self._specs, strict=True)
+            ]
+        )
+
+    @inlineCallbacks
+    def finish(self, *, ready_s):
+        """End the cause of the failures; return the tasks that do not run, and cancel the jobs.
+
+        `ready_s` is the longest time until the instances are ready. Unit: seconds.
+        """
+        yield self._done
+        self.environment.services_fail = False
+        until = self.reactor.seconds() + ready_s + RUNS_AGAIN_S
+        while self._waiting_tasks() and self.reactor.seconds() < until:
+            yield deferLater(self.reactor, 0.2, lambda: None)
+        violations = [f"{task} does not run again" for task in self._waiting_tasks()]
+        yield gatherResults([self._cancel(call) for call in self._accepted_calls()])
+        return violations
+
+    def _accepted_calls(self):
+        return [call for call in self.calls if call.accepted_at is not None]
+
+    def _waiting_tasks(self):
+        active = {task for worker in self.environment.workers.values() for task in worker.active}
+        tasks = [
+            f"{call.job_id}.0.0.{index}"
+            for call in self._accepted_calls()
+            for index in range(call.n_tasks)
+        ]
+        return [task for task in tasks if task not in active]
+
+    @inlineCallbacks
+    def _cancel(self, call):
+        yield self.callers.cancel(call)
+        while call.shown not in END_STATES and not self.callers.checker.is_over:
+            yield self.callers.poll(call)
+            yield deferLater(self.reactor, POLL_INTERVAL_S, lambda: None)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -53,6 +53,11 @@
     _play(8, tmp_path, grows=False, n_lapses=3, **{**_SHORT, "n_faults": 0})
 
 
+def test_short_soak_with_services_that_fail_often_violates_no_invariant(tmp_path):
+    """Guards against long-running tasks that later leaders cannot start, after many failures."""
+    _play(9, tmp_path, grows=False, n_services=2, **_SHORT)
+
+
 def test_short_soak_with_a_growing_configuration_breaks_no_promise(tmp_path):
     """An instance lacks acknowledged routes, or has none after a restart.
 
