--- a/anvilflow/jobs/_run_numbers.py
+++ b/anvilflow/jobs/_run_numbers.py
@@ -1,12 +1,10 @@
 """Numbers of the runs of a job's tasks: higher than all that earlier leaders may have used."""
 
-#: Run numbers that a leader may use without a record: those up to its term times this number. The
-#: next leader's numbers begin after them, or after the highest number that the job's record
-#: reserves.
+#: Run numbers that each leader may use beyond those of its predecessor without a record.
 RUNS_PER_TERM = 1000
 
 #: Run numbers that a record reserves beyond the highest one in use, and the number of unused ones
-#: at which the next are reserved. The rest lasts while the record is written.
+#: at which the next are reserved. These last while the record is written.
 RESERVED_RUNS = 1000
 MIN_UNUSED_RUNS = 500
 
