Soak: the leader is killed as the cause of failing services ends

After the last fault the services go on to fail for 15 s, then their cause ends and the leader is killed.

--- a/soak/_run.py
+++ b/soak/_run.py
@@ -227,6 +227,7 @@
             callers=callers,
             random_state=Random(f"{self.seed} services"),
             n_services=self.n_services,
+            instances=instances,
         )
         services.start()
         injector = Injector(
--- a/soak/_services.py
+++ b/soak/_services.py
@@ -1,5 +1,7 @@
 """Long-running jobs that fail often until their cause is removed, and then have to run again."""
 
+import signal
+
 from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -8,7 +10,7 @@
 from ._callers import END_STATES, POLL_INTERVAL_S, Call
 
 #: Run numbers of a term in the processes of such a soak, so that a seed passes them.
-RUNS_PER_TERM = 40
+RUNS_PER_TERM = 5
 
 #: Steps of the jobs, and durations of the runs that fail. Unit of `FAILS_AFTER_S`: seconds.
 STEPS = (
@@ -18,8 +20,10 @@
 )
 FAILS_AFTER_S = (0.005, 0.05, 0.2)
 
-#: Time from the end of the cause, once the instances are ready, within which each task has to run:
-#: 6 s since its last run, and 3 s more. Unit: seconds.
+#: Time for which the tasks go on to fail once the instances are ready after the last fault, and
+#: time from the end of the cause, when the leader is killed, within which each has to run: 6 s
+#: since its last run, and 3 s more. Unit: seconds.
+FAILS_ON_S = 15.0
 RUNS_AGAIN_S = 9.0
 
 
@@ -33,11 +37,13 @@
     callers : Callers
     random_state : random.Random
     n_services : int
+    instances : Instances
     """
 
-    def __init__(self, *, reactor, environment, callers, random_state, n_services):
+    def __init__(self, *, reactor, environment, callers, random_state, n_services, instances):
         self.reactor = reactor
         self.environment = environment
+        self.instances = instances
         self.callers = callers
         self.calls = [self._make_call(random_state) for _ in range(n_services)]
         self._specs = [f"{random_state.choice(FAILS_AFTER_S)} lasts 500" for _ in self.calls]
@@ -67,19 +73,28 @@
 
     @inlineCallbacks
     def finish(self, *, ready_s):
-        """End the cause of the failures; return the tasks that do not run, and cancel the jobs.
+        """End the cause and kill the leader; return the tasks that do not run, cancel the jobs.
 
         `ready_s` is the longest time until the instances are ready. Unit: seconds.
         """
         yield self._done
+        if not self.calls:
+            return []
+        yield self._sleep(ready_s + FAILS_ON_S)
         self.environment.services_fail = False
-        until = self.reactor.seconds() + ready_s + RUNS_AGAIN_S
+        leader = self.environment.store.value("home", "home", part="cell")["holder"]
+        self.instances.send(leader, signal.SIGKILL)
+        until = self.reactor.seconds() + RUNS_AGAIN_S
         while self._waiting_tasks() and self.reactor.seconds() < until:
-            yield deferLater(self.reactor, 0.2, lambda: None)
+            yield self._sleep(0.2)
+        self.instances.start(leader)
         violations = [f"{task} does not run again" for task in self._waiting_tasks()]
         yield gatherResults([self._cancel(call) for call in self._accepted_calls()])
         return violations
 
+    def _sleep(self, delay):
+        return deferLater(self.reactor, delay, lambda: None)
+
     def _accepted_calls(self):
         return [call for call in self.calls if call.accepted_at is not None]
 
@@ -97,4 +112,4 @@
         yield self.callers.cancel(call)
         while call.shown not in END_STATES and not self.callers.checker.is_over:
             yield self.callers.poll(call)
-            yield deferLater(self.reactor, POLL_INTERVAL_S, lambda: None)
+            yield self._sleep(POLL_INTERVAL_S)
