--- a/anvilflow/jobs/_completion.py
+++ b/anvilflow/jobs/_completion.py
@@ -8,7 +8,7 @@
 class CompletionTracker(CrashTracker):
     """Delays the completion of a job while one of its tasks may run again.
 
-    Base of :class:`RunTracker`.
+    Base of :class:`FailureTracker`.
 
     Parameters
     ----------
