--- a/soak/_services.py
+++ b/soak/_services.py
@@ -26,6 +26,9 @@
 FAILS_ON_S = 15.0
 RUNS_AGAIN_S = 9.0
 
+#: Time after which the leader is started again if there is no other instance. Unit: seconds.
+RESTART_S = 0.5
+
 
 class Services:
     """Submits the jobs and checks that they run once their cause to fail is removed.
@@ -85,6 +88,10 @@
         leader = self.environment.store.value("home", "home", part="cell")["holder"]
         self.instances.send(leader, signal.SIGKILL)
         until = self.reactor.seconds() + RUNS_AGAIN_S
+        if self.instances.running == [leader]:
+            # All other instances are without power: this one has to start again first.
+            self.reactor.callLater(RESTART_S, self.instances.start, leader)
+            until += RESTART_S + ready_s
         while self._waiting_tasks() and self.reactor.seconds() < until:
             yield self._sleep(0.2)
         self.instances.start(leader)
