--- a/anvilflow/cell/tests/test_handover.py
+++ b/anvilflow/cell/tests/test_handover.py
@@ -112,7 +112,7 @@
     cell.advance(5.0)
 
 
-def _accepts_before_row_update(self, now):
+def _accepts_before_row_update(self, now, step=None):
     return self.confirmed and self.listed and not self.unreachable and not self.info.draining
 
 
