Logs: by what sign records count as durable, and from where a leader loaded

Change: 'records durable' (version, known_by, jobs with their changes), the change of its job in 'task ended', known_by in 'claimed', source and records_version in 'home begins'. No change of logic.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -280,28 +280,33 @@
             self._end_predecessors(worker.info, is_replaced=True)
         if worker.unreachable or not worker.confirmed:
             self.log.info("worker answers", worker=worker_id, active=len(report.active))
-        for end in report.ended:
-            if end.number > worker.last_ended:
-                self.context.meters.count("ends", end.how)
-                self.log.info(
-                    "task ended",
-                    task=end.task,
-                    run=end.run_id,
-                    worker=worker_id,
-                    how=end.how,
-                    number=end.number,
-                )
+        new_ends = [end for end in report.ended if end.number > worker.last_ended]
         has_changes = bool(report.ended) or worker.unreachable or not worker.confirmed
         n_runs = len(worker.runs)
-        self.events.act(
-            self.scheduler.report(worker_id, report, requested_at=requested_at, now=self._now())
+        actions = self.scheduler.report(
+            worker_id, report, requested_at=requested_at, now=self._now()
         )
+        self._log_ends(worker_id, new_ends)
+        self.events.act(actions)
         if report.ended:
             self.events.ends_reported()
         # Without this check, half of all plans followed reports that changed nothing.
         if has_changes or len(worker.runs) != n_runs:
             self.events.changed()
 
+    def _log_ends(self, worker_id, ends):
+        for end in ends:
+            self.context.meters.count("ends", end.how)
+            self.log.info(
+                "task ended",
+                task=end.task,
+                run=end.run_id,
+                worker=worker_id,
+                how=end.how,
+                number=end.number,
+                change=self.scheduler.change_of(end.task),
+            )
+
     def _note_invalid_start_time(self, worker_id, report):
         """Log an invalid start time in a worker's lists, once per session."""
         if report.start_time_error and worker_id not in self._invalid_start_times:
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -178,7 +178,7 @@
     def _load(self, claimed):
         """Read the stored state and begin to lead; tasks start once workers have responded."""
         claimed_at = self.now
-        state = yield self._read_tables(claimed)
+        source, state = yield self._read_tables(claimed)
         if self._claimed is not claimed:
             return
         scheduler = make_scheduler(self.context, claimed, state.missing)
@@ -203,6 +203,7 @@
         )
         self._recorder = Recorder(
             context=self.context,
+            log=self.log,
             claimed=claimed,
             scheduler=scheduler,
             on_recorded=self._recorded,
@@ -251,6 +252,8 @@
             token=claimed.token,
             jobs=len(state.jobs),
             workers=len(state.workers),
+            source=source,
+            records_version=state.records_version,
         )
         self._leader_heartbeat.send_heartbeat()
         self.post(JobsRead(version=self.jobs_read_version))
@@ -259,18 +262,21 @@
 
     @inlineCallbacks
     def _read_tables(self, claimed):
-        """Return the stored state, from the standby tables if possible, else from the store."""
+        """Read the stored state, from the standby tables if possible, else from the store.
+
+        The Deferred fires with the name of the source and the :class:`StoredState`.
+        """
         context = self.context
         if context.standby_tables is not None:
             state = yield context.standby_tables.state(claimed.former)
             if state is not None:
-                return state
+                return "standby", state
         state = yield read_state(
             context.store,
             claimed.former,
             max_concurrent=self._max_concurrent_reads(claimed),
         )
-        return state
+        return "store", state
 
     def _max_concurrent_reads(self, claimed):
         n_failed = self._n_failed_loads + (claimed.former.n_loads if claimed.former else 0)
--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -54,14 +54,16 @@
 class StoredState(Struct, kw_only=True):
     """Rows of the tables, with the versions from which to follow the jobs and the registry.
 
-    `missing` are the ids of all workers that may have runs; None if some are no longer known. The
-    leader waits for those that it does not find in `workers`.
+    `records_version` is the oldest version of the rows of progress and of final states. `missing`
+    are the ids of all workers that may have runs; None if some are no longer known. The leader
+    waits for those that it does not find in `workers`.
     """
 
     jobs: list[Row]
     jobs_version: int
     progress: list[Row]
     ended: list[Row]
+    records_version: int
     workers: list[Row]
     workers_version: int
     missing: frozenset[str] | None
@@ -85,7 +87,9 @@
         partial(_read_workers, store, former),
         *(partial(store.read, JOBS, part) for part in JOB_PARTS),
     ]
-    (progress, _), (ended, _), found, *parts = yield gather(reads, max_concurrent)
+    (progress, progress_version), (ended, ended_version), found, *parts = yield gather(
+        reads, max_concurrent
+    )
     workers, workers_version, missing = found
     jobs, jobs_version = join_parts(parts)
     return StoredState(
@@ -93,6 +97,7 @@
         jobs_version=jobs_version,
         progress=progress,
         ended=ended,
+        records_version=min(progress_version, ended_version),
         workers=workers,
         workers_version=workers_version,
         missing=missing,
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -423,6 +423,7 @@
             row.unanswered_starts = former.unanswered_starts
             row.n_loads = former.n_loads + 1
         conditions = [condition(LEADER_TABLE, LEADER_KEY, self.row_version)]
+        known_by = "answer"
         try:
             version = yield self.context.store.commit(
                 conditions,
@@ -442,12 +443,12 @@
             yield self._read_row()
             if self.row is None or self.row.incarnation != self.context.incarnation:
                 return None
-            version = self.row_version
+            version, known_by = self.row_version, "read"
         self.row, self.row_version = row, version
         self.is_leader = True
         self._leader_yields = False
         self.context.links.leave_leader()
         self.context.meters.count("takeovers", why)
-        self.log.info("claimed", why=why, token=version, term=row.term)
+        self.log.info("claimed", why=why, token=version, term=row.term, known_by=known_by)
         self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
         return None
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -104,6 +104,7 @@
     Parameters
     ----------
     context : CellContext
+    log : Logger
     claimed : Claimed
     scheduler : Scheduler
     on_recorded : callable
@@ -123,9 +124,10 @@
     """
 
     def __init__(
-        self, *, context, claimed, scheduler, on_recorded, on_removed, on_deposed, on_confirmed
+        self, *, context, log, claimed, scheduler, on_recorded, on_removed, on_deposed, on_confirmed
     ):
         self.context = context
+        self.log = log
         self.scheduler = scheduler
         self.on_recorded = on_recorded
         self.on_removed = on_removed
@@ -249,7 +251,7 @@
             writing = PendingResult(commit)
             row = yield self._wait_for_answer(writing)
             if row is not None:
-                self._leader_row_changed(row, batch, True)
+                self._leader_row_changed(row, batch, True, known_by="read")
                 return
             if not writing.is_known:
                 may_be_committed = True
@@ -260,14 +262,17 @@
                 self._store_answered()
                 rows = {(row.table, row.key): row for row in exc.details["rows"]}
                 self._leader_row_changed(
-                    rows.get((LEADER_TABLE, LEADER_KEY)), batch, may_be_committed
+                    rows.get((LEADER_TABLE, LEADER_KEY)),
+                    batch,
+                    may_be_committed,
+                    known_by="refusal",
                 )
                 return
             except PlatformError as exc:
                 may_be_committed = may_be_committed or not isinstance(exc, PlatformRefusedError)
                 row = yield self._read_row()
                 if self._has_changed(row):
-                    self._leader_row_changed(row, batch, may_be_committed)
+                    self._leader_row_changed(row, batch, may_be_committed, known_by="read")
                     return
                 yield self._sleep(jitter(self.context.random_state, RETRY_DELAY_S))
                 continue
@@ -277,7 +282,7 @@
             self._answer_timeout_s = answer_timeout(answer_s)
             self.on_confirmed(began)
             self.scheduler.grace_period.row_written(version, began)
-            self._committed(batch, version)
+            self._committed(batch, version, known_by="answer")
             return
 
     @inlineCallbacks
@@ -337,8 +342,16 @@
         self.own_store_health.record_answer()
         self.context.store_health.record_answer()
 
-    def _committed(self, batch, version):
+    def _committed(self, batch, version, *, known_by):
         self.n_commits += 1
+        if batch.records or known_by != "answer":
+            self.log.info(
+                "records durable",
+                term=self._term,
+                version=version,
+                known_by=known_by,
+                jobs={job.job_id: change for job, change, _ in batch.records},
+            )
         self._row_version = version
         self.scheduler.note_leader_row(self._handover, self._registry_version)
         now = self.context.clock.seconds()
@@ -356,7 +369,7 @@
         if not self.stopped:
             self.on_recorded(ended)
 
-    def _leader_row_changed(self, leader_row, batch, may_be_committed):
+    def _leader_row_changed(self, leader_row, batch, may_be_committed, *, known_by):
         """Handle a changed leader's row: written by an earlier attempt or by another leader."""
         holder = None
         if leader_row is not None and leader_row.value:
@@ -365,7 +378,7 @@
             self.stopped = True
             self.on_deposed()
         elif may_be_committed:
-            self._committed(batch, leader_row.version)
+            self._committed(batch, leader_row.version, known_by=known_by)
         else:
             self._row_version = leader_row.version
 
--- a/anvilflow/cell/_standby_tables.py
+++ b/anvilflow/cell/_standby_tables.py
@@ -171,6 +171,7 @@
             jobs_version=tables[JOBS].version,
             progress=rows[PROGRESS],
             ended=rows[ENDED],
+            records_version=min(tables[PROGRESS].version, tables[ENDED].version),
             workers=workers,
             workers_version=workers_version,
             missing=missing,
--- a/anvilflow/jobs/_scheduler.py
+++ b/anvilflow/jobs/_scheduler.py
@@ -209,6 +209,11 @@
         dirty = [job for job in self.jobs.values() if job.change > job.recorded_change]
         return sorted(dirty, key=lambda job: job.changed_at)
 
+    def change_of(self, task):
+        """Return the number of the last change of a task's job; None if the job is not known."""
+        job = self.jobs.get(task.split(".", 1)[0])
+        return job.change if job is not None else None
+
     def recorded(self, job_id, change, now):
         """Note that a job's progress is durable up to `change`; return whether its end is, too."""
         job = self.jobs.get(job_id)
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -72,6 +72,7 @@
     ),
     "worker lost": "{worker_id} was lost ({known_by}) while running {tasks}",
     "job failed": "failed, {error}: {task} on {workers}",
+    "records durable": "its records are durable at version {version}, known by {known_by}",
     "job ended": "its end is durable: {state}",
 }
 
@@ -121,6 +122,10 @@
     values = line.values
     # In some events, "tasks" is a number.
     tasks = values.get("tasks")
+    # In "records durable", "jobs" holds a change for each job; in other events it is a number.
+    jobs = values.get("jobs")
+    if isinstance(jobs, dict) and job_id in jobs:
+        return True
     names = [values.get("task", ""), values.get("step", "")]
     names += tasks if isinstance(tasks, list) else []
     return job_id == values.get("job") or any(str(name).startswith(f"{job_id}.") for name in names)
