Leader's row: an outcome is proven by the number of the write, not by its holder

Callers saw tasks run again after acknowledged ends (TWICE), 16 of 16 tasks of a job, without a stop of the second runs.

Cause: after a write without an answer, a row that had changed and named this process was taken for that write. Claims and records of all terms of a process name it. A claim of an earlier attempt, carried out late, was taken for a record: ends were acknowledged that no row had. The row of the former term was taken for a claim.

Change: LeaderRowStore, one for each process, numbers the writes of the row, and only a row with the number of the write proves it. A recorder whose row has another write gives up; one that is closed concludes nothing.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -9,6 +9,7 @@
 from ..metrics import Meters
 from ._config_proof import ConfigProof
 from ._lag import LagMeter
+from ._leader_row_store import LeaderRowStore
 from ._link_utilization import LinkUtilization
 from ._payload_cache import PayloadCache
 from ._pending_jobs import PendingJobs
@@ -114,6 +115,7 @@
         self.bus = bus
         self.network = network
         self.store = store
+        self.leader_row = LeaderRowStore(store=store)
         self.advice = advice
         self.make_worker = make_worker
         self.random_state = random_state or Random()
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -10,10 +10,11 @@
 from ._backlog_message import read_report
 from ._context import Claimed, Deposed, JobsRead, LeaderChanged
 from ._leader_eligibility import can_lead
+from ._leader_row_store import WriteOutcome, find_leader_row
 from ._links import DIAL_TIMEOUT_S, LeaderLinkLost
 from ._pending_jobs import PendingCounts
 from ._pending_result import PendingResult
-from ._tables import LEADER_KEY, LEADER_TABLE, PART, LeaderRow, condition, write
+from ._tables import LEADER_TABLE, PART, LeaderRow
 
 #: Period of the checks on the leader. Unit: seconds.
 CHECK_S = 0.1
@@ -105,6 +106,7 @@
         self.row_version = 0
         self._newest_row_version = 0
         self.is_leader = False
+        self._found_row = None
         self._successor_addresses = ()
         self._leader_yields = False
         self._last_heartbeat_at = 0.0
@@ -286,7 +288,7 @@
         self._read_duration_s = self.now - began
         self.context.store_health.answer_s = self._read_duration_s
         before = self.row.incarnation if self.row is not None else None
-        found = next((row for row in rows if row.key == LEADER_KEY), None)
+        found = self._found_row = find_leader_row(rows)
         self.row = decode(found.value, LeaderRow, error=PlatformError) if found else None
         self.row_version = found.version if found else 0
         # A leader that still loads its tables does not rewrite the leader's row. It shows that it
@@ -422,26 +424,23 @@
             row.nameless = former.nameless
             row.unanswered_starts = former.unanswered_starts
             row.n_loads = former.n_loads + 1
-        conditions = [condition(LEADER_TABLE, LEADER_KEY, self.row_version)]
+        claim = self.context.leader_row.prepare(row, self.row_version)
         known_by = "answer"
         try:
-            version = yield self.context.store.commit(
-                conditions,
-                [write(LEADER_TABLE, LEADER_KEY, row)],
+            version = yield self.context.leader_row.commit(
+                claim,
                 timeout=max(CLAIM_TIMEOUT_S, CLAIM_TIMEOUT_READS * self._read_duration_s),
             )
         except PreconditionError as exc:
-            found = (row for row in exc.details["rows"] if row.key == LEADER_KEY and row.value)
-            current_row = next(found, None)
+            current_row = find_leader_row(exc.details["rows"])
             if current_row is None:
                 yield self._read_row()
             return current_row
         except PlatformError as exc:
-            # The claim may have been applied, or may be applied later: the row shows which.
             self.log.info("store did not answer the claim", error=str(exc))
             yield self._sleep(jitter(self.context.random_state, RETRY_S))
             yield self._read_row()
-            if self.row is None or self.row.incarnation != self.context.incarnation:
+            if claim.outcome(self._found_row) is not WriteOutcome.COMMITTED:
                 return None
             version, known_by = self.row_version, "read"
         self.row, self.row_version = row, version
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -7,20 +7,16 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from ..exceptions import PlatformError, PlatformRefusedError, PreconditionError
-from ..utils import decode, jitter
+from ..exceptions import PlatformError, PreconditionError
+from ..utils import jitter
 from ._context import StoreHealth
 from ._leader_row import make_leader_row
+from ._leader_row_store import WriteOutcome, find_leader_row
 from ._pending_result import PendingResult
 from ._tables import (
     ENDED,
-    LEADER_KEY,
-    LEADER_TABLE,
     MAX_ROW_BYTES,
-    PART,
     PROGRESS,
-    LeaderRow,
-    condition,
     ended_write,
     write,
 )
@@ -51,6 +47,9 @@
 #: Largest number of conditions and writes in one transaction, a limit of the platform.
 MAX_ENTRIES = 100
 
+#: Those of the leader's row: a condition and a write.
+LEADER_ROW_ENTRIES = 2
+
 #: Most final states of removed jobs in one transaction, so that they do not delay its records.
 REMOVALS_PER_COMMIT = 20
 
@@ -203,14 +202,13 @@
     @inlineCallbacks
     def _commit(self, jobs):
         records = self._make_records(jobs)
-        conditions = [condition(LEADER_TABLE, LEADER_KEY, self._row_version)]
-        writes = [write(LEADER_TABLE, LEADER_KEY, self._make_row())]
-        writes += [item for _, _, items in records for item in items]
-        n_removals = min(REMOVALS_PER_COMMIT, MAX_ENTRIES - len(conditions) - len(writes))
+        writes = [item for _, _, items in records for item in items]
+        n_removals = min(REMOVALS_PER_COMMIT, MAX_ENTRIES - LEADER_ROW_ENTRIES - len(writes))
         removed_ids = list(islice(self._removable_ids, n_removals))
         writes += [write(ENDED, job_id, None) for job_id in removed_ids]
         batch = _Batch(records=records, removed_ids=removed_ids)
-        yield self._commit_until_settled(conditions, writes, batch)
+        row_write = self.context.leader_row.prepare(self._make_row(), self._row_version)
+        yield self._commit_until_settled(row_write, writes, batch)
 
     def _make_records(self, jobs):
         """Return the jobs that fit in one transaction, each with its change number and writes."""
@@ -236,43 +234,38 @@
         return row
 
     @inlineCallbacks
-    def _commit_until_settled(self, conditions, writes, batch):
-        """Repeat a transaction until its outcome is known.
+    def _commit_until_settled(self, row_write, writes, batch):
+        """Repeat a transaction until its outcome is known, or this recorder is closed.
 
         A transaction without an answer may have been committed. Repeated under the same condition
-        it takes effect only once: if the row has changed and still names this instance, an earlier
-        attempt was committed.
+        it takes effect only once.
         """
-        may_be_committed = False
         clock = self.context.clock
         while not self.stopped:
             began = clock.seconds()
-            commit = self.context.store.commit(conditions, writes, timeout=COMMIT_TIMEOUT_S)
+            commit = self.context.leader_row.commit(row_write, writes, timeout=COMMIT_TIMEOUT_S)
             writing = PendingResult(commit)
             row = yield self._wait_for_answer(writing)
+            if self.stopped:
+                return
             if row is not None:
-                self._leader_row_changed(row, batch, True, known_by="read")
+                self._leader_row_changed(row_write, row, batch, known_by="read")
                 return
             if not writing.is_known:
-                may_be_committed = True
                 continue
             try:
                 version = writing.get()
             except PreconditionError as exc:
                 self._store_answered()
-                rows = {(row.table, row.key): row for row in exc.details["rows"]}
-                self._leader_row_changed(
-                    rows.get((LEADER_TABLE, LEADER_KEY)),
-                    batch,
-                    may_be_committed,
-                    known_by="refusal",
-                )
+                row = find_leader_row(exc.details["rows"])
+                self._leader_row_changed(row_write, row, batch, known_by="refusal")
                 return
-            except PlatformError as exc:
-                may_be_committed = may_be_committed or not isinstance(exc, PlatformRefusedError)
+            except PlatformError:
                 row = yield self._read_row()
+                if self.stopped:
+                    return
                 if self._has_changed(row):
-                    self._leader_row_changed(row, batch, may_be_committed, known_by="read")
+                    self._leader_row_changed(row_write, row, batch, known_by="read")
                     return
                 yield self._sleep(jitter(self.context.random_state, RETRY_DELAY_S))
                 continue
@@ -287,7 +280,7 @@
 
     @inlineCallbacks
     def _wait_for_answer(self, writing):
-        """Wait for the answer to a transaction; return the leader's row if it shows the outcome.
+        """Wait for the answer to a transaction; return the leader's row if it has changed.
 
         While the answer is pending the row is read. This detects in 0.6 s a store that this
         instance cannot reach, and a store that is only slow does not get the same transaction
@@ -323,12 +316,8 @@
         """
         began = self.context.clock.seconds()
         try:
-            row = yield self.context.store.read_row(
-                LEADER_TABLE,
-                PART,
-                LEADER_KEY,
-                timeout=max(READ_TIMEOUT_S, self._answer_timeout_s) + self._extra_wait_s,
-            )
+            timeout = max(READ_TIMEOUT_S, self._answer_timeout_s) + self._extra_wait_s
+            row = yield self.context.leader_row.read(timeout=timeout)
         except PlatformError:
             self.own_store_health.record_failure()
             self.context.store_health.record_failure()
@@ -366,21 +355,15 @@
         for job_id in batch.removed_ids:
             self._removable_ids.popleft()
             self.on_removed(job_id)
-        if not self.stopped:
-            self.on_recorded(ended)
-
-    def _leader_row_changed(self, leader_row, batch, may_be_committed, *, known_by):
-        """Handle a changed leader's row: written by an earlier attempt or by another leader."""
-        holder = None
-        if leader_row is not None and leader_row.value:
-            holder = decode(leader_row.value, LeaderRow, error=PlatformError)
-        if holder is None or holder.incarnation != self.context.incarnation:
+        self.on_recorded(ended)
+
+    def _leader_row_changed(self, row_write, row, batch, *, known_by):
+        """Handle a leader's row that has changed since this recorder last wrote it."""
+        if row_write.outcome(row) is WriteOutcome.COMMITTED:
+            self._committed(batch, row.version, known_by=known_by)
+        else:
             self.stopped = True
             self.on_deposed()
-        elif may_be_committed:
-            self._committed(batch, leader_row.version, known_by=known_by)
-        else:
-            self._row_version = leader_row.version
 
     def _writes(self, job):
         job_id = job.job_id
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -44,7 +44,8 @@
     began and have not registered since. `nameless` are registry entries that name no worker and
     have named none while this instance was the leader. `unanswered_starts` are starts that may be
     executed late, see :class:`UnansweredStarts`. `n_loads` counts the consecutive claims
-    after which no leader has begun to schedule.
+    after which no leader has begun to schedule. `write_number` distinguishes the writes of one
+    incarnation, see :class:`LeaderRowStore`; 0 in rows of earlier releases.
     """
 
     holder: str
@@ -58,6 +59,7 @@
     nameless: list[str] = []
     unanswered_starts: dict[str, int] = {}
     n_loads: int = 0
+    write_number: int = 0
 
 
 class JobRow(Struct, kw_only=True):
