Loading: any other write of the leader's row ends the term, also one of its process

Callers saw: nothing yet; found by the table of inferred outcomes.

Cause: a heartbeat of a loading leader that was refused, as the leader's row had changed, counted as sound where the row named the same process. A later claim of the process fences the loading term all the same.

Change: while a leader loads, nobody but a claimant writes the row, so a refusal ends the term.

Measured: the new test fails on the parent commit (term stays 9) and passes.

--- a/anvilflow/cell/_loading_heartbeat.py
+++ b/anvilflow/cell/_loading_heartbeat.py
@@ -3,9 +3,9 @@
 from msgspec import Struct
 
 from ..exceptions import PlatformError, PreconditionError
-from ..utils import Ticker, decode
+from ..utils import Ticker
 from ._recorder import HEARTBEAT_S
-from ._tables import LEADER_KEY, LEADER_TABLE, LOADING_KEY, LeaderRow, condition, write
+from ._tables import LEADER_KEY, LEADER_TABLE, LOADING_KEY, condition, write
 
 #: Time after which a leader that still loads yields to another instance. 1.7 MB, the rows of all
 #: jobs of 140 s at 19 jobs a second, take 2.7 s over 5 Mbit/s. Unit: seconds.
@@ -40,9 +40,9 @@
     Notes
     -----
     Each write is conditional on the leader's row being as the claim left it, so that it fails after
-    another claim. The leader's row itself is not written: a late write to it could be mistaken for
-    a record. Writes do not wait for the answer to the previous one, which may be late over a full
-    link.
+    another claim, also of this process. The leader's row itself is not written, as the first record
+    is conditional on it. Writes do not wait for the answer to the previous one, which may be late
+    over a full link.
     """
 
     def __init__(self, *, context, claimed, on_deposed, on_error):
@@ -91,10 +91,6 @@
 
     def _write_failed(self, failure):
         failure.trap(PlatformError)
-        if self._closed or not failure.check(PreconditionError):
-            return
-        rows = [row for row in failure.value.details["rows"] if row.key == LEADER_KEY]
-        holder = decode(rows[0].value, LeaderRow, error=PlatformError) if rows else None
-        if holder is None or holder.incarnation != self.context.incarnation:
+        if not self._closed and failure.check(PreconditionError):
             self.close()
             self.on_deposed()
--- a/anvilflow/cell/tests/test_leader_row_writes.py
+++ b/anvilflow/cell/tests/test_leader_row_writes.py
@@ -176,3 +176,23 @@
     """Guards against two writes of one incarnation that cannot be told apart."""
     store = LeaderRowStore(store=None)
     assert store.prepare(_row(), 1).row.write_number != store.prepare(_row(), 1).row.write_number
+
+
+def test_loading_leader_gives_up_when_its_own_process_has_claimed_again():
+    """Guards against a leader that loads although a later write of its process made it void."""
+    cell = make_cell(n_instances=1)
+    handle = cell.store.handle
+
+    def hold_reads(method, path, query, *call):
+        if path == StoreCall.READ and query["table"] == "jobs":
+            return Deferred()
+        return handle(method, path, query, *call)
+
+    cell.store.handle = hold_reads
+    context = cell.daemons["a0"].context
+    context.leader.deposed()
+    cell.advance(0.5)
+    row = LeaderRow(holder="a0", incarnation=context.incarnation, address="a0", term=9)
+    cell.store.put(LEADER_TABLE, LEADER_KEY, row, part=PART)
+    cell.advance(0.5)
+    assert cell.store.value(LEADER_TABLE, LEADER_KEY, part=PART)["term"] == 10
