Election: a term is identified by process and number, not by the process alone

Cause: an instance that had decided to claim from a leader that yields compared only the incarnation in the row after its wait. A later term of the same process was taken for the one it had decided on.

Change: incarnation and term are compared, in reads and between attempts.

--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -282,25 +282,30 @@
 
     @inlineCallbacks
     def _read_row(self):
-        """Read the leader's row; return whether its holder is another incarnation than before."""
+        """Read the leader's row; return whether it is of another term than before."""
         began = self.now
         rows, _ = yield self.context.store.read(LEADER_TABLE, PART)
         self._read_duration_s = self.now - began
         self.context.store_health.answer_s = self._read_duration_s
-        before = self.row.incarnation if self.row is not None else None
+        before = self._term_of(self.row)
         found = self._found_row = find_leader_row(rows)
         self.row = decode(found.value, LeaderRow, error=PlatformError) if found else None
         self.row_version = found.version if found else 0
         # A leader that still loads its tables does not rewrite the leader's row. It shows that it
         # is active by writing the loading row, which is part of the same read.
         self._newest_row_version = max((row.version for row in rows), default=0)
-        changed = self.row is not None and self.row.incarnation != before
+        changed = self.row is not None and self._term_of(self.row) != before
         if changed:
             self._leader_yields = False
             self._lag_allowance_s = 0.0
             self.context.successors = ()
         return changed
 
+    @staticmethod
+    def _term_of(row):
+        """Return what identifies a leader's term: one process may lead more than once."""
+        return (row.incarnation, row.term) if row is not None else None
+
     @inlineCallbacks
     def _dial(self):
         """Connect to the holder of the leader's row.
@@ -392,7 +397,7 @@
             if current_row is None or why != "home yields":
                 return
             holder = decode(current_row.value, LeaderRow, error=PlatformError)
-            if holder.incarnation != self.row.incarnation:
+            if self._term_of(holder) != self._term_of(self.row):
                 yield self._read_row()
                 return
             self.row, self.row_version = holder, current_row.version
