Election: a claim made while the leader part restarts is not lost

A cell of one instance stopped scheduling for good after two errors of its leader part; in larger cells another instance took over after the row had stood still.

Cause: a part that ends with an error waits 0.1 s, doubled each time, before it starts again. The election claims the row again within that time, and its event had no subscriber: the process held the row and did not lead.

Change: the claim is kept in the context, and the leader part begins with it. An election part that ends gives the claim up, as its successor does not know of it, and an attempt that outlives its part concludes nothing.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -91,8 +91,9 @@
 
     Notes
     -----
-    `successors` are the names of the instances next in line to lead, in order. `uses_relays` is
-    whether the leader sends its commands to workers through relays, as far as this instance knows.
+    `claimed` is the claim by which this instance leads, or None. `successors` are the names of the
+    instances next in line to lead, in order. `uses_relays` is whether the leader sends its commands
+    to workers through relays, as far as this instance knows.
     """
 
     def __init__(
@@ -144,6 +145,7 @@
         self.relay = None
         self.standby_tables = None
         self.successors = ()
+        self.claimed = None
         self.leader = None
         self.config_part = None
 
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -109,6 +109,9 @@
         self.every(LAG_PERIOD_S, self._leader_heartbeat.heartbeat_due)
         self.every(PLAN_PERIOD_S, self._plan_due)
         self.every(SWEEP_S, self._sweep, delay=SWEEP_S)
+        if self.context.claimed is not None:
+            # The instance has claimed while this part was not running.
+            self._begin(None, self.context.claimed)
 
     def stop(self):
         """Stop acting as the leader.
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -106,6 +106,7 @@
         self.row_version = 0
         self._newest_row_version = 0
         self.is_leader = False
+        self._stopped = False
         self._found_row = None
         self._successor_addresses = ()
         self._leader_yields = False
@@ -123,6 +124,14 @@
         self.on(Deposed, self._deposed)
         self.every(CHECK_S, self._check_if_due)
 
+    def stop(self):
+        """Give up leading: a restarted part does not know that this instance has claimed."""
+        self._stopped = True
+        if self.is_leader:
+            self.context.claimed = None
+            self.post(Deposed())
+        super().stop()
+
     # Messages and events
 
     def _heartbeat(self, source, heartbeat):
@@ -161,6 +170,7 @@
     def _deposed(self, _, __):
         if self.is_leader:
             self.is_leader = False
+            self.context.claimed = None
             self._successor_addresses = tuple(self.context.links.successor_addresses)
             self.log.warning("deposed", row_version=self.row_version)
             self._check_if_due()
@@ -448,11 +458,15 @@
             if claim.outcome(self._found_row) is not WriteOutcome.COMMITTED:
                 return None
             version, known_by = self.row_version, "read"
+        if self._stopped:
+            return None
         self.row, self.row_version = row, version
         self.is_leader = True
         self._leader_yields = False
         self.context.links.leave_leader()
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term, known_by=known_by)
-        self.post(Claimed(token=version, term=row.term, row_version=version, former=former))
+        claimed = Claimed(token=version, term=row.term, row_version=version, former=former)
+        self.context.claimed = claimed
+        self.post(claimed)
         return None
