Decoding: deeply nested JSON raises the coded error

Callers saw nothing run at all: one entry of the workers' registry, nested 20,000 deep in an unknown field or in the start time, ended the leader's part again and again, in each next leader too (6 terms in 8 s). A client's body of that kind was answered 500 AF000.

Cause: msgspec raises RecursionError for it, which is not one of its own errors and not caught by decode(), so it left every handler of a coded error.

Change: decode() turns it into the error of the caller, in the one place that all untrusted JSON passes.

--- a/anvilflow/utils/_json.py
+++ b/anvilflow/utils/_json.py
@@ -9,10 +9,13 @@
 
 
 def decode(body, kind, *, error=CallError):
-    """Decode untrusted bytes as type `kind`; raise `error` with the field's path on a mismatch."""
+    """Decode untrusted bytes as type `kind`; raise `error` with the field's path on a mismatch.
+
+    Values nested deeper than the interpreter's recursion limit raise `error`, too.
+    """
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise error(str(exc)) from exc
 
 
