HTTP client: a URL that cannot be used fails through the Deferred

Callers saw nothing run: an entry of the workers' registry with an address that no request can be built for ended the leader's part, in each next leader too.

Cause: HttpClient.call parsed the URL and built the request before it had a Deferred, so that a ValueError (port out of range, IPv6 address without brackets, host that is not ASCII) left the caller at once.

Change: such a call fails through its Deferred with InvalidRequestError, one of NOT_SENT, so that its worker counts as not reached.

--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 from urllib.parse import urlsplit
 
-from twisted.internet.defer import TimeoutError
+from twisted.internet.defer import TimeoutError, fail
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, DNSLookupError
 from twisted.internet.protocol import Factory
@@ -16,8 +16,13 @@
 #: Estimated size of the head of a request or a response on the wire. Unit: bytes.
 HEAD_BYTES = 200
 
+
+class InvalidRequestError(ValueError):
+    """The URL cannot be used: the request was not sent."""
+
+
 #: Failures before any byte of the request was sent: the request had no effect.
-NOT_SENT = (ConnectError, DNSLookupError)
+NOT_SENT = (ConnectError, DNSLookupError, InvalidRequestError)
 
 #: Failures after which the request may or may not have taken effect.
 MAYBE_SENT = (TimeoutError, ResponseLostError)
@@ -108,6 +113,8 @@
     ):
         """Send a request; the Deferred fires with the status and the complete body.
 
+        Every failure arrives through the Deferred, also that of a URL that cannot be used.
+
         Parameters
         ----------
         method : bytes
@@ -128,8 +135,11 @@
             The process that the request is meant for. Only connections that lead to this process
             are used; each new one is checked first, and an error of the check is that of the call.
         """
-        host, port, path = _split_url(url)
-        request = _request(method, host, port, path, body, headers)
+        try:
+            host, port, path = _split_url(url)
+            request = _request(method, host, port, path, body, headers)
+        except ValueError as exc:
+            return fail(InvalidRequestError(f"{url[:80]!r}: {exc}"))
         limit = TimeLimit(clock=self.clock, timeout=timeout, idle_timeout=idle_timeout)
         on_data = limit.progress if idle_timeout is not None else _no_op
         exchange = Exchange(on_begin=on_begin, on_data=on_data)
--- a/anvilflow/clients/tests/test_http.py
+++ b/anvilflow/clients/tests/test_http.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import TimeoutError
 from twisted.internet.testing import MemoryReactorClock, StringTransportWithDisconnection
 
-from anvilflow.clients import HttpClient
+from anvilflow.clients import NOT_SENT, HttpClient
 
 URL = "http://10.0.0.1:8/rows"
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
@@ -319,3 +319,14 @@
     assert server.results[3].check(TimeoutError)
     server.call()
     assert len(server.clock.tcpClients) == (3 if held_s else 2)
+
+
+@pytest.mark.parametrize(
+    "address", ["::1:80", "[::1:80", "h\u00f4te:80", "10.0.0.1:99999", "10.0.0.1:x"]
+)
+def test_url_that_cannot_be_used_fails_through_the_deferred(address):
+    """Guards against an address that ends its caller with an error that no handler sees."""
+    client = HttpClient(clock=MemoryReactorClock())
+    results = []
+    client.post(f"http://{address}/rows", b"", timeout=1.0).addErrback(results.append)
+    assert results[0].check(*NOT_SENT)
