Registry: an entry's address is checked for all that a request needs

Cause: the check read the first six characters of the port and took any text for a host: counted as port 80, and IPv6 addresses without brackets, line breaks, spaces, paths and names of 100,000 characters as hosts. Names that cannot exist were sent to the resolver, in a thread, for each attempt.

Change: check_address takes an IPv6 address in brackets, by the ipaddress module, or a host name or IPv4 address by RFC 1123, and a port of at most five digits. Another entry names no worker (AF401), as entries that cannot be decoded.

--- a/anvilflow/platform/_registry.py
+++ b/anvilflow/platform/_registry.py
@@ -7,6 +7,7 @@
 from ..exceptions import PlatformError, StartTimeError
 from ..jobs import WorkerInfo
 from ..utils import decode
+from ._address import check_address
 from ._start_time import decode_start_time
 from ._wire import Wire
 
@@ -14,8 +15,6 @@
 _Amount = Annotated[int, Meta(ge=0)]
 _Milliseconds = Annotated[float, Meta(ge=0.0)]
 
-_MAX_PORT = 65_535
-
 
 class _WireCapacity(Wire):
     cpu: _Amount
@@ -58,7 +57,7 @@
     no tasks. It counts as one that states none.
     """
     wire = decode(body, _WireWorker, error=PlatformError)
-    _check_address(wire.address)
+    check_address(wire.address, "$.address")
     capacity = wire.capacity
     born_ms, error = None, None
     try:
@@ -81,10 +80,3 @@
         born_ms=born_ms,
     )
     return info, error
-
-
-def _check_address(address):
-    host, _, port = address.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) <= _MAX_PORT
-    if not (host and is_port):
-        raise PlatformError(f"not HOST:PORT - at `$.address`: {address[:80]!r}")
--- a/anvilflow/platform/tests/test_registry.py
+++ b/anvilflow/platform/tests/test_registry.py
@@ -61,6 +61,17 @@
         ("address", "10.128.0.9:99999"),
         ("address", "10.128.0.9:0"),
         ("address", "10.128.0.9:" + "9" * 5000),
+        ("address", "10.128.0.9:0000809999"),
+        ("address", "10.128.0.9\r\nx-y: z:80"),
+        ("address", "::1:80"),
+        ("address", "[::1:80"),
+        ("address", "[fe80::1%\r\n]:80"),
+        ("address", "h\u00f4te:80"),
+        ("address", "a host:80"),
+        ("address", "user@host:80"),
+        ("address", "10.9.9.9/x?y#:80"),
+        ("address", "h" * 100_000 + ":80"),
+        ("address", "h." * 130 + "h:80"),
         ("address", ["10.128.0.9", 8080]),
         ("state", "resting"),
         ("state", None),
@@ -82,6 +93,14 @@
     assert caught.value.code == "AF401"
 
 
+@pytest.mark.parametrize(
+    "address", ["10.128.0.9:8080", "w-1.zone-2.example.:1", "[2001:db8::1]:65535", "w0:1"]
+)
+def test_address_that_can_be_used_is_kept(address):
+    """Guards against a worker that gets no tasks because its address is refused."""
+    assert decode_worker("i-1", encode({**ENTRY, "address": address}))[0].address == address
+
+
 @given(st.binary(max_size=200))
 @settings(max_examples=200, deadline=None, derandomize=True)
 def test_any_bytes_are_read_or_refused(body):
