--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -127,10 +127,10 @@
     def stop(self):
         """Give up leading: a restarted part does not know that this instance has claimed."""
         self._stopped = True
+        super().stop()
         if self.is_leader:
             self.context.claimed = None
             self.post(Deposed())
-        super().stop()
 
     # Messages and events
 
