Records: outcomes without an answer are counted and logged

Cause: a term that ended as its row had another write left no line that says what was not recorded, and outcomes read from the row were not counted.

Change: 'records superseded' with term, version, sign and jobs; the metric anvilflow_records_without_answer by outcome. No change of logic.

--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -359,9 +359,18 @@
 
     def _leader_row_changed(self, row_write, row, batch, *, known_by):
         """Handle a leader's row that has changed since this recorder last wrote it."""
-        if row_write.outcome(row) is WriteOutcome.COMMITTED:
+        outcome = row_write.outcome(row)
+        self.context.meters.count("records_without_answer", str(outcome))
+        if outcome is WriteOutcome.COMMITTED:
             self._committed(batch, row.version, known_by=known_by)
         else:
+            self.log.info(
+                "records superseded",
+                term=self._term,
+                version=row.version if row is not None else 0,
+                known_by=known_by,
+                jobs={job.job_id: change for job, change, _ in batch.records},
+            )
             self.stopped = True
             self.on_deposed()
 
--- a/anvilflow/logs/_explain.py
+++ b/anvilflow/logs/_explain.py
@@ -73,6 +73,7 @@
     "worker lost": "{worker_id} was lost ({known_by}) while running {tasks}",
     "job failed": "failed, {error}: {task} on {workers}",
     "records durable": "its records are durable at version {version}, known by {known_by}",
+    "records superseded": "its records were not made durable: the home's row has another write",
     "job ended": "its end is durable: {state}",
 }
 
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -24,6 +24,10 @@
     "worker_crashes": ("Workers that were lost, by how the loss was detected.", ("known_by",)),
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
+    "records_without_answer": (
+        "Transactions of records whose outcome was read from the leader's row, by outcome.",
+        ("outcome",),
+    ),
     "refused_run_numbers": (
         "Starts refused by their numbers by workers that had no run of the task.",
         (),
