--- a/anvilflow/cell/_gateway.py
+++ b/anvilflow/cell/_gateway.py
@@ -23,9 +23,9 @@
 from ..utils import encode
 from ._access import authorize, refuse_if_above_maximum
 from ._admission_request import make_request, refuse_if_late
+from ._answer_timeout import answer_timeout
 from ._context import JobsRead, LeaderChanged
 from ._job_store import cancel_stored_job, read_stored_job, store_job_with_read_back
-from ._recorder import answer_timeout
 from ._tables import MAX_ROW_BYTES, JobRow, without_payload
 from ._unconfirmed_jobs import UnconfirmedJobs
 
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import PlatformError, PreconditionError
 from ..utils import jitter
+from ._answer_timeout import answer_timeout
 from ._context import StoreHealth
 from ._leader_row import make_leader_row
 from ._leader_row_store import WriteOutcome, find_leader_row
@@ -65,13 +66,8 @@
 #: Timeout of a transaction. Unit: seconds.
 COMMIT_TIMEOUT_S = 2.0
 
-#: Bounds of the time without an answer after which the leader reads its row to find out whether a
-#: transaction was committed; between them it is this multiple of the last answer's time. The read
-#: has a timeout of its own. Together they detect in 0.8 s that the leader cannot reach the store.
-#: Unit of the times: seconds.
-MIN_ANSWER_TIMEOUT_S = 0.3
-MAX_ANSWER_TIMEOUT_S = 1.0
-ANSWER_TIMEOUT_FACTOR = 4
+#: Least timeout of the read of the leader's row while a transaction has no answer. With the time
+#: before that read, it detects in 0.8 s that the leader cannot reach the store. Unit: seconds.
 READ_TIMEOUT_S = 0.5
 
 #: Multiple of its lag by which an instance that is short of processor extends these timeouts: an
@@ -399,8 +395,3 @@
         return item
     record.checkpoints = {}
     return write(PROGRESS, job.job_id, record)
-
-
-def answer_timeout(answer_s):
-    """Return how long to wait for a transaction's answer if the last took `answer_s`."""
-    return min(MAX_ANSWER_TIMEOUT_S, max(MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_FACTOR * answer_s))
