Loading: the end of a load does not confirm the leadership

Callers would see tasks run twice at the same time: a leader that was replaced while it loaded, and was cut off from the store and the next leader, renewed the leases of the runs on workers that only it reached. The next leader had counted them as over and started their tasks elsewhere.

Cause: Fleet took the time at which it was made, after the load, for a call that had confirmed the leader, and sent starts and leases for 0.7 s more. A load takes up to 5 s, the next leader waits 0.7 s and a lease from its majority on.

Change: the claim and each answered write of the loading row, which is conditional on the leader's row as the claim left it, give the time; they cost no call.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -39,6 +39,8 @@
         Number of leaders so far, including this one.
     row_version : int
         Current version of the row.
+    confirmed_at : float
+        Time at which the call was sent whose answer shows the claim. Unit: seconds.
     former : LeaderRow or None
         Row of the former leader, with its report on its workers.
     """
@@ -46,6 +48,7 @@
     token: int
     term: int
     row_version: int
+    confirmed_at: float
     former: object = None
 
 
--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -58,6 +58,8 @@
     scheduler : Scheduler
     token : int
         Token of the leader's claim.
+    confirmed_at : float
+        Time at which the last call was sent that confirmed the leader so far. Unit: seconds.
     relay_dispatcher : RelayDispatcher
     events : object
         Receives the events of the sessions: ``act(actions)`` with the scheduler's actions,
@@ -66,10 +68,10 @@
         ``deposed()`` when another leader has taken over, ``fail_with(failure)``.
     """
 
-    def __init__(self, *, context, scheduler, **values):
+    def __init__(self, *, context, scheduler, confirmed_at, **values):
         super().__init__(context=context, scheduler=scheduler, **values)
         self.closed = False
-        self.confirmed_at = context.clock.seconds()
+        self.confirmed_at = confirmed_at
         self._invalid_start_times = set()
         self._round_trip = RoundTrip(settings=ALL_WORKERS_ROUND_TRIP)
         self._unanswered_share = 0.0
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -201,6 +201,7 @@
             log=self.log,
             scheduler=scheduler,
             token=claimed.token,
+            confirmed_at=self._loading_heartbeat.confirmed_at,
             relay_dispatcher=self._relay_dispatcher,
             events=self,
         )
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -441,6 +441,7 @@
             row.n_loads = former.n_loads + 1
         claim = self.context.leader_row.prepare(row, self.row_version)
         known_by = "answer"
+        confirmed_at = self.now
         try:
             version = yield self.context.leader_row.commit(
                 claim,
@@ -454,6 +455,7 @@
         except PlatformError as exc:
             self.log.info("store did not answer the claim", error=str(exc))
             yield self._sleep(jitter(self.context.random_state, RETRY_S))
+            confirmed_at = self.now
             yield self._read_row()
             if claim.outcome(self._found_row) is not WriteOutcome.COMMITTED:
                 return None
@@ -466,7 +468,13 @@
         self.context.links.leave_leader()
         self.context.meters.count("takeovers", why)
         self.log.info("claimed", why=why, token=version, term=row.term, known_by=known_by)
-        claimed = Claimed(token=version, term=row.term, row_version=version, former=former)
+        claimed = Claimed(
+            token=version,
+            term=row.term,
+            row_version=version,
+            confirmed_at=confirmed_at,
+            former=former,
+        )
         self.context.claimed = claimed
         self.post(claimed)
         return None
--- a/anvilflow/cell/_loading_heartbeat.py
+++ b/anvilflow/cell/_loading_heartbeat.py
@@ -43,11 +43,15 @@
     another claim, also of this process. The leader's row itself is not written, as the first record
     is conditional on it. Writes do not wait for the answer to the previous one, which may be late
     over a full link.
+
+    `confirmed_at` is the time at which the last call was sent that confirmed that this is the
+    leader: the claim, or one of these writes. Unit: seconds.
     """
 
     def __init__(self, *, context, claimed, on_deposed, on_error):
         self.context = context
         self.claimed = claimed
+        self.confirmed_at = claimed.confirmed_at
         self.on_deposed = on_deposed
         self.on_error = on_error
         # Where the store is slow a write takes as long as a read: more frequent writes would queue
@@ -82,13 +86,17 @@
         if self.is_late:
             return
         row = LoadingRow(incarnation=self.context.incarnation)
+        sent_at = self.context.clock.seconds()
         done = self.context.store.commit(
             [condition(LEADER_TABLE, LEADER_KEY, self.claimed.row_version)],
             [write(LEADER_TABLE, LOADING_KEY, row)],
         )
-        done.addErrback(self._write_failed)
+        done.addCallbacks(self._written, self._write_failed, callbackArgs=(sent_at,))
         done.addErrback(self.on_error)
 
+    def _written(self, _, sent_at):
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
     def _write_failed(self, failure):
         failure.trap(PlatformError)
         if not self._closed and failure.check(PreconditionError):
