Submission: a row that is read back counts as this submission's by its content

Callers would see a job run with other steps than those that were stored: a client sends the same id with another body, and the answer to its write is lost.

Cause: the gateway took any row with the job's id for its own write, and reported its own content to the leader with the version of that row.

Change: only a row with the content of this submission is reported; another one counts as accepted before, and the leader finds it in its feed.

The comparison costs no call.

--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -114,6 +114,11 @@
         raise JobIdTakenError(f"the id {value.spec.job_id} is in use")
 
 
+def _is_row_of(row, value):
+    """Whether a job's row has the content of this submission, not of another one with its id."""
+    return row.value == job_writes(value)[0].value
+
+
 def _owner_of(row):
     """Return the name of the account of a job's row; empty if it has none or cannot be read."""
     try:
@@ -134,7 +139,7 @@
     Returns
     -------
     version : int
-        Version of the job's row; 0 if the job was accepted before.
+        Version of the job's row; 0 if the job was accepted before, with other content.
 
     Raises
     ------
@@ -162,7 +167,7 @@
             ) from exc
         if row is not None:
             _check_owner(row, value)
-            return row.version
+            return row.version if _is_row_of(row, value) else 0
         if clock.seconds() + _CLOCK_TOLERANCE_S >= until:
             raise SlowWriteError("the store has not stored the job's row in time")
         pause = max(read_back_after_s, MIN_READ_BACK_INTERVAL_S)
