Cancellation: a refused mark is not taken for a cancelled job

Callers would see a job start after its cancelling was acknowledged, or a 2xx for a job that is gone: without the leader, a gateway marks the job on the condition that its row is as it was read.

Cause: a refusal counted as "the job has ended". It shows only that the row has changed: the garbage collector may have shortened or removed it, and a client may have submitted the id again after the removal.

Change: the job is read again, three times at the most, and then refused with 503.

Without a conflict no call is added.

--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -42,6 +42,9 @@
 MIN_READ_BACK_INTERVAL_S = 0.3
 READ_BACK_TIMEOUT_S = 0.6
 
+#: Most attempts to mark a job as cancelled, each after a read of its row.
+MAX_MARK_ATTEMPTS = 3
+
 #: Tolerance when the current time is compared with a deadline. Unit: seconds.
 _CLOCK_TOLERANCE_S = 1e-4
 
@@ -221,9 +224,15 @@
 
 @inlineCallbacks
 def cancel_stored_job(store, job_id, caller=None):
-    """Mark a job as cancelled, without the leader; return False if there is no such job."""
-    state, row = yield read_stored_job(store, job_id, caller)
-    if row is not None:
+    """Mark a job as cancelled, without the leader; return False if there is no such job.
+
+    A refused mark shows only that the job's row has changed: the job may have ended, its rows may
+    have been removed, or the id may have been submitted again. The job is then read again.
+    """
+    for _ in range(MAX_MARK_ATTEMPTS):
+        state, row = yield read_stored_job(store, job_id, caller)
+        if row is None:
+            return state is not None
         part = job_part(job_id)
         try:
             yield store.commit(
@@ -231,5 +240,6 @@
                 [write(JOBS, job_id + CANCEL_MARK, True, part=part)],
             )
         except PreconditionError:
-            return True
-    return state is not None
+            continue
+        return True
+    raise PlatformUnavailableError("the job's row changes too often to be marked")
--- a/anvilflow/cell/tests/test_other_rows.py
+++ b/anvilflow/cell/tests/test_other_rows.py
@@ -1,8 +1,10 @@
 """Rows of a job that another submission has written, or that were written anew after a removal."""
 
 from anvilflow.cell import _leader
+from anvilflow.cell._job_store import cancel_stored_job
+from anvilflow.cell._tables import CANCEL_MARK, JOBS, job_part
 
-from ._helpers import JOB, make_cell
+from ._helpers import CANCEL_S, JOB, make_cell
 
 
 def test_row_of_another_submission_is_not_reported_with_this_ones_content(monkeypatch):
@@ -29,3 +31,51 @@
     cell.advance(6.0)
     assert len(cell.spans) == 1
     assert cell.state(second, JOB) == "completed"
+
+
+def test_mark_is_refused_for_a_row_that_was_written_anew():
+    """Guards against a changed row that is taken for that of a job that has ended.
+
+    The row is removed and written again, by another submission of the id, between the read and the
+    mark of a cancellation.
+    """
+    cell = make_cell()
+    cell.submit("a0", JOB, {"count": 2, "cpu": 1000}, spec="60.0 done 1000")
+    cell.advance(0.5)
+    store = cell.daemons["a0"].context.store
+    commit = store.commit
+
+    def commit_after_another_submission(*values, **options):
+        store.commit = commit
+        row = cell.store.value(JOBS, JOB, part=job_part(JOB))
+        cell.store.remove(JOBS, JOB, part=job_part(JOB))
+        cell.store.put(JOBS, JOB, row, part=job_part(JOB))
+        return commit(*values, **options)
+
+    store.commit = commit_after_another_submission
+    found = []
+    cancel_stored_job(store, JOB).addCallback(found.append)
+    cell.advance(CANCEL_S)
+    assert found == [True]
+    assert cell.store.value(JOBS, JOB + CANCEL_MARK, part=job_part(JOB))
+    assert cell.state("a0", JOB) == "cancelled"
+
+
+def test_mark_is_refused_for_a_row_that_was_removed():
+    """Guards against a cancellation that is acknowledged for a job that is gone."""
+    cell = make_cell()
+    cell.submit("a0", JOB, {"count": 2, "cpu": 1000}, spec="60.0 done 1000")
+    cell.advance(0.5)
+    store = cell.daemons["a0"].context.store
+    commit = store.commit
+
+    def commit_after_removal(*values, **options):
+        store.commit = commit
+        cell.store.remove(JOBS, JOB, part=job_part(JOB))
+        return commit(*values, **options)
+
+    store.commit = commit_after_removal
+    found = []
+    cancel_stored_job(store, JOB).addCallback(found.append)
+    cell.advance(0.5)
+    assert found == [False]
