--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -42,6 +42,9 @@
 MIN_READ_BACK_INTERVAL_S = 0.3
 READ_BACK_TIMEOUT_S = 0.6
 
+#: Most attempts to mark a job as cancelled, each after a read of its row.
+MAX_MARK_ATTEMPTS = 3
+
 #: Tolerance when the current time is compared with a deadline. Unit: seconds.
 _CLOCK_TOLERANCE_S = 1e-4
 
@@ -114,6 +117,11 @@
         raise JobIdTakenError(f"the id {value.spec.job_id} is in use")
 
 
+def _is_row_of(row, value):
+    """Whether a job's row has the content of this submission, not of another one with its id."""
+    return row.value == job_writes(value)[0].value
+
+
 def _owner_of(row):
     """Return the name of the account of a job's row; empty if it has none or cannot be read."""
     try:
@@ -134,7 +142,7 @@
     Returns
     -------
     version : int
-        Version of the job's row; 0 if the job was accepted before.
+        Version of the job's row; 0 if the job was accepted before, with other content.
 
     Raises
     ------
@@ -162,7 +170,7 @@
             ) from exc
         if row is not None:
             _check_owner(row, value)
-            return row.version
+            return row.version if _is_row_of(row, value) else 0
         if clock.seconds() + _CLOCK_TOLERANCE_S >= until:
             raise SlowWriteError("the store has not stored the job's row in time")
         pause = max(read_back_after_s, MIN_READ_BACK_INTERVAL_S)
@@ -216,9 +224,15 @@
 
 @inlineCallbacks
 def cancel_stored_job(store, job_id, caller=None):
-    """Mark a job as cancelled, without the leader; return False if there is no such job."""
-    state, row = yield read_stored_job(store, job_id, caller)
-    if row is not None:
+    """Mark a job as cancelled, without the leader; return False if there is no such job.
+
+    A refused mark shows only that the job's row has changed: the job may have ended, its rows may
+    have been removed, or the id may have been submitted again. The job is then read again.
+    """
+    for _ in range(MAX_MARK_ATTEMPTS):
+        state, row = yield read_stored_job(store, job_id, caller)
+        if row is None:
+            return state is not None
         part = job_part(job_id)
         try:
             yield store.commit(
@@ -226,5 +240,6 @@
                 [write(JOBS, job_id + CANCEL_MARK, True, part=part)],
             )
         except PreconditionError:
-            return True
-    return state is not None
+            continue
+        return True
+    raise PlatformUnavailableError("the job's row changes too often to be marked")
