Registry: numbers that no worker has are refused

Callers saw less urgent jobs wait for ever: another program had overwritten the entry of one sound worker with a processor of 400 digits, and each plan of each leader raised OverflowError.

Cause: amounts, numbers of writes and announced times had no upper bound, and the plan multiplies the processor by the reserved share. Ten to the power of 25 raises nothing, but a worker of that size gets all tasks.

Change: amounts up to 2**31 - 1, announced times up to a year and numbers of writes that JSON keeps exact; an entry with another number names no worker (AF401).

--- /dev/null
+++ b/anvilflow/cell/tests/test_odd_entries.py
@@ -0,0 +1,49 @@
+"""Tests that a single odd entry in the workers' registry affects no other worker."""
+
+import pytest
+
+from anvilflow.utils import encode
+
+from ._helpers import JOB, STEP, make_cell
+
+OTHER_JOB = "00000000000000a2"
+
+#: Numbers of a worker's entry that no worker has, as another program may write them.
+IMPLAUSIBLE_NUMBERS = {
+    "processor of 400 digits": {"capacity": {"cpu": 10**400, "mem-mb": 32768}},
+    "processor of 25 digits": {"capacity": {"cpu": 10**25, "mem-mb": 32768}},
+    "memory of 400 digits": {"capacity": {"cpu": 16000, "mem-mb": 10**400}},
+    "accelerators of 400 digits": {"capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 10**400}},
+    "slots of 400 digits": {"slots": 10**400},
+    "sequence of 400 digits": {"sequence": 10**400},
+    "departure in 1e308 ms": {"state": "draining", "remaining-ms": 1e308},
+    "warm-up of 1e308 ms": {"cold-remaining-ms": 1e308},
+}
+
+
+def write_entry(cell, key, value):
+    """Write the bytes of a registry entry as another program would."""
+    cell.store._write([("servers", "", key, value)])
+
+
+def run_two_jobs(cell):
+    """Run a job, kill the leader and run a job of the less urgent queue; return their states."""
+    cell.submit(cell.other(), JOB, STEP, spec="0.5 done 1000")
+    cell.advance(5.0)
+    states = [cell.state(cell.other(), JOB)]
+    cell.kill(cell.leader())
+    cell.advance(4.0)
+    cell.submit(cell.other(), OTHER_JOB, {**STEP, "count": 30}, spec="0.5 done 1000", queue="bulk")
+    cell.advance(6.0)
+    return [*states, cell.state(cell.other(), OTHER_JOB, queue="bulk")]
+
+
+@pytest.mark.parametrize("change", IMPLAUSIBLE_NUMBERS.values(), ids=IMPLAUSIBLE_NUMBERS)
+def test_implausible_number_in_the_entry_of_a_worker_stops_no_leader(change):
+    """Guards against an overflow in each plan: another program overwrites one worker's entry."""
+    cell = make_cell(n_instances=3)
+    cell.advance(1.0)
+    write_entry(cell, "i-0", encode({**cell.workers["i-0"].entry(), **change}))
+    assert run_two_jobs(cell) == ["completed", "completed"]
+    assert cell.store.value("home", "home", part="cell")["term"] == 2
+    assert cell.check() == []
--- a/anvilflow/platform/_registry.py
+++ b/anvilflow/platform/_registry.py
@@ -11,9 +11,21 @@
 from ._start_time import decode_start_time
 from ._wire import Wire
 
+#: Upper bound of each amount of a worker's capacity. Sums over all workers of a cell and products
+#: with shares of them stay exact in floating point. Unit: that of the amount (milli-CPU, MB, number
+#: of accelerators or of slots).
+MAX_AMOUNT = 2**31 - 1
+
+#: Upper bound of the time that a worker announces for its warm-up or departure. Unit: milliseconds.
+MAX_ANNOUNCED_MS = 366 * 24 * 3600 * 1000
+
+#: Largest magnitude of the number of an entry's write, which every JSON reader keeps exact.
+MAX_SEQUENCE = 2**53 - 1
+
 _NonEmptyStr = Annotated[str, Meta(min_length=1)]
-_Amount = Annotated[int, Meta(ge=0)]
-_Milliseconds = Annotated[float, Meta(ge=0.0)]
+_Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+_Milliseconds = Annotated[float, Meta(ge=0.0, le=MAX_ANNOUNCED_MS)]
+_Sequence = Annotated[int, Meta(ge=-MAX_SEQUENCE, le=MAX_SEQUENCE)]
 
 
 class _WireCapacity(Wire):
@@ -35,7 +47,7 @@
     version: str
     slots: _Amount
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: _Sequence
     capacity: _WireCapacity
     labels: list[str]
     cold_remaining_ms: _Milliseconds = 0.0
--- a/anvilflow/platform/tests/test_registry.py
+++ b/anvilflow/platform/tests/test_registry.py
@@ -6,6 +6,7 @@
 
 from anvilflow.exceptions import PlatformError
 from anvilflow.platform import decode_worker
+from anvilflow.platform._registry import MAX_AMOUNT, MAX_ANNOUNCED_MS
 from anvilflow.utils import decode_lenient, encode
 
 #: Registry entry with the fields that every worker writes.
@@ -81,8 +82,16 @@
         ("labels", "a"),
         ("labels", [1, 2]),
         ("slots", -8),
+        ("slots", 2**31),
+        ("capacity", {"cpu": 2**31, "mem-mb": 1}),
+        ("capacity", {"cpu": 1, "mem-mb": 10**25}),
+        ("capacity", {"cpu": 1, "mem-mb": 1, "gpu": 10**400}),
         ("sequence", "4"),
+        ("sequence", 2**53),
+        ("sequence", -(10**25)),
         ("remaining-ms", -5),
+        ("remaining-ms", 1e308),
+        ("cold-remaining-ms", 10**25),
         ("cold-remaining-ms", "soon"),
     ],
 )
@@ -93,6 +102,15 @@
     assert caught.value.code == "AF401"
 
 
+def test_largest_plausible_numbers_are_kept():
+    """Guards against a worker that gets no tasks because one of its numbers is large."""
+    capacity = {"cpu": MAX_AMOUNT, "mem-mb": MAX_AMOUNT, "gpu": MAX_AMOUNT}
+    numbers = {"slots": MAX_AMOUNT, "sequence": 2**53 - 1, "remaining-ms": MAX_ANNOUNCED_MS}
+    info, _ = decode_worker("i-1", encode({**ENTRY, **numbers, "capacity": capacity}))
+    assert (info.cpu_milli, info.memory_mb, info.accelerators) == (MAX_AMOUNT,) * 3
+    assert info.leaves_in_s == MAX_ANNOUNCED_MS / 1000
+
+
 @pytest.mark.parametrize(
     "address", ["10.128.0.9:8080", "w-1.zone-2.example.:1", "[2001:db8::1]:65535", "w0:1"]
 )
