HTTP client: a header with control characters is not sent

An id in the workers' registry, which other programs choose too, becomes the value of a request header. One with a line break ended that header and began others, so that a request said something else than the leader meant.

Cause: header values were written as they came.

Change: a request whose head contains control characters besides the ends of its lines fails through its Deferred with InvalidRequestError, one of NOT_SENT. Its construction is one function, make_request, which the in-memory client can use.

--- a/anvilflow/clients/_http.py
+++ b/anvilflow/clients/_http.py
@@ -18,7 +18,7 @@
 
 
 class InvalidRequestError(ValueError):
-    """The URL cannot be used: the request was not sent."""
+    """The URL or a header cannot be used: the request was not sent."""
 
 
 #: Failures before any byte of the request was sent: the request had no effect.
@@ -30,6 +30,9 @@
 #: URLs whose parts are cached; enough for the workers and services of a large cell.
 MAX_CACHED_URLS = 4_096
 
+#: Control characters, which the head of a request contains only at the ends of its lines.
+_CONTROL_CHARACTERS = bytes([*range(0x20), 0x7F]).replace(b"\t", b"")
+
 
 def _no_op(*_):
     """Do nothing."""
@@ -113,7 +116,8 @@
     ):
         """Send a request; the Deferred fires with the status and the complete body.
 
-        Every failure arrives through the Deferred, also that of a URL that cannot be used.
+        Every failure arrives through the Deferred, also that of a URL or header that cannot be
+        used.
 
         Parameters
         ----------
@@ -136,10 +140,9 @@
             are used; each new one is checked first, and an error of the check is that of the call.
         """
         try:
-            host, port, path = _split_url(url)
-            request = _request(method, host, port, path, body, headers)
-        except ValueError as exc:
-            return fail(InvalidRequestError(f"{url[:80]!r}: {exc}"))
+            address, request = make_request(method, url, body, headers)
+        except InvalidRequestError:
+            return fail()
         limit = TimeLimit(clock=self.clock, timeout=timeout, idle_timeout=idle_timeout)
         on_data = limit.progress if idle_timeout is not None else _no_op
         exchange = Exchange(on_begin=on_begin, on_data=on_data)
@@ -148,8 +151,8 @@
         self.n_bytes_out += len(body) + HEAD_BYTES
         call.addCallbacks(self._count_response, _raise_if_not_sent, errbackArgs=(exchange,))
         due_at = self.clock.seconds() + held_s
-        if self._send((host, port), request, exchange, peer):
-            call.addErrback(self._close_stale_connections, (host, port), due_at)
+        if self._send(address, request, exchange, peer):
+            call.addErrback(self._close_stale_connections, address, due_at)
         return call
 
     def _count_response(self, result):
@@ -357,6 +360,21 @@
         self._connecting.cancel()
 
 
+def make_request(method, url, body, headers):
+    """Return the address (host and port) and the bytes of a request.
+
+    Raises
+    ------
+    InvalidRequestError
+        The URL or a header cannot be used.
+    """
+    try:
+        host, port, path = _split_url(url)
+        return (host, port), _request(method, host, port, path, body, headers)
+    except ValueError as exc:
+        raise InvalidRequestError(f"{url[:80]!r}: {exc}") from exc
+
+
 def _request(method, host, port, path, body, headers):
     """Return a request as sent on the wire."""
     lines = [b"%b %b HTTP/1.1" % (method, path.encode("ascii"))]
@@ -365,4 +383,9 @@
         lines += [b"%b: %b" % (name, value) for value in values]
     if body or method != b"GET":
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join([*lines, b"", body])
+    head = b"\r\n".join(lines)
+    # A line break within a value would end its header and begin another.
+    n_others = len(head.translate(None, _CONTROL_CHARACTERS))
+    if len(head) - n_others != 2 * (len(lines) - 1):
+        raise ValueError("a header or the path contains control characters")
+    return b"%b\r\n\r\n%b" % (head, body)
--- a/anvilflow/clients/tests/test_http.py
+++ b/anvilflow/clients/tests/test_http.py
@@ -330,3 +330,15 @@
     results = []
     client.post(f"http://{address}/rows", b"", timeout=1.0).addErrback(results.append)
     assert results[0].check(*NOT_SENT)
+
+
+@pytest.mark.parametrize("value", [b"a\r\nx-y: z", b"a\nx", b"a\rx", b"a\x00", b"\x1b[2J", b"\x7f"])
+def test_header_with_a_control_character_is_not_sent(value):
+    """Guards against a value that ends its header and begins another."""
+    clock = MemoryReactorClock()
+    results = []
+    client = HttpClient(clock=clock)
+    call = client.post(URL, b"", timeout=1.0, headers={b"x-expect-instance": [value]})
+    call.addErrback(results.append)
+    assert results[0].check(*NOT_SENT)
+    assert clock.tcpClients == []
