Registry: keys that are no worker's id are refused

Callers saw a job run no further: an entry of another program whose key equals a worker's id with its start time, and which states none itself, was taken for that worker. The worker's commands went to the address of that entry.

Cause: any key counted as a worker's id.

Change: a worker's id has 1 to 200 bytes, the limit of the store's keys, only printable characters, no spaces around it, and does not end like an incarnation. An entry with another key names no worker (AF401), and the leader's row does not list it. An id without an incarnation unlists no worker. The log shows at most 200 characters of a key.

--- a/anvilflow/cell/_leader_state.py
+++ b/anvilflow/cell/_leader_state.py
@@ -7,7 +7,7 @@
 
 from ..exceptions import RevisionGoneError
 from ..jobs import GracePeriod, Scheduler
-from ..platform import REGISTRY_TABLE, Row
+from ..platform import REGISTRY_TABLE, Row, can_be_worker_id
 from ._job_store import gather, join_parts
 from ._registry import names_worker
 from ._tables import ENDED, JOB_PARTS, JOBS, PART, PROGRESS
@@ -142,7 +142,7 @@
     except RevisionGoneError:
         return None
     named = {row.key for row in entries if names_worker(row)}
-    changed = {row.key for row in rows}
+    changed = {row.key for row in rows if can_be_worker_id(row.key)}
     described = {worker.info.registry_id for worker in former.handover}
     unknown = named.union(changed).difference(former.nameless).union(former.missing)
     return frozenset(unknown - described)
--- a/anvilflow/cell/_registry.py
+++ b/anvilflow/cell/_registry.py
@@ -1,7 +1,10 @@
 """Decoding of the entries in the workers' registry."""
 
 from ..exceptions import PlatformError
-from ..platform import decode_worker
+from ..platform import can_be_worker_id, decode_worker
+
+#: Longest part of an entry's key in the log. Unit: characters.
+MAX_LOGGED_KEY = 200
 
 
 def names_worker(row):
@@ -81,8 +84,10 @@
     def _ignore(self, row, why):
         # Logged once per entry: the other program may write it again each second.
         if row.key not in self._ignored_rows:
-            self.log.warning("worker's entry not understood", worker=row.key, error=why)
+            self.log.warning(
+                "worker's entry not understood", worker=row.key[:MAX_LOGGED_KEY], error=why
+            )
         self._ignored_rows[row.key] = row
-        if self.scheduler.find_incarnation(row.key) is None:
+        if can_be_worker_id(row.key) and self.scheduler.find_incarnation(row.key) is None:
             self.scheduler.nameless.add(row.key)
         return None
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -176,7 +176,10 @@
         leader, as it does for workers that have left.
         """
         present = self._incarnations.present(registry_id)
-        worker_id = present.worker_id if present is not None else registry_id
+        # An id without an incarnation may equal the identity of another worker's.
+        if present is None:
+            return
+        worker_id = present.worker_id
         if worker_id not in self.scheduler.workers or worker_id in self._unlisted_at:
             return
         self.log.info("worker's entry gone", worker=worker_id)
--- a/anvilflow/cell/tests/test_odd_entries.py
+++ b/anvilflow/cell/tests/test_odd_entries.py
@@ -47,3 +47,33 @@
     assert run_two_jobs(cell) == ["completed", "completed"]
     assert cell.store.value("home", "home", part="cell")["term"] == 2
     assert cell.check() == []
+
+
+@pytest.mark.parametrize(
+    "key", ["", "k" * 100_000, "odd\r\nx-y: z", "odd 1", "\u00f6dd", "odd\x00", "a.b..", "I-0"]
+)
+def test_odd_key_of_an_entry_stops_no_leader(key):
+    """Guards against a key that breaks requests, logs or the leader's row."""
+    cell = make_cell(n_instances=3)
+    cell.advance(1.0)
+    write_entry(cell, key, encode({**cell.workers["i-0"].entry(), "address": "10.9.9.9:80"}))
+    assert run_two_jobs(cell) == ["completed", "completed"]
+    assert cell.store.value("home", "home", part="cell")["term"] == 2
+    assert cell.check() == []
+
+
+def test_key_like_the_identity_of_an_incarnation_does_not_replace_its_worker():
+    """Guards against an entry whose key equals the id of a worker with its start time.
+
+    The leader would send the worker's commands to the address in that entry.
+    """
+    cell = make_cell(n_instances=3, n_workers=1)
+    cell.advance(1.0)
+    entry = cell.workers["i-0"].entry()
+    del entry["born"]
+    key = f"i-0@{cell.workers['i-0'].entry()['born']}"
+    write_entry(cell, key, encode({**entry, "address": "10.9.9.9:80"}))
+    cell.advance(1.0)
+    cell.submit(cell.other(), JOB, STEP, spec="0.5 done 1000")
+    cell.advance(6.0)
+    assert cell.state(cell.other(), JOB) == "completed"
--- a/anvilflow/platform/__init__.py
+++ b/anvilflow/platform/__init__.py
@@ -4,7 +4,7 @@
 from ._config import decode_config
 from ._front import JobsResource, ReadyResource
 from ._jobs import decode_job
-from ._registry import decode_worker
+from ._registry import can_be_worker_id, decode_worker
 from ._store import Row, RowCondition, RowWrite, StoreClient
 from ._tables import CONFIG_KEY, OPERATOR_TABLE, REGISTRY_TABLE
 from ._workers import WorkerCalls
@@ -22,6 +22,7 @@
     "RowWrite",
     "StoreClient",
     "WorkerCalls",
+    "can_be_worker_id",
     "decode_config",
     "decode_job",
     "decode_worker",
--- a/anvilflow/platform/_registry.py
+++ b/anvilflow/platform/_registry.py
@@ -1,5 +1,6 @@
 """Decoding of the registry entries that workers write to the store."""
 
+import re
 from typing import Annotated, Literal
 
 from msgspec import Meta
@@ -22,6 +23,13 @@
 #: Largest magnitude of the number of an entry's write, which every JSON reader keeps exact.
 MAX_SEQUENCE = 2**53 - 1
 
+#: Longest id of a worker, that of a key of the store. Unit: bytes.
+MAX_ID_BYTES = 200
+
+#: End of an id that would equal the identity of another worker's incarnation, see
+#: :func:`make_worker_id`.
+_INCARNATION = re.compile(r"@[0-9]+\Z")
+
 _NonEmptyStr = Annotated[str, Meta(min_length=1)]
 _Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 _Milliseconds = Annotated[float, Meta(ge=0.0, le=MAX_ANNOUNCED_MS)]
@@ -68,6 +76,8 @@
     An entry with an invalid start time (AF406) still belongs to a worker, which would otherwise get
     no tasks. It counts as one that states none.
     """
+    if not can_be_worker_id(registry_id):
+        raise PlatformError(f"the key cannot be the id of a worker: {registry_id[:80]!a}")
     wire = decode(body, _WireWorker, error=PlatformError)
     check_address(wire.address, "$.address")
     capacity = wire.capacity
@@ -92,3 +102,15 @@
         born_ms=born_ms,
     )
     return info, error
+
+
+def can_be_worker_id(key):
+    """Whether an entry's key can be a worker's id, which requests to the worker name.
+
+    Other characters would be changed or refused in the head of a request, or break lines of logs.
+    """
+    is_text = key.isprintable() and key == key.strip()
+    # Printable text has no surrogates and can be encoded.
+    if not (key and is_text and len(key.encode()) <= MAX_ID_BYTES):
+        return False
+    return _INCARNATION.search(key) is None
--- a/anvilflow/platform/tests/test_registry.py
+++ b/anvilflow/platform/tests/test_registry.py
@@ -102,6 +102,40 @@
     assert caught.value.code == "AF401"
 
 
+@pytest.mark.parametrize(
+    "key",
+    [
+        "",
+        " ",
+        "i-1 ",
+        "i-1\r\nx-y: z",
+        "i-1\n",
+        "i-1\x00",
+        "i-1\x1b[2J",
+        "i-1\u2028",
+        "i-1\ud800",
+        "i-1@1784863241624",
+        "i" * 201,
+        "\u00f6" * 101,
+        "i" * 100_000,
+    ],
+    ids=lambda key: ascii(key[:20]),
+)
+def test_key_that_is_no_id_of_a_worker_is_refused(key):
+    """Guards against an id that breaks a request's head, or that equals an incarnation's."""
+    with pytest.raises(PlatformError) as caught:
+        decode_worker(key, encode(ENTRY))
+    assert caught.value.code == "AF401"
+
+
+@pytest.mark.parametrize(
+    "key", ["i-1", "a.b.c..", "i 1", "i@b", "i@1x", "w\u00f6rker-1", "i" * 200]
+)
+def test_key_that_can_be_an_id_is_kept(key):
+    """Guards against a worker that gets no tasks because its id is refused."""
+    assert decode_worker(key, encode(ENTRY))[0].registry_id == key
+
+
 def test_largest_plausible_numbers_are_kept():
     """Guards against a worker that gets no tasks because one of its numbers is large."""
     capacity = {"cpu": MAX_AMOUNT, "mem-mb": MAX_AMOUNT, "gpu": MAX_AMOUNT}
