Leader's row: lists and texts of other programs' entries keep it under 64 kB

Callers would see no job end for as long as the row stays too large: the store refuses it, and with it the whole transaction.

Cause: the row's limits were numbers of workers and ids. Entries with long labels that are overwritten stay in the row as unlisted workers (one of 45 kB: 75,668 bytes), and each odd entry that changes before a change of leader is one that may have been a worker's (5,000 entries: 115,154 bytes or more).

Change: the handover has a maximum size, too, and a large entry in it takes no space from others. Where the row still does not fit, it says that the missing workers are not known, so that the next leader waits until all leases have ended.

--- a/anvilflow/cell/_leader_row.py
+++ b/anvilflow/cell/_leader_row.py
@@ -1,13 +1,19 @@
 """Content of the leader's row: what the next leader has to know of the workers."""
 
+from msgspec import structs
+
 from ..jobs import make_handover
-from ._tables import LeaderRow
+from ..utils import encode
+from ._tables import MAX_ROW_BYTES, LeaderRow
 
 #: Most registry entries without a worker that the leader's row lists, some 2 kB of the row. A new
 #: leader waits 3.8 s for leases that no worker has if an entry that is left out has changed, or is
 #: that of a server of another service.
 MAX_NAMELESS = 100
 
+#: Largest size of the leader's row, which leaves space for the number of the write. Unit: bytes.
+MAX_LEADER_ROW_BYTES = MAX_ROW_BYTES - 100
+
 
 def make_leader_row(*, context, scheduler, term):
     """Return the leader's row as of now.
@@ -30,7 +36,7 @@
     n_workers = len(scheduler.current_workers()) + len(missing)
     if not is_known:
         n_workers = max(n_workers, grace_period.n_workers)
-    return LeaderRow(
+    row = LeaderRow(
         holder=context.name,
         incarnation=context.incarnation,
         address=context.settings.listen.peers_address,
@@ -42,6 +48,21 @@
         nameless=sorted(scheduler.nameless)[:MAX_NAMELESS],
         unanswered_starts=scheduler.unanswered_starts.handover(now),
     )
+    return _without_long_lists(row)
+
+
+def _without_long_lists(row):
+    """Return the row without the lists of ids that do not fit.
+
+    The store would refuse the row, and with it everything that the leader records. Without the
+    missing workers, the row says that they are not known: the next leader waits until all leases
+    have ended.
+    """
+    if len(encode(row)) > MAX_LEADER_ROW_BYTES:
+        row = structs.replace(row, registry_version=0, missing=[])
+    if len(encode(row)) > MAX_LEADER_ROW_BYTES:
+        row = structs.replace(row, nameless=[])
+    return row
 
 
 def _unlisted_ids(scheduler, handover):
--- a/anvilflow/jobs/_handover.py
+++ b/anvilflow/jobs/_handover.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, structs
 
+from ..utils import encode
 from ._worker_info import WorkerInfo
 
 #: Time without an answer after which a worker is named as unreachable. An unanswered call is
@@ -10,11 +11,13 @@
 #: unreachable, the next leader waits for 3.2 s. Unit: seconds.
 UNREACHABLE_S = 0.1
 
-#: Maximum numbers of workers and runs in the row: some 45 KB of the 64 KB that a row may hold. A
-#: larger row would be refused, and with it everything that the leader records. For workers that are
-#: left out, the next leader only has to wait until their leases expire.
+#: Maximum numbers of workers and runs in the row, and maximum size of both, of the 64 KB that a row
+#: may hold: registry entries may have long labels. A larger row would be refused, and with it
+#: everything that the leader records. For workers that are left out, the next leader only has to
+#: wait until their leases expire. Unit of the size: bytes.
 MAX_HANDOVER_WORKERS = 60
 MAX_HANDOVER_RUNS = 600
+MAX_HANDOVER_BYTES = 45_000
 
 
 class HandoverWorker(Struct, kw_only=True):
@@ -85,12 +88,16 @@
 
 def _bounded(handover):
     kept = []
-    n_runs = 0
+    n_runs = n_bytes = 0
     for worker in handover[:MAX_HANDOVER_WORKERS]:
         n_runs += len(worker.runs or ())
         if n_runs > MAX_HANDOVER_RUNS:
             break
-        kept.append(worker)
+        size = len(encode(worker))
+        # A single large entry takes no space from the workers after it.
+        if n_bytes + size <= MAX_HANDOVER_BYTES:
+            n_bytes += size
+            kept.append(worker)
     return kept
 
 
