Configuration: the proof knows as of which version the row was removed

Callers would see a key accepted without end after the operator removed the configuration, with strict revocation: the answer to a read from before the removal arrives after it.

Cause: a removal cleared the version of the row in force, and any later answer with the row set it again. Reads of feed, hint and confirmation overtake each other.

Change: a removal counts with the version of the read that shows it, as a row that is not in force does. The feed's tombstones state none of their own. Two tests that replace _apply_rows pass the version on; they check what they did.

--- a/anvilflow/cell/_config.py
+++ b/anvilflow/cell/_config.py
@@ -181,7 +181,8 @@
             self._is_cancelled_for_retry = False
         self._record_success()
         self.context.store_health.record_answer()
-        self._apply_rows(rows, "read" if self._version is None else "feed", sent_at)
+        source = "read" if self._version is None else "feed"
+        self._apply_rows(rows, version, source, sent_at)
         self._version = version
 
     def _record_failed_read(self, error):
@@ -223,20 +224,19 @@
     @inlineCallbacks
     def _read_whole(self, source, timeout=None):
         sent_at = self.now
-        rows, _ = yield self.context.store.read(OPERATOR_TABLE, "", timeout=timeout)
-        self._apply_rows(rows, source, sent_at)
+        rows, version = yield self.context.store.read(OPERATOR_TABLE, "", timeout=timeout)
+        self._apply_rows(rows, version, source, sent_at)
 
-    def _apply_rows(self, rows, source, sent_at):
-        """Apply the rows of a read that was sent at `sent_at`. Unit: seconds."""
+    def _apply_rows(self, rows, version, source, sent_at):
+        """Apply the rows, as of `version`, of a read that was sent at `sent_at`. Unit: seconds."""
         proof = self.context.config_proof
         config_rows = [row for row in rows if row.key == CONFIG_KEY]
-        if source != "feed" and not config_rows:
-            proof.note_removal()
         for row in config_rows:
-            if row.value is None:
-                proof.note_removal()
-            else:
+            if row.value is not None:
                 proof.note_row(row.version, in_force=self._apply_row(row, source))
+        is_removed = config_rows[-1].value is None if config_rows else source != "feed"
+        if is_removed:
+            proof.note_removal(version)
         proof.note_read(sent_at)
 
     def _apply_row(self, row, source):
--- a/anvilflow/cell/_config_proof.py
+++ b/anvilflow/cell/_config_proof.py
@@ -32,9 +32,13 @@
         if in_force:
             self._row_in_force = max(self._row_in_force, row_version)
 
-    def note_removal(self):
-        """Note that the store has no row of the configuration."""
-        self._row_in_force = 0
+    def note_removal(self, version):
+        """Note that the store had no row of the configuration as of `version`.
+
+        Versions are those of one counter for all rows, so that a read from before the removal, or a
+        row written after it, can be told by them.
+        """
+        self._newest_row = max(self._newest_row, version)
 
     def note_read(self, sent_at):
         """Note that all rows that a read returned have been processed."""
--- a/anvilflow/cell/tests/test_config.py
+++ b/anvilflow/cell/tests/test_config.py
@@ -128,8 +128,8 @@
 
 
 def _ignoring_feed(apply_rows):
-    return lambda rows, source, sent_at: (
-        None if source == "feed" else apply_rows(rows, source, sent_at)
+    return lambda rows, version, source, sent_at: (
+        None if source == "feed" else apply_rows(rows, version, source, sent_at)
     )
 
 
@@ -144,7 +144,7 @@
     cell.store.put("servers", "i-3", {**moved.entry(), "service": "annex"})
     cell.advance(0.5)
     leader = cell.daemons[cell.leader()].supervisor.part("config")
-    monkeypatch.setattr(leader, "_apply_rows", lambda rows, source, sent_at: None)
+    monkeypatch.setattr(leader, "_apply_rows", lambda rows, version, source, sent_at: None)
     queues = [{"name": "urgent", "prefix": "/urgent/", "service": "annex"}]
     cell.store.put("op", "config", make_platform_config(5, queues=queues))
     cell.advance(0.5)
--- a/anvilflow/cell/tests/test_strict_revocation.py
+++ b/anvilflow/cell/tests/test_strict_revocation.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from twisted.internet.task import deferLater
 
 from anvilflow.cell import Bounds
 from anvilflow.cell._config_proof import CLOCK_DRIFT, ConfigProof
@@ -176,6 +177,26 @@
     assert [get(cell, name)[0] for name in NAMES] == [200, 200, 200]
 
 
+def test_late_answer_from_before_a_removal_does_not_restore_the_proof():
+    """Guards against keys that are accepted for ever after the configuration was removed."""
+    cell = make_strict_cell()
+    store = cell.daemons["a0"].context.store
+    read = store.read
+
+    def read_late(*values, **options):
+        done = read(*values, **options)
+        return done.addCallback(lambda found: deferLater(cell.clocks["a0"], 0.5, lambda: found))
+
+    store.read = read_late
+    cell.daemons["a0"].context.config_part.confirm()
+    cell.advance(0.2)
+    cell.store.remove("op", "config")
+    cell.advance(1.0)
+    assert get(cell, "a0")[0] == 200
+    cell.advance(REVOKE_S)
+    assert get(cell, "a0")[0] == 503
+
+
 def test_outage_of_the_store_ends_the_service_of_keys_in_time_and_no_later():
     cell = make_strict_cell()
     cell.store_faults.status = 503
