Stand-ins: the in-memory HTTP client builds requests as the real one

No test in virtual time could see an address or a header that the real client refuses: the in-memory client built no requests. That hid the entries that ended the leader's part.

Change: it builds each request with make_request, and fails with the same error.

--- a/anvilflow/clients/__init__.py
+++ b/anvilflow/clients/__init__.py
@@ -1,6 +1,6 @@
 """Clients of the services in the project's own contract: table, objects, membership, workers."""
 
-from ._http import NOT_SENT, HttpClient
+from ._http import NOT_SENT, HttpClient, InvalidRequestError, make_request
 from ._http_connection import ResponseLostError
 from ._membership import MemberInfo, MembershipClient, MembershipList
 from ._objects import ObjectClient
@@ -16,6 +16,7 @@
     "Condition",
     "FinishedTask",
     "HttpClient",
+    "InvalidRequestError",
     "MemberInfo",
     "MembershipClient",
     "MembershipList",
@@ -29,4 +30,5 @@
     "WorkerClient",
     "Write",
     "WriteResult",
+    "make_request",
 ]
--- a/anvilflow/standins/_wire_client.py
+++ b/anvilflow/standins/_wire_client.py
@@ -3,9 +3,11 @@
 from collections import defaultdict
 from urllib.parse import urlsplit
 
-from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError, fail
 from twisted.python.failure import Failure
 
+from ..clients import InvalidRequestError, make_request
+
 #: Size of the headers of a request or response. Unit: bytes.
 HEAD_BYTES = 200
 
@@ -43,7 +45,14 @@
         headers=None,
         peer=None,
     ):
-        """Make a call; it fails with a TimeoutError if there is no answer within `timeout`."""
+        """Make a call; it fails with a TimeoutError if there is no answer within `timeout`.
+
+        The request is built as by the real client, which refuses some URLs and headers.
+        """
+        try:
+            make_request(method, url, body, headers)
+        except InvalidRequestError:
+            return fail()
         exchange = _Exchange(
             clock=self.clock,
             link=lambda: self.network.links.get(self.name),
