Leader, relays: an unexpected error for one worker or entry ends no term

Callers saw nothing run, or jobs late: one worker whose call or answer raised an error that nobody expected, or one such registry entry, ended the leader's part, in each next leader too, or a relay's. A part that starts again claims its own row.

Cause: a session's Deferreds pass every error that they do not expect to the part's supervisor, and so did the decoding of an entry.

Change: FaultIsolation is the one place that confines errors, and only of work that changes no shared state. A call to a worker, from its construction to its decoded answer, fails with AF415, a kind of AF412: the worker counts as unreachable, its leases are waited for, starts count as without an answer, stops are repeated. The decoding of an entry fails with AF409, a kind of AF401: it names no worker, and a next leader that cannot decode it waits for leases there. Each is logged once with its traceback and counted (isolated_faults).

An error in the scheduler still ends the term: it may have left an inconsistent state, from which a task could be started twice.

--- a/anvilflow/cell/_registry.py
+++ b/anvilflow/cell/_registry.py
@@ -8,11 +8,16 @@
 
 
 def names_worker(row):
-    """Whether an entry can be decoded as that of a worker, of any service."""
+    """Whether an entry can be decoded as that of a worker, of any service.
+
+    An entry whose decoding raises an unexpected error may be that of a worker with tasks.
+    """
     try:
         decode_worker(row.key, row.value)
     except PlatformError:
         return False
+    except Exception:
+        return True
     return True
 
 
@@ -27,10 +32,12 @@
     ----------
     log : Logger
     scheduler : Scheduler
+    faults : FaultIsolation
     """
 
-    def __init__(self, *, log, scheduler):
+    def __init__(self, *, log, scheduler, faults):
         self.log = log
+        self.faults = faults
         self.scheduler = scheduler
         self._ignored_rows = {}
         self._invalid_start_times = set()
@@ -43,7 +50,7 @@
     def read(self, row):
         """Return the :class:`WorkerInfo` of an entry, or None if the entry names no worker."""
         try:
-            info, error = decode_worker(row.key, row.value)
+            info, error = self.faults.decode_entry(row)
         except PlatformError as exc:
             return self._ignore(row, str(exc))
         self.log_start_time(row.key, error)
--- a/anvilflow/cell/_relay.py
+++ b/anvilflow/cell/_relay.py
@@ -5,10 +5,17 @@
 from msgspec import Struct
 
 from ..decisions import MessageAge
-from ..exceptions import AnvilflowError, PayloadGoneError, PlatformError
+from ..exceptions import (
+    AnvilflowError,
+    PayloadGoneError,
+    PlatformError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
 from ..jobs import SetPace, StartRun, StopRun, make_worker_id
 from ..peers.gen.ttypes import WorkerAnswer
 from ..runtime import Part
+from ._fault_isolation import FaultIsolation
 from ._worker_commands import (
     LATE,
     LEAVING,
@@ -26,6 +33,9 @@
 #: Number of workers for which a client is cached; the least recently used ones are evicted.
 MAX_CACHED_WORKERS = 4_096
 
+#: Errors of a command that an answer reports to the leader.
+_PASSED_ERRORS = (WorkerRefusedError, WorkerUnreachableError, PayloadGoneError, PlatformError)
+
 
 class WorkerEndpoint(Struct, kw_only=True, frozen=True):
     """Incarnation of a worker that commands are sent to; `born_ms` is None if it is not known."""
@@ -60,6 +70,7 @@
         self._token = 0
         self._link = None
         self._age = MessageAge()
+        self._faults = FaultIsolation(log=self.log, meters=context.meters)
 
     def start(self):
         """Accept commands."""
@@ -85,16 +96,20 @@
             self._answer(_not_sent(refusal), link, command)
             return
         self._token = _leader_token(command)
-        if command.verb == Verb.START:
-            job_id = command.task.partition(".")[0]
-            done = self.context.payloads.find(job_id)
-            done.addCallback(self._start, link, command, expires_at)
-        else:
-            done = self._call(command)
+        done = self._faults.call_worker(
+            command.worker, self._execute, link, command, expires_at, passes=_PASSED_ERRORS
+        )
         done.addErrback(_failed)
         done.addCallback(self._answer, link, command)
         done.addErrback(self.fail_with)
 
+    def _execute(self, link, command, expires_at):
+        """Execute a command; the Deferred fires with the :class:`WorkerAnswer`."""
+        if command.verb != Verb.START:
+            return self._call(command)
+        done = self.context.payloads.find(command.task.partition(".")[0])
+        return done.addCallback(self._start, link, command, expires_at)
+
     def record_message_age(self, link, sent_ms):
         """Record a message of the leader; return for how long it was on its way. Unit: seconds."""
         if link is not self._link:
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -1,6 +1,7 @@
 """The leader's sessions with the present incarnations of all workers."""
 
 from ..exceptions import StartTimeError
+from ._fault_isolation import FaultIsolation, IsolatedCalls
 from ._incarnations import Incarnations
 from ._registry import Registry
 from ._session import WorkerSession
@@ -45,7 +46,8 @@
         self._claim_token = token
         self.relay_dispatcher = relay_dispatcher
         self.events = events
-        self._registry = Registry(log=log, scheduler=scheduler)
+        self._faults = FaultIsolation(log=log, meters=context.meters)
+        self._registry = Registry(log=log, scheduler=scheduler, faults=self._faults)
         self._incarnations = Incarnations()
         self._sessions = {}
         self._unlisted_at = {}
@@ -282,12 +284,13 @@
         session.run().addErrback(self.events.fail_with)
 
     def _make_calls(self, info, token):
-        return WorkerCallRouter(
+        router = WorkerCallRouter(
             direct=self.context.make_worker(info, token),
             info=info,
             relay_dispatcher=self.relay_dispatcher,
             context=self.context,
         )
+        return IsolatedCalls(calls=router, faults=self._faults)
 
     def raise_token(self, version):
         """Note the version of the leader's row after its last write: the highest token to use.
--- a/anvilflow/exceptions.py
+++ b/anvilflow/exceptions.py
@@ -11,6 +11,7 @@
     "CallError",
     "ConflictError",
     "DeclarationError",
+    "EntryFaultError",
     "FrameError",
     "InvalidDurationError",
     "JobGoneError",
@@ -35,6 +36,7 @@
     "UnauthorizedError",
     "UnknownOutcomeError",
     "UnprovenConfigError",
+    "WorkerFaultError",
     "WorkerGoneError",
     "WorkerRefusedError",
     "WorkerUnreachableError",
@@ -251,6 +253,12 @@
     code = "AF408"
 
 
+class EntryFaultError(PlatformError):
+    """The decoding of a registry entry raised an unexpected error; the entry is set aside."""
+
+    code = "AF409"
+
+
 class PreconditionError(PlatformError):
     """A transaction was rejected because a condition on a row was not met."""
 
@@ -287,6 +295,12 @@
     http_status = 504
 
 
+class WorkerFaultError(WorkerUnreachableError):
+    """A call to a worker raised an unexpected error: it may or may not take effect."""
+
+    code = "AF415"
+
+
 class PayloadGoneError(AnvilflowError):
     """The payload of a job is missing from the store: none of its tasks can start."""
 
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -39,6 +39,7 @@
     "explained_runs": ("Slow runs left alone, by what explains them: speed or length.", ("why",)),
     "invalid_durations": ("Stated or measured durations that were not positive numbers.", ()),
     "malformed_messages": ("Messages of instances that were dropped.", ()),
+    "isolated_faults": ("Unexpected errors that were set aside, by what they affect.", ("unit",)),
     "bytes": ("Bytes sent and received, with heads.", ("service", "direction")),
     "takeovers": ("Claims of the home's place by this instance, by reason.", ("why",)),
     "unproven_refusals": ("Calls refused as their API keys could not be checked.", ()),
