Tests: an isolated fault restarts no part of any instance

With relays, the case of an error in the answer to a start held on the code before but for the missing log line: the relay's part ended there, not the leader's. The test now looks at all parts, and the case fails there for that reason.

--- a/anvilflow/cell/tests/test_fault_isolation.py
+++ b/anvilflow/cell/tests/test_fault_isolation.py
@@ -74,8 +74,8 @@
     assert broken.n_calls > 0
     assert states == ["completed", "completed"]
     assert _term(cell) == 1
+    assert not any(sum(each.supervisor.restarts().values()) for each in cell.daemons.values())
     assert 1 <= len(lines) <= len(cell.daemons)
-    assert all(daemon.supervisor.restarts()["home"] == 0 for daemon in cell.daemons.values())
     assert any(span.worker == "i-0" and span.task.startswith(OTHER_JOB) for span in cell.spans)
     assert cell.check() == []
 
