Logs: texts of registry entries are shortened

Operators saw lines of up to 64 kB in the leader's log, one for each entry of another program with a long service, state or label.

Change: an entry's key, rack and error are logged with at most 200 characters each.

--- a/anvilflow/cell/_registry.py
+++ b/anvilflow/cell/_registry.py
@@ -3,8 +3,8 @@
 from ..exceptions import PlatformError
 from ..platform import can_be_worker_id, decode_worker
 
-#: Longest part of an entry's key in the log. Unit: characters.
-MAX_LOGGED_KEY = 200
+#: Longest part of a text of an entry in the log. Unit: characters.
+MAX_LOGGED_TEXT = 200
 
 
 def names_worker(row):
@@ -92,7 +92,9 @@
         # Logged once per entry: the other program may write it again each second.
         if row.key not in self._ignored_rows:
             self.log.warning(
-                "worker's entry not understood", worker=row.key[:MAX_LOGGED_KEY], error=why
+                "worker's entry not understood",
+                worker=row.key[:MAX_LOGGED_TEXT],
+                error=why[:MAX_LOGGED_TEXT],
             )
         self._ignored_rows[row.key] = row
         if can_be_worker_id(row.key) and self.scheduler.find_incarnation(row.key) is None:
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -3,7 +3,7 @@
 from ..exceptions import StartTimeError
 from ._fault_isolation import FaultIsolation, IsolatedCalls
 from ._incarnations import Incarnations
-from ._registry import Registry
+from ._registry import MAX_LOGGED_TEXT, Registry
 from ._session import WorkerSession
 from ._worker_call_router import WorkerCallRouter
 
@@ -103,7 +103,10 @@
         self._unlisted_at.pop(info.worker_id, None)
         if self.scheduler.worker_listed(info, self._now(), version=version):
             self.log.info(
-                "worker found", worker=info.worker_id, address=info.address, rack=info.rack
+                "worker found",
+                worker=info.worker_id,
+                address=info.address,
+                rack=info.rack[:MAX_LOGGED_TEXT],
             )
             self._open_session(info)
             return
--- a/anvilflow/cell/tests/test_odd_entries.py
+++ b/anvilflow/cell/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that a single odd entry in the workers' registry affects no other worker."""
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from anvilflow.utils import encode
 
@@ -77,3 +78,29 @@
     cell.submit(cell.other(), JOB, STEP, spec="0.5 done 1000")
     cell.advance(6.0)
     assert cell.state(cell.other(), JOB) == "completed"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": "s" * 60_000},
+        {"zone": "z" * 60_000},
+        {"version": "v" * 60_000},
+        {"state": "s" * 60_000},
+        {"labels": ["k" * 30_000, "r" * 30_000]},
+        {"address": "h" * 60_000 + ":80"},
+        {"born": "b" * 60_000},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_long_text_of_an_entry_makes_no_long_line_in_the_log(change):
+    """Guards against logs that another program fills."""
+    cell = make_cell(n_instances=3)
+    cell.advance(1.0)
+    entry = {**cell.workers["i-0"].entry(), "address": "10.9.9.9:80", **change}
+    with LogRecorder().applicationbound() as log:
+        write_entry(cell, "odd-1", encode(entry))
+        assert run_two_jobs(cell) == ["completed", "completed"]
+    lines = [str({**line.kwargs, "message": line.message}) for line in log.records]
+    assert max(map(len, lines)) < 2_000
+    assert cell.check() == []
