--- a/anvilflow/cell/_registry.py
+++ b/anvilflow/cell/_registry.py
@@ -3,16 +3,21 @@
 from ..exceptions import PlatformError
 from ..platform import can_be_worker_id, decode_worker
 
-#: Longest part of an entry's key in the log. Unit: characters.
-MAX_LOGGED_KEY = 200
+#: Longest part of a text of an entry in the log. Unit: characters.
+MAX_LOGGED_TEXT = 200
 
 
 def names_worker(row):
-    """Whether an entry can be decoded as that of a worker, of any service."""
+    """Whether an entry can be decoded as that of a worker, of any service.
+
+    An entry whose decoding raises an unexpected error may be that of a worker with tasks.
+    """
     try:
         decode_worker(row.key, row.value)
     except PlatformError:
         return False
+    except Exception:
+        return True
     return True
 
 
@@ -27,10 +32,12 @@
     ----------
     log : Logger
     scheduler : Scheduler
+    faults : FaultIsolation
     """
 
-    def __init__(self, *, log, scheduler):
+    def __init__(self, *, log, scheduler, faults):
         self.log = log
+        self.faults = faults
         self.scheduler = scheduler
         self._ignored_rows = {}
         self._invalid_start_times = set()
@@ -43,7 +50,7 @@
     def read(self, row):
         """Return the :class:`WorkerInfo` of an entry, or None if the entry names no worker."""
         try:
-            info, error = decode_worker(row.key, row.value)
+            info, error = self.faults.decode_entry(row)
         except PlatformError as exc:
             return self._ignore(row, str(exc))
         self.log_start_time(row.key, error)
@@ -85,7 +92,9 @@
         # Logged once per entry: the other program may write it again each second.
         if row.key not in self._ignored_rows:
             self.log.warning(
-                "worker's entry not understood", worker=row.key[:MAX_LOGGED_KEY], error=why
+                "worker's entry not understood",
+                worker=row.key[:MAX_LOGGED_TEXT],
+                error=why[:MAX_LOGGED_TEXT],
             )
         self._ignored_rows[row.key] = row
         if can_be_worker_id(row.key) and self.scheduler.find_incarnation(row.key) is None:
--- a/anvilflow/cell/_worker_sessions.py
+++ b/anvilflow/cell/_worker_sessions.py
@@ -1,8 +1,9 @@
 """The leader's sessions with the present incarnations of all workers."""
 
 from ..exceptions import StartTimeError
+from ._fault_isolation import FaultIsolation, IsolatedCalls
 from ._incarnations import Incarnations
-from ._registry import Registry
+from ._registry import MAX_LOGGED_TEXT, Registry
 from ._session import WorkerSession
 from ._worker_call_router import WorkerCallRouter
 
@@ -45,7 +46,8 @@
         self._claim_token = token
         self.relay_dispatcher = relay_dispatcher
         self.events = events
-        self._registry = Registry(log=log, scheduler=scheduler)
+        self._faults = FaultIsolation(log=log, meters=context.meters)
+        self._registry = Registry(log=log, scheduler=scheduler, faults=self._faults)
         self._incarnations = Incarnations()
         self._sessions = {}
         self._unlisted_at = {}
@@ -101,7 +103,10 @@
         self._unlisted_at.pop(info.worker_id, None)
         if self.scheduler.worker_listed(info, self._now(), version=version):
             self.log.info(
-                "worker found", worker=info.worker_id, address=info.address, rack=info.rack
+                "worker found",
+                worker=info.worker_id,
+                address=info.address,
+                rack=info.rack[:MAX_LOGGED_TEXT],
             )
             self._open_session(info)
             return
@@ -282,12 +287,13 @@
         session.run().addErrback(self.events.fail_with)
 
     def _make_calls(self, info, token):
-        return WorkerCallRouter(
+        router = WorkerCallRouter(
             direct=self.context.make_worker(info, token),
             info=info,
             relay_dispatcher=self.relay_dispatcher,
             context=self.context,
         )
+        return IsolatedCalls(calls=router, faults=self._faults)
 
     def raise_token(self, version):
         """Note the version of the leader's row after its last write: the highest token to use.
