Store client: a value that is not base64 makes only its row unreadable

Callers would see nothing run if the store passes on what another program wrote as it is: one value that is not base64 ended the leader's part, in each next leader too.

Cause: the values of a response were decoded together, and the error of base64 is none that a reader of rows expects.

Change: such a row has an empty value, which every reader refuses by itself.

--- a/anvilflow/cell/tests/test_odd_entries.py
+++ b/anvilflow/cell/tests/test_odd_entries.py
@@ -104,3 +104,21 @@
     lines = [str({**line.kwargs, "message": line.message}) for line in log.records]
     assert max(map(len, lines)) < 2_000
     assert cell.check() == []
+
+
+@pytest.mark.parametrize("value", ["a", "h\u00f4te", "====", "", "\r\n"])
+def test_value_that_is_not_base64_makes_only_its_entry_unreadable(monkeypatch, value):
+    """Guards against a store that passes on what another program wrote as it is."""
+    cell = make_cell(n_instances=3)
+    cell.advance(1.0)
+    wire = cell.store._wire
+
+    def wire_with_odd_value(table, part, key):
+        row = wire(table, part, key)
+        return {**row, "value": value} if row is not None and key == "odd-1" else row
+
+    monkeypatch.setattr(cell.store, "_wire", wire_with_odd_value)
+    write_entry(cell, "odd-1", b"{}")
+    assert run_two_jobs(cell) == ["completed", "completed"]
+    assert cell.store.value("home", "home", part="cell")["term"] == 2
+    assert cell.check() == []
--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -64,10 +64,18 @@
 
     def to_row(self):
         """Return the row as a :class:`Row`."""
-        value = None if self.tombstone else base64.b64decode(self.value)
+        value = None if self.tombstone else _decode_value(self.value)
         return Row(table=self.table, part=self.part, key=self.key, version=self.ver, value=value)
 
 
+def _decode_value(text):
+    """Return the bytes of a value; none if it is not base64, so that only its row is not read."""
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
+
+
 class _WireResponse(Struct):
     rows: list[_WireRow] = []
     ver: int = 0
