--- a/anvilflow/cell/tests/test_registry.py
+++ b/anvilflow/cell/tests/test_registry.py
@@ -163,7 +163,7 @@
     leader = cell.daemons[cell.leader()].context.leader
     assert leader._scheduler.config.has_service("new")
     assert early.identity not in leader._scheduler.workers
-    assert "i-9" not in cell.store.value("home", "home", part="cell").get("nameless", ())
+    assert "i-9" not in cell.store.value("home", "home", part="cell")["nameless"]
 
 
 def _follow_without_history(cell, follow):
