--- a/anvilflow/cell/tests/test_slow_links.py
+++ b/anvilflow/cell/tests/test_slow_links.py
@@ -227,7 +227,7 @@
     while cell.leader() == former:
         cell.advance(0.005)
     for name in cell.daemons:
-        cell.wire.slow_link(name, 9_000)
+        cell.wire.slow_link(name, 10_000)
     cell.advance(90.0)
     assert (len(cell.leaders()) == 1) is safeguard
 
