Leader's row: all fields are written again; the number has a short name

Cause: rows without the fields that have their defaults are read by every release, but not by other readers: a trial of the users reads the lists by name, and two tests of ours had to change for it. Both changes are reverted.

Change: only the number of the write is added, as 'write'.

--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -3,7 +3,7 @@
 The leader's row and all rows that it fences lie in one part, so that a transaction covers them.
 """
 
-from msgspec import UNSET, Struct, structs
+from msgspec import UNSET, Struct, field, structs
 
 from ..jobs import ClientAccount, EndedJob, HandoverWorker, JobSpec, Queue
 from ..platform import RowCondition, RowWrite
@@ -35,7 +35,7 @@
 LOADING_KEY = "loading"
 
 
-class LeaderRow(Struct, kw_only=True, omit_defaults=True):
+class LeaderRow(Struct, kw_only=True):
     """The leader's identity and handover; written by each of its transactions, to fence them.
 
     `handover` lists runs on workers that the next leader cannot reach or would not know of.
@@ -59,7 +59,7 @@
     nameless: list[str] = []
     unanswered_starts: dict[str, int] = {}
     n_loads: int = 0
-    write_number: int = 0
+    write_number: int = field(default=0, name="write")
 
 
 class JobRow(Struct, kw_only=True):
