Workers: an answer that cannot be read affects its worker only

Callers saw nothing run: one worker whose report had a row with an element missing, a run number that is text or a percentage of 400 digits ended the leader's part, in each next leader too (6 terms in 15 s). Other reports were taken as they stood: an end of an unknown kind or of a task with a negative index was acknowledged, `{}` counted as a report without runs, and a refusal whose reason was one of our own outcomes passed for it.

Cause: the rows of a report were decoded as lists of any values and unpacked outside decode(), and nothing bounded their numbers.

Change: rows are decoded as structures with the types, names of tasks and bounds that the code computes with. An answer that does not match, or a refusal with an unknown reason, is WorkerUnreachableError (AF412) that names the worker; the leader logs it as a warning. A report needs the worker's clock: `{}` is none. Rows may have further elements.

--- a/anvilflow/cell/_fleet.py
+++ b/anvilflow/cell/_fleet.py
@@ -327,12 +327,14 @@
         worker = self.scheduler.workers.get(worker_id)
         details = exc.details or {}
         connection_refused = details.get("nobody_listens", False)
-        is_answered = connection_refused or details.get("reason") == "misdirected"
+        reason = details.get("reason")
+        is_answered = connection_refused or reason in ("misdirected", "malformed")
         if not is_answered and self._is_only_late(worker_id):
             self.context.meters.count("late_workers")
             return
         if worker is not None and not worker.unreachable:
-            self.log.info("worker silent", worker=worker_id, error=str(exc))
+            log = self.log.warning if reason == "malformed" else self.log.info
+            log("worker silent", worker=worker_id, error=str(exc))
         self.scheduler.worker_unreachable(worker_id, self._now())
         unlisted_at = self._unlisted_at.get(worker_id)
         is_unlisted = unlisted_at is not None and self._now() - unlisted_at > UNLISTED_GRACE_S
--- a/anvilflow/platform/_workers.py
+++ b/anvilflow/platform/_workers.py
@@ -1,5 +1,8 @@
 """Commands to one incarnation of a worker."""
 
+from typing import Annotated, Literal
+
+from msgspec import Meta
 from twisted.internet.error import ConnectionRefusedError
 
 from ..clients import NOT_SENT, Peer
@@ -13,22 +16,61 @@
 from ..jobs import RunEnd, RunReport, WorkerReport
 from ..utils import decode, encode
 from ._start_time import decode_start_time
-from ._wire import Wire
+from ._wire import MAX_WHOLE_NUMBER, Wire
 
 #: Reasons of a worker's refusal: the name on the wire, and the name used by the scheduler.
 _REASONS = {"fence": "fenced", "old": "old", "late": "late", "room": "room", "ticket": "ticket"}
 
 
-class _WireReport(Wire):
-    """``finished`` lists ends of every kind; a row of ``active`` may end with the load."""
+#: Largest progress that is read, as messages between instances state it. Unit: percent.
+MAX_PERCENT = 2**15 - 1
 
-    clock_ms: float = 0
-    active: list[list] = []
-    finished: list[list] = []
-    reason: str = ""
+#: Maximum length of a checkpoint. Unit: characters.
+MAX_CHECKPOINT_CHARS = 4096
+
+#: Names of tasks, ``JOB.OCCURRENCE.STEP.INDEX``.
+_TASK_NAME = r"\A[0-9a-f]{16}(\.(0|[1-9][0-9]{0,9})){3}\Z"
+
+_TaskName = Annotated[str, Meta(pattern=_TASK_NAME)]
+_RunId = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+_Checkpoint = Annotated[str, Meta(max_length=MAX_CHECKPOINT_CHARS)]
+_Clock = Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
+class _WireRun(Wire, array_like=True):
+    """Row of ``active``, which may end with the load."""
+
+    task: _TaskName
+    run_id: _RunId
+    checkpoint: _Checkpoint
+    percent: Annotated[float, Meta(ge=0, le=MAX_PERCENT)]
+    load: Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)] = 0.0
+
+
+class _WireEnd(Wire, array_like=True):
+    """Row of ``finished``, which lists ends of every kind."""
+
+    number: Annotated[int, Meta(ge=1, le=MAX_WHOLE_NUMBER)]
+    task: _TaskName
+    run_id: _RunId
+    how: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    checkpoint: _Checkpoint
+
+
+class _WireAnswer(Wire):
+    clock_ms: _Clock
+
+
+class _WireReport(_WireAnswer):
+    active: list[_WireRun] = []
+    finished: list[_WireEnd] = []
     born: object = None
 
 
+class _WireRefusal(Wire):
+    reason: str = ""
+
+
 class WorkerCalls:
     """Sends commands to one incarnation of a worker under one fencing token.
 
@@ -80,7 +122,7 @@
 
     def _check_incarnation(self, result):
         """Raise an error unless the response to a first request is that of the incarnation."""
-        report = _worker_report(self._decode_response(result, "hold"))
+        report = _worker_report(self._decode_response(result, "hold", _WireReport))
         if report.born_ms != self.born_ms:
             raise WorkerGoneError.restarted(
                 self._registry_id, report.born_ms, report.start_time_error
@@ -106,7 +148,7 @@
         if wait_s:
             body["wait-ms"] = int(wait_s * 1000)
         call = self._command(
-            "hold", body, self._timeout_or_default(timeout) + wait_s, held_s=wait_s
+            "hold", body, self._timeout_or_default(timeout) + wait_s, _WireReport, held_s=wait_s
         )
         return call.addCallback(_worker_report)
 
@@ -147,7 +189,7 @@
     def _timeout_or_default(self, timeout):
         return self.timeout if timeout is None else timeout
 
-    def _command(self, verb, body, timeout, held_s=0.0):
+    def _command(self, verb, body, timeout, kind=_WireAnswer, held_s=0.0):
         call = self.http.post(
             self._base + verb,
             encode(body),
@@ -156,19 +198,20 @@
             headers=self._headers,
             peer=self._peer,
         )
-        call.addCallbacks(self._decode_response, _raise_call_error, callbackArgs=(verb,))
+        call.addCallbacks(self._decode_response, _raise_call_error, callbackArgs=(verb, kind))
         return call
 
-    def _decode_response(self, result, verb):
+    def _decode_response(self, result, verb, kind):
         status, response = result
         match status:
             case 200:
-                return decode(response, _WireReport, error=WorkerUnreachableError)
+                return decode(response, kind, error=self._malformed_answer)
             case 409:
-                reason = decode(response, _WireReport, error=WorkerUnreachableError).reason
+                reason = decode(response, _WireRefusal, error=self._malformed_answer).reason
+                if reason not in _REASONS:
+                    raise self._malformed_answer(f"unknown reason of a refusal: {reason[:80]!r}")
                 raise WorkerRefusedError(
-                    f"the worker refused {verb}: {reason}",
-                    details={"reason": _REASONS.get(reason, reason)},
+                    f"the worker refused {verb}: {reason}", details={"reason": _REASONS[reason]}
                 )
             case 421:
                 raise WorkerRefusedError(
@@ -183,6 +226,13 @@
             case _:
                 raise WorkerUnreachableError(f"the worker responded with status {status} to {verb}")
 
+    def _malformed_answer(self, why):
+        """Return the error for an answer that cannot be read: it says nothing about the worker."""
+        return WorkerUnreachableError(
+            f"the answer of {self._registry_id} cannot be read: {why}",
+            details={"reason": "malformed"},
+        )
+
 
 def _raise_call_error(failure):
     error = failure.value
@@ -207,24 +257,26 @@
         error = str(exc)
     return WorkerReport(
         clock_s=response.clock_ms / 1000,
-        active=tuple(_run_report(row) for row in response.active),
-        ended=tuple(_run_end(row) for row in response.finished),
+        active=tuple(
+            RunReport(
+                task=row.task,
+                run_id=row.run_id,
+                checkpoint=row.checkpoint,
+                percent=row.percent,
+                load=row.load,
+            )
+            for row in response.active
+        ),
+        ended=tuple(
+            RunEnd(
+                number=row.number,
+                task=row.task,
+                run_id=row.run_id,
+                how=row.how,
+                checkpoint=row.checkpoint,
+            )
+            for row in response.finished
+        ),
         born_ms=born_ms,
         start_time_error=error,
     )
-
-
-def _run_report(row):
-    task, run_id, checkpoint, percent, *rest = row
-    return RunReport(
-        task=task,
-        run_id=run_id,
-        checkpoint=checkpoint,
-        percent=float(percent),
-        load=float(rest[0]) if rest else 0.0,
-    )
-
-
-def _run_end(row):
-    number, task, run_id, how, checkpoint = row
-    return RunEnd(number=number, task=task, run_id=run_id, how=how, checkpoint=checkpoint)
