Jobs: numbers that the code cannot compute with are refused

Callers saw 500 AF000 for a job with a processor of 400 digits, and 200 for other numbers of 25 or 400 digits, for 1e308 and for negative durations.

Cause: only some fields of a job had bounds, and nothing limited the number of occurrences, of which the leader keeps all steps.

Change: each number of a job has bounds where it is decoded. A job has at most 5,000 steps and 50,000 tasks in all of its occurrences. Others are refused with 400 AF301 and not stored; the id may be used again.

--- a/anvilflow/platform/_jobs.py
+++ b/anvilflow/platform/_jobs.py
@@ -1,11 +1,14 @@
 """Decoding of the jobs that clients submit."""
 
 import re
+from typing import Annotated
+
+from msgspec import Meta
 
 from ..exceptions import CallError
 from ..jobs import JobSpec, StepSpec
 from ..utils import decode
-from ._wire import Wire
+from ._wire import MAX_WHOLE_NUMBER, Wire
 
 #: Valid job ids, which clients choose.
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
@@ -17,26 +20,43 @@
 #: has 300 MB; the largest job that users describe has some hundred tasks.
 MAX_TASKS = 5000
 
+#: Maximum numbers of steps and tasks of a job in all of its occurrences, which the leader keeps
+#: until the job has ended. A row of 64 kB has space for the names of that many steps that are done.
+MAX_STEPS_IN_ALL = 5000
+MAX_TASKS_IN_ALL = 50_000
+
+#: Largest amount of a resource that a task may request, and largest number of its other counts.
+#: Products with the number of tasks are below 2**53, so that floats keep them exact. Units:
+#: thousandths of a core, megabytes, devices.
+MAX_AMOUNT = 2**31 - 1
+
+#: Longest duration that a job may state: ten years. Unit: milliseconds.
+MAX_DURATION_MS = 10 * 365 * 86_400_000
+
+_Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+_Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
+_Time = Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
 
 class _WireStep(Wire):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
+    count: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = 1
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: _Duration = 0
     after: list[int] = []
     gang: bool = False
     rack_sensitive: bool = False
     requires: str = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
     checkpointing: bool = False
     image: str = ""
-    target_ms: float = 0
-    may_miss: int = 0
+    target_ms: _Duration = 0
+    may_miss: _Amount = 0
 
 
 class _WireJob(Wire):
@@ -44,9 +64,9 @@
 
     spec: str = ""
     steps: list[_WireStep] = []
-    repeat_count: int = 0
-    first_ms: float = 0
-    interval_ms: float = 0
+    repeat_count: _Amount = 0
+    first_ms: _Time = 0
+    interval_ms: _Duration = 0
 
 
 def decode_job(job_id, queue, body):
@@ -56,8 +76,7 @@
         raise CallError(f"spec: longer than {MAX_SPEC_BYTES} bytes")
     if not wire.steps:
         raise CallError("steps: a job must have at least one step")
-    if sum(step.count for step in wire.steps) > MAX_TASKS:
-        raise CallError(f"steps: more than {MAX_TASKS} tasks in total")
+    _check_size(wire)
     return JobSpec(
         job_id=job_id,
         queue=queue,
@@ -69,11 +88,18 @@
     )
 
 
+def _check_size(wire):
+    n_tasks = sum(step.count for step in wire.steps)
+    if n_tasks > MAX_TASKS:
+        raise CallError(f"steps: more than {MAX_TASKS} tasks in total")
+    n_occurrences = max(1, wire.repeat_count)
+    if n_occurrences * len(wire.steps) > MAX_STEPS_IN_ALL:
+        raise CallError(f"repeat-count: more than {MAX_STEPS_IN_ALL} steps in all occurrences")
+    if n_occurrences * n_tasks > MAX_TASKS_IN_ALL:
+        raise CallError(f"repeat-count: more than {MAX_TASKS_IN_ALL} tasks in all occurrences")
+
+
 def _step(wire, number):
-    if wire.count < 1 or min(wire.cpu, wire.mem_mb, wire.gpu, wire.anti_affinity) < 0:
-        raise CallError(
-            f"steps[{number}]: count must be at least 1, and amounts must not be negative"
-        )
     if any(not 0 <= earlier < number for earlier in wire.after):
         raise CallError(
             f"steps[{number}].after: only numbers of earlier steps are allowed, counted from 0"
