Front end: a method that is not ASCII is refused as any other

Callers saw 500 AF000 for a method with bytes that are not UTF-8, and their whole path or method, of any length, in the message of other refusals.

Cause: the method was decoded strictly for the message.

Change: it is decoded as Latin-1, as in the counts of calls; a message has at most 80 characters of a method or of a job id.

--- a/anvilflow/cell/tests/test_malformed_calls.py
+++ b/anvilflow/cell/tests/test_malformed_calls.py
@@ -129,6 +129,14 @@
     assert [(status, value["error"]["code"]) for status, value, _ in answers] == [(400, "AF301")]
 
 
+@pytest.mark.parametrize("method", ["PATCH", "GÉT", "X" * 10_000])
+def test_odd_method_is_refused(method):
+    """Guards against a method that is not ASCII and fails inside."""
+    answers = _play(lambda cell: cell.call("a0", method, f"/urgent/{JOB}", _body()))
+    assert [(status, value["error"]["code"]) for status, value, _ in answers] == [(400, "AF301")]
+    assert len(answers[0][1]["error"]["message"]) < 200
+
+
 def test_largest_job_is_accepted():
     """Every field may have its largest value; the job is stored and waits."""
     step = {"count": 5000, "gang": True}
--- a/anvilflow/platform/_front.py
+++ b/anvilflow/platform/_front.py
@@ -103,7 +103,8 @@
         verb = self._verbs.get(request.method)
         if verb is None:
             raise CallError(
-                f"method {request.method.decode()} is not allowed; allowed: POST, GET, DELETE"
+                f"method {request.method.decode('latin-1')!r:.80} is not allowed; "
+                "allowed: POST, GET, DELETE"
             )
         return verb(request, queue, job_id, account)
 
@@ -179,4 +180,4 @@
 
 def _check_job_id(job_id):
     if not JOB_ID.match(job_id):
-        raise CallError(f"invalid job id {job_id!r}; allowed: 16 characters of 0-9 and a-f")
+        raise CallError(f"invalid job id {job_id[:80]!r}; allowed: 16 characters of 0-9 and a-f")
--- a/anvilflow/standins/_front_call.py
+++ b/anvilflow/standins/_front_call.py
@@ -17,7 +17,7 @@
 
     def __init__(self, *, method, host, path, body, headers=()):
         self.requestHeaders = Headers(dict(headers))
-        self.method = method.encode()
+        self.method = method.encode("latin-1")
         self.path = path.encode()
         self.content = BytesIO(body)
         self.answers = []
