Leader: an odd row of a job affects only that job

Callers saw nothing run: a job's row with a step that depends on itself or on a missing one, a record of progress that names a task that the job does not have, or the final state of a key that is no job's id ended the leader's part, in each next leader too (term 13 after 12 s, then processes that ended by themselves). A row with 10**400 occurrences took all memory. A row under the id of another job added that job again.

Cause: rows were decoded with types but without the conditions that the code relies on, and the errors came from the code that used the values.

Change: amounts, counts and run numbers have bounds where rows are decoded; a JobSpec refuses steps that depend on others than earlier ones, and the front end uses the same check. A row whose key is no job's id or that of another job, and a record that does not fit its job, count as unreadable: a warning names the row, its job is not run, and the leader goes on. Earlier releases accepted amounts over 2**31, of tasks that no worker has room for: such jobs are unreadable now.

--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -4,6 +4,7 @@
 
 from ..exceptions import PlatformError
 from ..jobs import EndedJob, JobRecord, JobState
+from ..platform import JOB_ID
 from ..utils import decode
 from ._tables import CANCEL_MARK, JobRow
 
@@ -127,16 +128,23 @@
         could run again. An exception here would stop each successive leader on the same row.
         """
         try:
+            if not JOB_ID.match(row.key):
+                raise PlatformError(f"the key is not a job's id: {row.key[:80]!r}")
             value = decode(row.value, value_type, error=PlatformError)
             if value_type is EndedJob:
                 # Raises ValueError for an unknown state.
                 JobState(value.state)
+            if value_type is JobRow and value.spec.job_id != row.key:
+                raise PlatformError(f"the row is that of job {value.spec.job_id[:80]!r}")
         except (PlatformError, ValueError) as exc:
-            self._unreadable_job_ids.add(row.key)
-            self.log.warning("row not understood", table=row.table, job=row.key, error=str(exc))
+            self._note_unreadable(row, exc)
             return None
         return value
 
+    def _note_unreadable(self, row, error):
+        self._unreadable_job_ids.add(row.key)
+        self.log.warning("row not understood", table=row.table, job=row.key, error=str(error))
+
     def _is_removed(self, job_id, version):
         """Whether a row of an unknown job has been removed since it was written at `version`."""
         return version <= max(self._read_version, self._removal_versions.get(job_id, 0))
@@ -175,6 +183,9 @@
             return
         is_unreadable = row.key in self._unreadable_job_ids
         value = None if is_unreadable else self._decode_row(row, JobRow)
+        if value is not None and record is not None and not record.fits(value.spec):
+            self._note_unreadable(row, "the record of its progress is that of another job")
+            value = None
         if value is None:
             self._advance_version(row.version)
             return
--- a/anvilflow/cell/tests/test_unreadable_rows.py
+++ b/anvilflow/cell/tests/test_unreadable_rows.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from anvilflow.utils import encode
+
 from ._helpers import JOB, make_cell
 
 OTHER_JOB = "00000000000000b2"
@@ -52,3 +54,68 @@
     cell.submit("a0", JOB, {"count": 1, "cpu": 1000}, spec="1.0 done 1000")
     cell.advance(3.0)
     assert cell.state("a0", JOB) == "completed"
+
+
+ODD_JOB = "01000000000000c3"
+NESTED = b"[" * 20_000 + b"]" * 20_000
+DIGITS = b"9" * 400
+
+
+def _job_row(job_id=ODD_JOB, occurrences=b"0", **step):
+    """Return the row of a job of one step, with fields of the step given as JSON text."""
+    fields = b"".join(b',"%s":%s' % (name.encode(), value) for name, value in step.items())
+    return (
+        b'{"spec":{"job_id":"%s","queue":"urgent","payload":"","n_occurrences":%s,'
+        b'"steps":[{"n_tasks":1%s}]},'
+        b'"queue":{"name":"urgent","host":"","prefix":"/urgent/","service":"desk"}}'
+        % (job_id.encode(), occurrences, fields)
+    )
+
+
+ODD_ROWS = {
+    "nested": ("jobs", ODD_JOB, NESTED),
+    "processor of 400 digits": ("jobs", ODD_JOB, _job_row(cpu_milli=DIGITS)),
+    "negative number of tasks": ("jobs", ODD_JOB, _job_row(n_tasks=b"-5")),
+    "step that depends on itself": ("jobs", ODD_JOB, _job_row(after=b"[0]")),
+    "step that depends on a missing one": ("jobs", ODD_JOB, _job_row(after=b"[99]")),
+    "step that depends on one of 400 digits": ("jobs", ODD_JOB, _job_row(after=b"[%s]" % DIGITS)),
+    "occurrences of 400 digits": ("jobs", ODD_JOB, _job_row(occurrences=DIGITS)),
+    "another job": ("jobs", ODD_JOB, _job_row("01000000000000c4")),
+    "key that is no id": ("jobs", "zz", _job_row("zz")),
+    "mark of a key that is no id": ("jobs", "zz.cancel", b"true"),
+    "progress, nested": ("progress", ODD_JOB, NESTED),
+    "progress of a missing task": ("progress", ODD_JOB, encode({"done_tasks": {"0.0": [99]}})),
+    "progress of a task of 400 digits": (
+        "progress",
+        ODD_JOB,
+        b'{"done_tasks":{"0.0":[%s]}}' % DIGITS,
+    ),
+    "progress of a negative task": ("progress", ODD_JOB, encode({"done_tasks": {"0.0": [-1]}})),
+    "progress of a missing step": ("progress", ODD_JOB, encode({"done_steps": ["0.7"]})),
+    "progress of no step": ("progress", ODD_JOB, encode({"done_steps": ["x"]})),
+    "run number of 400 digits": ("progress", ODD_JOB, b'{"max_run_id":%s}' % DIGITS),
+    "end, nested": ("ended", ODD_JOB, NESTED),
+    "end with an unknown state": ("ended", ODD_JOB, encode({"state": "exploded"})),
+    "end of a key that is no id": ("ended", "zz", encode({"state": "completed"})),
+}
+
+
+@pytest.mark.parametrize(("table", "key", "value"), ODD_ROWS.values(), ids=ODD_ROWS)
+def test_odd_row_affects_only_its_job(table, key, value):
+    """Guards against one row that ends the part of each successive leader."""
+    cell = make_cell(n_instances=3)
+    part = "jobs-01" if table == "jobs" else "cell"
+    if table != "jobs":
+        row = _job_row() if table == "progress" else _job_row(cpu_milli=b"99000000")
+        cell.store._write([("jobs", "jobs-01", ODD_JOB, row)])
+    cell.kill(cell.leader())
+    cell.store._write([(table, part, key, value)])
+    cell.advance(4.0)
+    instance = next(iter(cell.daemons))
+    cell.submit(instance, JOB, {"count": 2, "cpu": 1000}, spec="0.3 done 1000")
+    cell.advance(6.0)
+    assert cell.state(instance, JOB) == "completed"
+    assert cell.store.value("home", "home", part="cell")["term"] == 2
+    assert len(cell.daemons) == 2
+    assert not cell.errors
+    assert not [span for span in cell.spans if not span.task.startswith(JOB)]
--- a/anvilflow/jobs/__init__.py
+++ b/anvilflow/jobs/__init__.py
@@ -21,7 +21,7 @@
 from ._policy import SchedulingPolicy
 from ._record import EndedJob, JobRecord
 from ._scheduler import Scheduler
-from ._spec import AdviceRules, CellConfig, JobSpec, Limits, Queue, StepSpec
+from ._spec import AdviceRules, Amount, CellConfig, JobSpec, Limits, Queue, StepSpec
 from ._unanswered_starts import UnansweredStarts
 from ._worker import Worker
 from ._worker_id import make_worker_id
@@ -34,6 +34,7 @@
     "LONG_REQUEST_S",
     "MAX_ENDS_PER_REPORT",
     "AdviceRules",
+    "Amount",
     "ApiKeys",
     "CellConfig",
     "ClientAccount",
--- a/anvilflow/jobs/_record.py
+++ b/anvilflow/jobs/_record.py
@@ -1,9 +1,17 @@
 """Durable progress of a job, from which another instance can continue it."""
 
-from msgspec import Struct
+import re
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
 from ._crash_history import LostRun
 
+_TASK_KEY = re.compile(r"(0|[1-9][0-9]{0,9})(\.(0|[1-9][0-9]{0,9})){2}")
+
+#: Type of run numbers that are decoded; messages between instances have fields of 64 bits.
+_RunNumber = Annotated[int, Meta(ge=0, le=2**53 - 1)]
+
 
 class JobRecord(Struct, kw_only=True, omit_defaults=True):
     """Progress of a job that has not ended.
@@ -32,11 +40,30 @@
     begun: bool = False
     done_steps: list[str] = []
     done_tasks: dict[str, list[int]] = {}
-    failures: dict[str, list[int]] = {}
+    failures: dict[str, list[_RunNumber]] = {}
     checkpoints: dict[str, str] = {}
     lost_runs: dict[str, list[LostRun]] = {}
-    max_run_id: int = 0
-    max_run_id_term: int = 0
+    max_run_id: _RunNumber = 0
+    max_run_id_term: _RunNumber = 0
+
+    def fits(self, spec):
+        """Whether the record names only steps and tasks that a job of this :class:`JobSpec` has."""
+        tasks = [f"{key}.{index}" for key, done in self.done_tasks.items() for index in done]
+        tasks += [*self.failures, *self.checkpoints, *self.lost_runs]
+        steps = [f"{key}.0" for key in (*self.done_steps, *self.done_tasks)]
+        return all(_has_task(spec, name) for name in (*steps, *tasks))
+
+
+def _has_task(spec, name):
+    """Whether a job has the task called ``OCCURRENCE.STEP.INDEX``."""
+    if _TASK_KEY.fullmatch(name) is None:
+        return False
+    occurrence, number, index = map(int, name.split("."))
+    return (
+        occurrence < max(1, spec.n_occurrences)
+        and number < len(spec.steps)
+        and index < spec.steps[number].n_tasks
+    )
 
 
 class EndedJob(Struct, kw_only=True, omit_defaults=True):
--- a/anvilflow/jobs/_spec.py
+++ b/anvilflow/jobs/_spec.py
@@ -1,11 +1,20 @@
 """Specifications of jobs and steps, and the configuration of queues and limits."""
 
 from functools import cached_property
+from typing import Annotated
 
-from msgspec import UNSET, Struct, UnsetType
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from ._accounts import ApiKeys, ClientAccount
 
+#: Largest amount of a resource that a task may request, and largest number of its other counts.
+#: Products with the number of tasks are below 2**53, so that floats keep them exact. Units:
+#: thousandths of a core, megabytes, devices.
+MAX_AMOUNT = 2**31 - 1
+
+#: Type of amounts and counts that are decoded.
+Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+
 
 class StepSpec(Struct, kw_only=True, frozen=True, omit_defaults=True):
     """One step of a job: a number of identical tasks.
@@ -46,17 +55,17 @@
         Number of long-running tasks that the scheduler may stop at the same time.
     """
 
-    n_tasks: int
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    n_tasks: Annotated[int, Meta(ge=1, le=MAX_AMOUNT)]
+    cpu_milli: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
     estimate_s: float = 0.0
     after: tuple[int, ...] = ()
     gang: bool = False
     rack_sensitive: bool = False
     label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Amount = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
@@ -79,6 +88,11 @@
         Time of day of the first occurrence, and the interval between occurrences. Unit: seconds.
     n_occurrences : int
         Number of occurrences; 0: the job runs once, immediately.
+
+    Raises
+    ------
+    ValueError
+        A step depends on itself or on a step that is not an earlier one.
     """
 
     job_id: str
@@ -87,7 +101,15 @@
     steps: tuple[StepSpec, ...]
     first_at: float = 0.0
     interval_s: float = 0.0
-    n_occurrences: int = 0
+    n_occurrences: Amount = 0
+
+    def __post_init__(self):
+        for number, step in enumerate(self.steps):
+            if any(not 0 <= earlier < number for earlier in step.after):
+                raise ValueError(
+                    f"steps[{number}].after: only numbers of earlier steps are allowed, "
+                    "counted from 0"
+                )
 
 
 class AdviceRules(Struct, kw_only=True, frozen=True):
--- a/anvilflow/platform/__init__.py
+++ b/anvilflow/platform/__init__.py
@@ -3,7 +3,7 @@
 from ._advice import Advice, AdviceClient
 from ._config import decode_config
 from ._front import JobsResource, ReadyResource
-from ._jobs import decode_job
+from ._jobs import JOB_ID, decode_job
 from ._registry import decode_worker
 from ._store import Row, RowCondition, RowWrite, StoreClient
 from ._tables import CONFIG_KEY, OPERATOR_TABLE, REGISTRY_TABLE
@@ -11,6 +11,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "JOB_ID",
     "OPERATOR_TABLE",
     "REGISTRY_TABLE",
     "Advice",
--- a/anvilflow/platform/_jobs.py
+++ b/anvilflow/platform/_jobs.py
@@ -6,7 +6,7 @@
 from msgspec import Meta
 
 from ..exceptions import CallError
-from ..jobs import JobSpec, StepSpec
+from ..jobs import Amount, JobSpec, StepSpec
 from ..utils import decode
 from ._wire import MAX_WHOLE_NUMBER, Wire
 
@@ -25,38 +25,32 @@
 MAX_STEPS_IN_ALL = 5000
 MAX_TASKS_IN_ALL = 50_000
 
-#: Largest amount of a resource that a task may request, and largest number of its other counts.
-#: Products with the number of tasks are below 2**53, so that floats keep them exact. Units:
-#: thousandths of a core, megabytes, devices.
-MAX_AMOUNT = 2**31 - 1
-
 #: Longest duration that a job may state: ten years. Unit: milliseconds.
 MAX_DURATION_MS = 10 * 365 * 86_400_000
 
-_Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 _Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 _Time = Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
 class _WireStep(Wire):
     count: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = 1
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
     estimate_ms: _Duration = 0
     after: list[int] = []
     gang: bool = False
     rack_sensitive: bool = False
     requires: str = ""
     data_rack: str = ""
-    anti_affinity: _Amount = 0
+    anti_affinity: Amount = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
     checkpointing: bool = False
     image: str = ""
     target_ms: _Duration = 0
-    may_miss: _Amount = 0
+    may_miss: Amount = 0
 
 
 class _WireJob(Wire):
@@ -64,7 +58,7 @@
 
     spec: str = ""
     steps: list[_WireStep] = []
-    repeat_count: _Amount = 0
+    repeat_count: Amount = 0
     first_ms: _Time = 0
     interval_ms: _Duration = 0
 
@@ -77,15 +71,18 @@
     if not wire.steps:
         raise CallError("steps: a job must have at least one step")
     _check_size(wire)
-    return JobSpec(
-        job_id=job_id,
-        queue=queue,
-        payload=wire.spec,
-        steps=tuple(_step(step, number) for number, step in enumerate(wire.steps)),
-        first_at=wire.first_ms / 1000,
-        interval_s=wire.interval_ms / 1000,
-        n_occurrences=wire.repeat_count,
-    )
+    try:
+        return JobSpec(
+            job_id=job_id,
+            queue=queue,
+            payload=wire.spec,
+            steps=tuple(_step(step) for step in wire.steps),
+            first_at=wire.first_ms / 1000,
+            interval_s=wire.interval_ms / 1000,
+            n_occurrences=wire.repeat_count,
+        )
+    except ValueError as exc:
+        raise CallError(str(exc)) from exc
 
 
 def _check_size(wire):
@@ -99,11 +96,7 @@
         raise CallError(f"repeat-count: more than {MAX_TASKS_IN_ALL} tasks in all occurrences")
 
 
-def _step(wire, number):
-    if any(not 0 <= earlier < number for earlier in wire.after):
-        raise CallError(
-            f"steps[{number}].after: only numbers of earlier steps are allowed, counted from 0"
-        )
+def _step(wire):
     return StepSpec(
         n_tasks=wire.count,
         cpu_milli=wire.cpu,
