Store: a row whose value is not base64 leaves the others readable

Callers saw nothing run if another writer had left one such row: each read of its table failed, with an error that no reader handled.

Cause: the value was decoded outside decode(), and characters that are not of base64 were skipped.

Change: such a row has no bytes as its value, which every reader refuses as it does any malformed row.

--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -64,10 +64,22 @@
 
     def to_row(self):
         """Return the row as a :class:`Row`."""
-        value = None if self.tombstone else base64.b64decode(self.value)
+        value = None if self.tombstone else _decode_value(self.value)
         return Row(table=self.table, part=self.part, key=self.key, version=self.ver, value=value)
 
 
+def _decode_value(text):
+    """Return the bytes in a row's value; none where it is not base64.
+
+    The reader of the row then refuses its content, as it does that of any malformed row. An error
+    here would fail each read of the whole table.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b""
+
+
 class _WireResponse(Struct):
     rows: list[_WireRow] = []
     ver: int = 0
