Payloads: one that cannot be read counts as missing

Callers would see the starts of other jobs late: the error for such a payload is not one that a relay answers with, so that the relay's part failed.

Cause: the payload was decoded with the error of a client's call.

Change: it is PayloadGoneError (AF414), as for a missing payload.

--- a/anvilflow/cell/_payload_cache.py
+++ b/anvilflow/cell/_payload_cache.py
@@ -42,7 +42,7 @@
         Raises
         ------
         PayloadGoneError
-            AF414, the store has neither a payload of the job nor a row with one.
+            AF414, the store has neither a payload of the job nor a row with one that can be read.
         PlatformError
             The store is unavailable.
         """
@@ -68,10 +68,10 @@
         store, part = self.context.store, job_part(job_id)
         row = yield store.read_row(PAYLOADS, part, job_id)
         if row is not None:
-            return decode(row.value, str)
+            return decode(row.value, str, error=PayloadGoneError)
         row = yield store.read_row(JOBS, part, job_id)
         if row is not None:
-            spec = decode(row.value, JobRow).spec
+            spec = decode(row.value, JobRow, error=PayloadGoneError).spec
             if has_payload(spec):
                 return spec.payload
         raise PayloadGoneError(f"job {job_id} has no payload in the store")
