Links: a malformed call of an instance is answered

Callers would see calls at that instance time out: the error left the handler of the connection, which Twisted then closes, with all calls in progress over it.

Cause: the leader decodes the body of a report of an accepted job before it returns a Deferred.

Change: the error is taken as a failure of the call, which is answered as failed.

--- a/anvilflow/cell/_links.py
+++ b/anvilflow/cell/_links.py
@@ -1,6 +1,6 @@
 """Connections between instances: one from each instance to the leader, with calls both ways."""
 
-from twisted.internet.defer import Deferred, TimeoutError, fail
+from twisted.internet.defer import Deferred, TimeoutError, fail, maybeDeferred
 
 from ..exceptions import NotReadyError, PeerTimeoutError
 from ..peers import Link, LinkFactory
@@ -311,7 +311,7 @@
         if leader is None:
             link.send(JobReply(call=body.call, outcome="not home", count=0))
             return
-        done = leader.serve(body)
+        done = maybeDeferred(leader.serve, body)
         done.addCallback(self._reply_job, link, body.call)
         done.addErrback(self._refuse_job, link, body.call)
 
