Instances: an unreadable row of a job affects only that job

Callers saw 500 AF000 for the state of a job whose final state is unknown, and 503 for the count of every queue while there was no leader and one row of a job could not be read.

Cause: the state was converted outside the decoding of its row, and the count failed with the first row that it could not read.

Change: one function decodes the final state, for the leader and for gateways, and an unknown one is AF401, answered 503 AF204. The count leaves out rows that cannot be read, as the leader does.

--- a/anvilflow/cell/_job_intake.py
+++ b/anvilflow/cell/_job_intake.py
@@ -6,6 +6,7 @@
 from ..jobs import EndedJob, JobRecord, JobState
 from ..platform import JOB_ID
 from ..utils import decode
+from ._job_store import decode_ended_job
 from ._tables import CANCEL_MARK, JobRow
 
 #: Time after the end of a job after which all its runs have certainly ended: a lease, the time that
@@ -130,13 +131,12 @@
         try:
             if not JOB_ID.match(row.key):
                 raise PlatformError(f"the key is not a job's id: {row.key[:80]!r}")
-            value = decode(row.value, value_type, error=PlatformError)
             if value_type is EndedJob:
-                # Raises ValueError for an unknown state.
-                JobState(value.state)
+                return decode_ended_job(row.value)
+            value = decode(row.value, value_type, error=PlatformError)
             if value_type is JobRow and value.spec.job_id != row.key:
                 raise PlatformError(f"the row is that of job {value.spec.job_id[:80]!r}")
-        except (PlatformError, ValueError) as exc:
+        except PlatformError as exc:
             self._note_unreadable(row, exc)
             return None
         return value
--- a/anvilflow/cell/_job_store.py
+++ b/anvilflow/cell/_job_store.py
@@ -16,7 +16,7 @@
     PreconditionError,
     SlowWriteError,
 )
-from ..jobs import EndedJob, JobState, may_access
+from ..jobs import ENDED_STATES, EndedJob, JobState, may_access
 from ..utils import decode
 from ._pending_result import PendingResult
 from ._tables import (
@@ -189,7 +189,7 @@
     """
     ended = yield store.read_row(ENDED, PART, job_id)
     if ended is not None:
-        value = decode(ended.value, EndedJob, error=PlatformError)
+        value = decode_ended_job(ended.value)
         return (JobState(value.state), None) if may_access(value.account, caller) else (None, None)
     end = job_id + CANCEL_MARK + "\0"
     rows, _ = yield store.read(JOBS, job_part(job_id), first=job_id, end=end)
@@ -201,6 +201,14 @@
     return (JobState.RUNNING, keys[job_id]) if job_id in keys else (None, None)
 
 
+def decode_ended_job(body):
+    """Return the :class:`EndedJob` in a row's value; AF401 if it is malformed."""
+    value = decode(body, EndedJob, error=PlatformError)
+    if value.state not in ENDED_STATES:
+        raise PlatformError(f"not the state of an ended job: {value.state[:80]!r}")
+    return value
+
+
 @inlineCallbacks
 def is_stored(store, job_id):
     """Return whether a job is stored, ended ones included.
--- a/anvilflow/cell/_pending_jobs.py
+++ b/anvilflow/cell/_pending_jobs.py
@@ -169,8 +169,16 @@
 def _queues_of_accepted_jobs(rows):
     """Return the queue of each job that may be pending, from rows of the jobs table."""
     values = [row.value for row in rows if row.value and not row.key.endswith(CANCEL_MARK)]
-    jobs = [decode(value, JobRow, error=PlatformError) for value in values]
-    return [job.queue.name for job in jobs if job.spec.steps]
+    jobs = map(_decode_job_row, values)
+    return [job.queue.name for job in jobs if job is not None and job.spec.steps]
+
+
+def _decode_job_row(value):
+    """Return a job's row, or None if it cannot be decoded: the leader does not begin such a job."""
+    try:
+        return decode(value, JobRow, error=PlatformError)
+    except PlatformError:
+        return None
 
 
 def _unknown_count(why):
--- a/anvilflow/cell/tests/test_unreadable_rows.py
+++ b/anvilflow/cell/tests/test_unreadable_rows.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from anvilflow.cell._pending_jobs import _queues_of_accepted_jobs
+from anvilflow.platform import Row
 from anvilflow.utils import encode
 
 from ._helpers import JOB, make_cell
@@ -119,3 +121,21 @@
     assert len(cell.daemons) == 2
     assert not cell.errors
     assert not [span for span in cell.spans if not span.task.startswith(JOB)]
+
+
+def test_unreadable_row_of_a_job_is_not_counted_as_pending():
+    """Guards against one row for which no queue's count is known while there is no leader."""
+    queue = {"name": "urgent", "host": "", "prefix": "/urgent/", "service": "desk"}
+    spec = {"job_id": JOB, "queue": "urgent", "steps": [{"n_tasks": 1}]}
+    values = [NESTED, b"[]", encode({"spec": spec, "queue": queue})]
+    rows = [Row(table="jobs", part="jobs-00", key="x", version=1, value=each) for each in values]
+    assert _queues_of_accepted_jobs(rows) == ["urgent"]
+
+
+def test_state_of_a_job_with_an_unknown_final_state_is_not_known():
+    """Guards against a row of a later release that is answered with an internal error."""
+    cell = make_cell(n_instances=3)
+    cell.store._write([("ended", "cell", ODD_JOB, encode({"state": "exploded"}))])
+    answers = cell.call("a0", "GET", f"/urgent/{ODD_JOB}")
+    cell.advance(1.0)
+    assert [(status, value["error"]["code"]) for status, value, _ in answers] == [(503, "AF204")]
