Configuration: numbers that the code cannot compute with are refused

Callers saw 500 AF000 for each job where the largest body had 25 digits, and no service where the version had: each heartbeat of the leader failed, since a message has 64 bits for it.

Cause: only the fields of accounts had bounds.

Change: all numbers of a configuration have bounds where it is decoded. One with another value is malformed (AF401): a warning says so, and the last one stays in force.

--- a/anvilflow/platform/_config.py
+++ b/anvilflow/platform/_config.py
@@ -7,17 +7,28 @@
 from ..exceptions import PlatformError
 from ..jobs import AdviceRules, ApiKeys, CellConfig, ClientAccount, Limits, Queue
 from ..utils import decode
-from ._wire import Wire
+from ._wire import MAX_WHOLE_NUMBER, Wire
 
 _Name = Annotated[str, Meta(min_length=1, max_length=200)]
 _Weight = Annotated[float, Meta(ge=0.0, le=1e6)]
 _Amount = Annotated[int, Meta(ge=0, le=2**50)]
 
+#: Largest priority, of either sign, and largest number of attempts and of bytes, which messages
+#: between instances and reads of bodies have as 32-bit numbers.
+_MAX_COUNT = 2**31 - 1
+
+#: Longest duration that a configuration may state: ten years. Unit: milliseconds.
+_MAX_DURATION_MS = 10 * 365 * 86_400_000
+
+_Priority = Annotated[int, Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
+_Count = Annotated[int, Meta(ge=0, le=_MAX_COUNT)]
+_Duration = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
+
 
 class _WireAdvice(Wire):
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
-    valid_ms: float = 0.0
+    decide_ms: _Duration = 0.0
+    each_ms: _Duration = 0.0
+    valid_ms: _Duration = 0.0
 
 
 class _WireRoute(Wire):
@@ -27,20 +38,20 @@
     host: str = ""
     prefix: str = ""
     service: str = ""
-    timeout_ms: float = 3000
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: _Duration = 3000
+    target_latency_ms: _Duration = 0
+    priority: _Priority = 0
+    max_attempts: _Count = 1
+    stretch: _Weight = 1.0
     advice: _WireAdvice | None = None
     public: bool = False
 
 
 class _WireLimits(Wire):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: _Count = 16384
+    max_body_bytes: _Count = 262144
+    header_timeout_ms: _Duration = 3000
+    idle_timeout_ms: _Duration = 15000
 
 
 class _WireService(Wire):
@@ -61,7 +72,7 @@
 
 
 class _WireConfig(Wire):
-    version: int
+    version: Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
     services: list[_WireService] = []
     routes: list[_WireRoute] = []
     limits: _WireLimits = field(default_factory=_WireLimits)
