Relays: an answer with an end of no kind is no report

Callers might have seen a task run again after it was done: such an end was acknowledged to the worker and counted as neither done nor failed.

Cause: the check of a relay's answer left out one required field.

Change: the answer counts as none (AF412), as for the other fields.

--- a/anvilflow/cell/_worker_commands.py
+++ b/anvilflow/cell/_worker_commands.py
@@ -108,8 +108,8 @@
     """Return the :class:`WorkerReport` from an answer; raise if a field is missing."""
     clock_s = clock_from_answer(answer)
     rows = [*(answer.active or ()), *(answer.ended or ())]
-    numbers = [end.number for end in answer.ended or ()]
-    if any(row.task is None or row.run_id is None for row in rows) or None in numbers:
+    ends = [value for end in answer.ended or () for value in (end.number, end.how)]
+    if any(row.task is None or row.run_id is None for row in rows) or None in ends:
         raise WorkerUnreachableError("the relay's answer has a run or end without a required field")
     return WorkerReport(
         clock_s=clock_s,
