--- a/anvilflow/platform/_store.py
+++ b/anvilflow/platform/_store.py
@@ -69,9 +69,13 @@
 
 
 def _decode_value(text):
-    """Return the bytes of a value; none if it is not base64, so that only its row is not read."""
+    """Return the bytes in a row's value; none where it is not base64.
+
+    The reader of the row then refuses its content, as it does that of any malformed row. An error
+    here would fail each read of the whole table.
+    """
     try:
-        return base64.b64decode(text)
+        return base64.b64decode(text, validate=True)
     except ValueError:
         return b""
 
