Virtual cell: an audit of acknowledged ends against the store's log

Cause: the checks of the virtual cell saw a lost end only if its task ran again before the simulation was over. An end that a leader acknowledges without a transaction is lost already then.

Change: `PlatformCell.audit_ends()` returns an `EndAudit`. It judges each end `done` when a worker drops it, by the rows that the store has at that moment: the record of the job must count the task as done, or the job must have ended. It also lists a record that no longer counts such a task, and progress of a job recorded after its end. Without a call nothing is judged. The drawn scenarios of lapses, restarts, departures, cancellations and removals use it.

--- a/anvilflow/cell/tests/test_drawn_departures.py
+++ b/anvilflow/cell/tests/test_drawn_departures.py
@@ -94,6 +94,7 @@
             slow=NAMES if self.random_state.random() < 0.3 else (),
             weak=NAMES if self.random_state.random() < 0.4 else (),
         )
+        self.audit = self.cell.audit_ends()
         self.jobs = [f"{number:016x}" for number in range(N_JOBS)]
         self.leaving = {}
         self.faults = []
@@ -131,6 +132,7 @@
         broken = find_violations(cell.spans, cell.all_workers(), capacity_delay_s=CAPACITY_DELAY_S)
         return [
             *(f"{text}, by {self._proofs(text.split()[0])}" for text in broken),
+            *self.audit.violations(),
             *self._check_jobs(states),
             *self._check_workers(),
         ]
--- a/anvilflow/cell/tests/test_drawn_faults.py
+++ b/anvilflow/cell/tests/test_drawn_faults.py
@@ -41,6 +41,7 @@
         self.cell = PlatformCell(
             n_instances=4, n_workers=N_WORKERS, random_state=seed, policy=policy
         )
+        self.audit = self.cell.audit_ends()
         self.submissions = {}
         self.calls = {}
         self.acked_at = {}
@@ -84,7 +85,7 @@
                 self._follow_cancellations()
             act(subject)
         assert len(self.acked_at) == N_JOBS
-        broken = cell.check()
+        broken = cell.check() + self.audit.violations()
         for job_id, acked_at in self.acked_at.items():
             broken += find_runs_after_cancelling(
                 cell, acked_at, job_id, reachable_since=self.reachable_since
--- a/anvilflow/cell/tests/test_drawn_lapses.py
+++ b/anvilflow/cell/tests/test_drawn_lapses.py
@@ -74,6 +74,7 @@
             slow=NAMES if self.random_state.random() < 0.3 else (),
             weak=NAMES if self.random_state.random() < 0.2 else (),
         )
+        self.audit = self.cell.audit_ends()
         self.faults = []
         self.accepted = {}
         self.call_s = {}
@@ -142,7 +143,8 @@
             cell.advance(1.0)
         lost = self._find_lost_jobs()
         cell.mark_unacknowledged_ends()
-        return cell.check() + lost + [repr(error) for error in cell.errors]
+        broken = cell.check() + self.audit.violations() + lost
+        return broken + [repr(error) for error in cell.errors]
 
     def _find_lost_jobs(self):
         """Return the accepted jobs that have not been done."""
--- a/anvilflow/cell/tests/test_drawn_removals.py
+++ b/anvilflow/cell/tests/test_drawn_removals.py
@@ -85,6 +85,7 @@
             slow=NAMES if self.random_state.random() < 0.3 else (),
             weak=NAMES if self.random_state.random() < 0.3 else (),
         )
+        self.audit = self.cell.audit_ends()
         self.faults = []
         self.accepted = {}
         self.call_s = {}
@@ -123,7 +124,7 @@
             act(subject)
         cell.mark_unacknowledged_ends()
         assert cell.spans
-        return cell.check() + self._find_lost_jobs()
+        return cell.check() + self.audit.violations() + self._find_lost_jobs()
 
     def _find_lost_jobs(self):
         """Return the accepted jobs none of whose tasks has run."""
--- a/anvilflow/cell/tests/test_drawn_restarts.py
+++ b/anvilflow/cell/tests/test_drawn_restarts.py
@@ -52,6 +52,7 @@
         self.cell = PlatformCell(
             n_instances=4, n_workers=N_WORKERS, random_state=seed, policy=policy
         )
+        self.audit = self.cell.audit_ends()
         self.jobs = [f"{number:016x}" for number in range(N_JOBS)]
         self.late_until = 0.0
         for worker in self.cell.workers.values():
@@ -96,7 +97,7 @@
             act(subject)
         cell.mark_unacknowledged_ends()
         broken = find_violations(cell.spans, cell.all_workers(), capacity_delay_s=CAPACITY_DELAY_S)
-        return broken + self._check_states()
+        return broken + self.audit.violations() + self._check_states()
 
     def _check_states(self):
         """Return the jobs that did not complete; one may fail whose task lost two workers."""
--- a/anvilflow/standins/__init__.py
+++ b/anvilflow/standins/__init__.py
@@ -4,6 +4,7 @@
 from ._balancer import Balancer
 from ._cell import Cell, make_client
 from ._departures import Departure, LeavingWorker, draw_departure
+from ._end_audit import EndAudit
 from ._faults import Faults
 from ._load_kinds import Burst, KindResult, LoadKind
 from ._load_simulation import LoadSimulation, make_workers
@@ -42,6 +43,7 @@
     "Burst",
     "Cell",
     "Departure",
+    "EndAudit",
     "Faults",
     "KindResult",
     "LeavingWorker",
--- a/anvilflow/standins/_platform_cell.py
+++ b/anvilflow/standins/_platform_cell.py
@@ -10,6 +10,7 @@
 from ..platform import AdviceClient, StoreClient, WorkerCalls
 from ..runtime import Bus
 from ..utils import encode
+from ._end_audit import EndAudit
 from ._front_call import FrontCall
 from ._metadata_store import MetadataStore
 from ._network import MemoryNetwork
@@ -151,6 +152,7 @@
         self.daemons = {}
         self.clocks = {}
         self.errors = []
+        self._end_audit = None
         self.sizes = sizes or _parse_payload
         self.advice = advice
         if advice is not None:
@@ -184,6 +186,7 @@
         if is_registered:
             self.store.put("servers", worker_id, worker.entry())
         worker.on_crash = lambda: self.worker_crashed(worker_id)
+        worker.on_ends_dropped = self._ends_dropped
         return worker
 
     def _wall_clock_ms(self):
@@ -412,6 +415,18 @@
         """Return the violated invariants of all runs; see :func:`find_violations`."""
         return find_violations(self.spans, self.all_workers())
 
+    def audit_ends(self):
+        """Compare ends that workers drop from now on with the store; see :class:`EndAudit`.
+
+        Returns the audit, whose `violations` method lists what it has found.
+        """
+        self._end_audit = EndAudit(store=self.store)
+        return self._end_audit
+
+    def _ends_dropped(self, worker, ends):
+        if self._end_audit is not None:
+            self._end_audit.ends_dropped(worker, ends)
+
     def all_workers(self):
         """Return the workers of all incarnations."""
         return [*self.workers.values(), *self.former_workers]
--- a/anvilflow/standins/_platform_worker.py
+++ b/anvilflow/standins/_platform_worker.py
@@ -78,6 +78,9 @@
     every other command; it returns the delay after which the command is executed without an
     answer, or None for no fault.
 
+    `on_ends_dropped`, if set, is called with the worker and the ends that it drops because they are
+    acknowledged.
+
     `remaining_s` is the time that a draining worker announces as left, None if it does not leave.
     Unit: seconds.
 
@@ -134,6 +137,7 @@
         self.renewals_unanswered_between = (0.0, 0.0)
         self.serving_tail_ms = 0
         self.on_crash = None
+        self.on_ends_dropped = None
         self.unacknowledged_ends = set()
         self.n_refused_tickets = 0
         self.remaining_s = None
@@ -329,7 +333,7 @@
         self.n_renewals += 1
         if "until-ms" in call:
             self._renew(call["until-ms"] / 1000)
-        self.finished = [end for end in self.finished if end[0] > call["last-seen"]]
+        self._drop_ends(call["last-seen"])
         wait = call.get("wait-ms", 0) / 1000
         if self.finished or not wait:
             return self._lists()
@@ -346,6 +350,12 @@
         timeout_call = self.clock.callLater(wait, wake)
         return done
 
+    def _drop_ends(self, last_number):
+        dropped = [end for end in self.finished if end[0] <= last_number]
+        self.finished = [end for end in self.finished if end[0] > last_number]
+        if dropped and self.on_ends_dropped is not None:
+            self.on_ends_dropped(self, dropped)
+
     def _percent(self, span):
         elapsed = self.clock.seconds() - span.began_at
         return min(99, int(100 * elapsed / max(0.001, self.lengths[span.task])))
