Soak: ends that workers drop are compared with the store's log

An acknowledged end that no transaction stored was found only if the task ran a second time, i.e. if the leader was lost before it stored the end after all. The soak now judges each end `done` at the moment a worker drops it, with the EndAudit of the virtual cell.

--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -10,6 +10,7 @@
 
 from anvilflow.standins import (
     AdviceServer,
+    EndAudit,
     MetadataStore,
     PlatformWorker,
     WireFaults,
@@ -137,6 +138,7 @@
         self.closing_proxies = []
         self.store = MetadataStore(clock=reactor)
         self.store_faults = WireFaults()
+        self.end_audit = EndAudit(store=self.store)
         self.store_target = self._serve(self.store, self.store_faults)
         self.config_version = 1
         self.config_at = 0.0
@@ -224,6 +226,7 @@
         )
         worker_slot.worker = worker
         self._listen_again(worker_slot)
+        worker.on_ends_dropped = self.end_audit.ends_dropped
         worker.on_crash = lambda: self._worker_crashed(worker_slot, worker)
         self.workers[worker.worker_id] = worker
         self.advice.allowed.add(worker.worker_id)
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -144,6 +144,7 @@
             elif call.cancelled and span.ended_at is None:
                 self.violations.append(f"{span.task} still runs, and its job was cancelled")
         self.violations += self._find_excess_starts()
+        self.violations += self.environment.end_audit.violations()
         self.violations += find_violations(
             self.environment.spans,
             self.environment.all_workers(),
