Soak: odd registry entries

Entries that used to end the leader's part: nested 20,000 deep, addresses that are none (port out of range, IPv6 without brackets, host that is not ASCII, line break), a capacity of 400 digits, bytes that are not UTF-8. They are drawn separately, half as many as lapses, so that existing seeds keep their faults.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -228,7 +228,7 @@
                 self._inject_connection_fault(fault, proxy, "cut both" if what == "cut" else what)
             case ["store", *what]:
                 self._inject_store_fault(" ".join(what), fault.for_s)
-            case ["lapse" | "overwritten", *_]:
+            case ["lapse" | "overwritten" | "odd", *_]:
                 self._disturb(self.instances.names, self.lapses.disturbed_s(fault))
                 self.lapses.inject(fault)
             case ["worker", *what]:
--- a/soak/_lapses.py
+++ b/soak/_lapses.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+from msgspec import Raw
+
 from ._faults import Fault, make_faults
 
 #: Kinds of these faults with their weights: the entries of all workers, of some or of a few lapse
@@ -22,6 +24,7 @@
     "lapse few": 0.2,
     "lapse twice": 1.0,
     "overwritten": 0.3,
+    "odd entries": 0.3,
 }
 
 #: Least duration of an outage in which entries lapse, and time within which the workers register
@@ -46,6 +49,20 @@
 #: Values that another program writes over an entry.
 FOREIGN_ENTRIES = ({"hello": 1}, {"service": "unknown", "address": "127.0.0.1:1"})
 
+#: Odd values of fields that a worker writes into its own entry, as JSON; drawn separately, so that
+#: existing seeds keep their faults.
+ODD_KINDS = {"odd entries": 1}
+ODD_FIELDS = (
+    ("more", b"[" * 20_000 + b"]" * 20_000),
+    ("born", b"[" * 20_000 + b"]" * 20_000),
+    ("address", b'"127.0.0.1:0000809999"'),
+    ("address", b'"::1:8080"'),
+    ("address", '"h\u00f6st:8080"'.encode()),
+    ("address", rb'"127.0.0.1\n:8080"'),
+    ("capacity", b'{"cpu": ' + b"9" * 400 + b', "mem-mb": 32768}'),
+    ("version", b'"\xff"'),
+)
+
 
 def make_lapses(random_state, *, n_faults, seconds):
     """Return `n_faults` random faults of the registry, and changes of leader in their wake."""
@@ -89,8 +106,8 @@
         slots = self.environment.worker_slots
         n_affected = max(1, round(SHARES[fault.kind] * len(slots)))
         affected = random_state.sample(slots, n_affected)
-        if fault.kind == "overwritten":
-            self._overwrite(affected, fault.for_s, random_state)
+        if fault.kind in ("overwritten", "odd entries"):
+            self._overwrite(affected, fault, random_state)
             return
         self._lapse(affected, fault.for_s, random_state)
         if fault.kind == "lapse twice":
@@ -99,7 +116,7 @@
 
     def disturbed_s(self, fault):
         """Return for how long a fault disturbs the instances. Unit: seconds."""
-        if fault.kind == "overwritten":
+        if fault.kind in ("overwritten", "odd entries"):
             return 0.0
         n_outages = 2 if fault.kind == "lapse twice" else 1
         return n_outages * (fault.for_s + SLOW_S)
@@ -130,8 +147,12 @@
         else:
             self.environment.register(slot.worker)
 
-    def _overwrite(self, slots, for_s, random_state):
+    def _overwrite(self, slots, fault, random_state):
         for slot in slots:
-            entry = random_state.choice(FOREIGN_ENTRIES)
+            if fault.kind == "overwritten":
+                entry = random_state.choice(FOREIGN_ENTRIES)
+            else:
+                name, value = random_state.choice(ODD_FIELDS)
+                entry = {**slot.worker.entry(), name: Raw(value)}
             self.environment.store.put("servers", slot.worker.worker_id, entry)
-            self._schedule(for_s, self._register, slot)
+            self._schedule(fault.for_s, self._register, slot)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,7 +28,7 @@
 from ._final_phase import FinalPhase, FinalPhaseRunner, make_final_phase
 from ._instances import Instances
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
-from ._lapses import LapseInjector, make_lapses
+from ._lapses import ODD_KINDS, LapseInjector, make_lapses
 from ._removal_phase import STATUS_KEPT_S, RemovalPhase
 from ._services import RUNS_PER_TERM, Services
 
@@ -85,7 +85,7 @@
         Whether the soak ends with the removal of all jobs and changes of leader after it.
     n_lapses : int, default=None
         Number of faults of the registry; by default, a sixth of `n_faults`, or none with
-        `only_config`.
+        `only_config`. Odd registry entries are half as many.
     n_services : int, default=0
         Number of long-running jobs that fail until all faults have ended; leaders then have few run
         numbers of their own.
@@ -198,11 +198,14 @@
         departures = make_departures(
             Random(f"{self.seed} departures"), n_faults=n_faults // 3, seconds=seconds
         )
-        n_lapses = 0 if self.only_config else n_faults // 6
-        lapses = make_lapses(
-            Random(f"{self.seed} lapses"),
-            n_faults=n_lapses if self.n_lapses is None else self.n_lapses,
+        n_default = 0 if self.only_config else n_faults // 6
+        n_lapses = n_default if self.n_lapses is None else self.n_lapses
+        lapses = make_lapses(Random(f"{self.seed} lapses"), n_faults=n_lapses, seconds=seconds)
+        lapses += make_faults(
+            Random(f"{self.seed} odd entries"),
+            n_faults=(n_lapses + 1) // 2,
             seconds=seconds,
+            weights=ODD_KINDS,
         )
         faults = config if self.only_config else faults + config
         faults += series + capacity + restarts + departures + lapses
