Soak: parts that fail, and a store that loses writes of the leader's row

The soak could not find ends that are acknowledged without a transaction that stored them: no fault of it ended a part of an instance, and its faults of the store hit all calls alike. New faults, drawn separately, let the leader's part or the part for the election fail, by a signal that the launcher handles, and lose, delay or leave unanswered single transactions on the leader's row. They meet each other and a kill of the leader.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
     removals=False,
     faults=12,
     lapses=None,
+    parts=None,
     services=0,
 ):
     """Run one seed; exit with status 1 if an invariant was violated.
@@ -49,7 +50,8 @@
     capacity are in use. With `removals`, states are kept for a short time, and the leader changes
     after the rows of all jobs are removed. `faults` is the number of faults of the first group, by
     which those of the other groups are counted too, `lapses` that of the faults of the registry,
-    `services` that of the long-running jobs that fail until all faults have ended.
+    `parts` that of the failures of parts beside a lossy store, `services` that of the long-running
+    jobs that fail until all faults have ended.
     """
     verdict = run_seed(
         seed,
@@ -62,6 +64,7 @@
         has_removals=removals,
         n_faults=faults,
         n_lapses=lapses,
+        n_parts=parts,
         n_services=services,
     )
     print(
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -17,6 +17,7 @@
     make_platform_config,
 )
 
+from ._part_failures import LossyStore
 from ._proxy import Proxy
 
 #: Time that the advice service takes for one step. Unit: seconds.
@@ -139,7 +140,8 @@
         self.store = MetadataStore(clock=reactor)
         self.store_faults = WireFaults()
         self.end_audit = EndAudit(store=self.store)
-        self.store_target = self._serve(self.store, self.store_faults)
+        self.lossy_store = LossyStore(reactor=reactor, store=self.store)
+        self.store_target = self._serve(self.lossy_store, self.store_faults)
         self.config_version = 1
         self.config_at = 0.0
         self.n_routes = 0
@@ -337,6 +339,7 @@
     def heal(self):
         """End all faults."""
         self.store_faults.clear()
+        self.lossy_store.heal()
         for worker_slot in self.worker_slots:
             worker_slot.faults.clear()
             if worker_slot.worker.alive and worker_slot.worker.cpu != self.cpu:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,6 +7,8 @@
 
 from anvilflow.standins import draw_departure
 
+from ._launch import FAILURE_SIGNALS
+
 #: Kinds of faults with their weights. Faults of the leader have the largest weights.
 KINDS = {
     "kill": 3,
@@ -217,6 +219,15 @@
                 for name in names:
                     self.instances.send(name, _CLOCK_SIGNALS[way])
                     self._schedule(fault.for_s, self.instances.send, name, _CLOCK_SIGNALS[back])
+            case ["fail", "home", *what]:
+                name = self._leader()
+                self.instances.send(name, FAILURE_SIGNALS[what[0] if what else "home"])
+                # A process whose part fails too often ends by itself.
+                self._schedule(fault.for_s, self.instances.start, name)
+            case ["lossy"]:
+                self.environment.lossy_store.begin(
+                    fault, lambda late_s: self._disturb(self.instances.names, late_s)
+                )
             case ["reload", *_]:
                 self.instances.send(self._instance(fault), signal.SIGHUP)
             case ["config"]:
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -3,6 +3,9 @@
 The machine's clock is not changed. ``time.time`` is replaced before any module of the instance is
 imported, so that code that uses the time of day as a clock is affected by the steps.
 
+SIGRTMIN and the signal after it let the leader's part resp. the part for the election fail, as by
+an exception that it does not catch.
+
 If the environment has ``SOAK_RUNS_PER_TERM``, leaders have that many run numbers of their own.
 """
 
@@ -14,6 +17,9 @@
 #: Size of one step. Unit: seconds.
 STEP_S = 5.0
 
+#: Signals that let a part fail, by the name of the part.
+FAILURE_SIGNALS = {"home": signal.SIGRTMIN, "leadership": signal.SIGRTMIN + 1}
+
 
 def install_adjustable_clock():
     """Replace ``time.time`` by a function that signals set ahead and back by `STEP_S`."""
@@ -29,6 +35,34 @@
     signal.signal(signal.SIGUSR2, step)
 
 
+def install_part_failures():
+    """Let signals fail parts of the instance, on the thread of its reactor."""
+    from anvilflow.cell import _daemon
+
+    daemons = []
+    make_cell_daemon = _daemon.make_cell_daemon
+
+    def make(*args, **values):
+        daemons.append(make_cell_daemon(*args, **values))
+        return daemons[0]
+
+    def fail(name):
+        for daemon in daemons:
+            part = daemon.supervisor.part(name)
+            if part is not None:
+                daemon.supervisor.on_failure(part, RuntimeError("injected by the soak"))
+
+    def on_signal(number, _):
+        from twisted.internet import reactor
+
+        [name] = [name for name, each in FAILURE_SIGNALS.items() if each == number]
+        reactor.callFromThread(fail, name)
+
+    _daemon.make_cell_daemon = make
+    for number in FAILURE_SIGNALS.values():
+        signal.signal(number, on_signal)
+
+
 def limit_run_numbers(runs_per_term):
     """Give each leader fewer run numbers, so that the tasks of a soak pass them."""
     from anvilflow.jobs import _run_numbers
@@ -41,6 +75,7 @@
     install_adjustable_clock()
     if "SOAK_RUNS_PER_TERM" in os.environ:
         limit_run_numbers(int(os.environ["SOAK_RUNS_PER_TERM"]))
+    install_part_failures()
     from anvilflow.cell.__main__ import main
 
     sys.exit(main())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -29,6 +29,7 @@
 from ._instances import Instances
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
 from ._lapses import ODD_KINDS, LapseInjector, make_lapses
+from ._part_failures import make_part_failures
 from ._removal_phase import STATUS_KEPT_S, RemovalPhase
 from ._services import RUNS_PER_TERM, Services
 
@@ -86,6 +87,9 @@
     n_lapses : int, default=None
         Number of faults of the registry; by default, a sixth of `n_faults`, or none with
         `only_config`. Odd registry entries are half as many.
+    n_parts : int, default=None
+        Number of failures of parts and of the store's transactions on the leader's row; by default,
+        a sixth of `n_faults`, or none with `only_config`.
     n_services : int, default=0
         Number of long-running jobs that fail until all faults have ended; leaders then have few run
         numbers of their own.
@@ -107,6 +111,7 @@
         expects_pressure=False,
         has_removals=False,
         n_lapses=None,
+        n_parts=None,
         n_services=0,
     ):
         self.reactor = reactor
@@ -122,6 +127,7 @@
         self.expects_pressure = expects_pressure
         self.has_removals = has_removals
         self.n_lapses = n_lapses
+        self.n_parts = n_parts
         self.n_services = n_services
 
     @property
@@ -207,8 +213,13 @@
             seconds=seconds,
             weights=ODD_KINDS,
         )
+        parts = make_part_failures(
+            Random(f"{self.seed} parts"),
+            n_faults=n_default if self.n_parts is None else self.n_parts,
+            seconds=seconds,
+        )
         faults = config if self.only_config else faults + config
-        faults += series + capacity + restarts + departures + lapses
+        faults += series + capacity + restarts + departures + lapses + parts
         return faults, later_random_state
 
     @inlineCallbacks
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -53,6 +53,13 @@
     _play(8, tmp_path, grows=False, n_lapses=3, **{**_SHORT, "n_faults": 0})
 
 
+def test_short_soak_with_failures_of_parts_violates_no_invariant(tmp_path):
+    """Guards against ends that are acknowledged to workers although no transaction stored them."""
+    _play(403, tmp_path, grows=False, n_parts=4, **{**_SHORT, "n_faults": 1, "n_instances": 2})
+    logs = [path.read_text(encoding="utf-8") for path in tmp_path.glob("*.log")]
+    assert any("injected by the soak" in log for log in logs)
+
+
 def test_short_soak_with_services_that_fail_often_violates_no_invariant(tmp_path):
     """Guards against long-running tasks that later leaders cannot start, after many failures."""
     _play(9, tmp_path, grows=False, n_services=2, **_SHORT)
