--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -9,9 +9,14 @@
 
 from anvilflow.utils import encode
 
+from ._launch import INJECTED_ERROR
+
 #: Grace period of a process after SIGTERM. Unit: seconds.
 GRACE_S = 6.0
 
+#: Maximum length of the message of a part that has failed.
+MAX_MESSAGE_LENGTH = 120
+
 _LAUNCHER = Path(__file__).with_name("_launch.py").resolve()
 
 
@@ -153,6 +158,16 @@
             case signal.SIGTERM:
                 self.terminating.add(name)
 
+    def part_failures(self):
+        """Return a message for each part that has failed and was not made to fail."""
+        messages = []
+        for path in sorted(self.folder.glob("*.log")):
+            for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+                if '"event":"Part ' in line and INJECTED_ERROR not in line:
+                    event = line.partition('"event":')[2]
+                    messages.append(f"{path.stem}: {event[:MAX_MESSAGE_LENGTH]}")
+        return messages
+
     def lose_power(self):
         """Kill all instances; peers see no connection close and get no answer on a new one."""
         for proxy in self.environment.proxies.values():
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -21,6 +21,10 @@
 FAILURE_SIGNALS = {"home": signal.SIGRTMIN, "leadership": signal.SIGRTMIN + 1}
 
 
+#: Text of the error of a part that fails by a signal.
+INJECTED_ERROR = "injected by the soak"
+
+
 def install_adjustable_clock():
     """Replace ``time.time`` by a function that signals set ahead and back by `STEP_S`."""
     true_time = time.time
@@ -50,7 +54,7 @@
         for daemon in daemons:
             part = daemon.supervisor.part(name)
             if part is not None:
-                daemon.supervisor.on_failure(part, RuntimeError("injected by the soak"))
+                daemon.supervisor.on_failure(part, RuntimeError(INJECTED_ERROR))
 
     def on_signal(number, _):
         from twisted.internet import reactor
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -292,6 +292,7 @@
             checker.violations += yield removal_phase.play()
         else:
             yield callers.recheck_end_states()
+        checker.violations += instances.part_failures()
         broken = checker.finish(callers.calls)
         yield gatherResults(calls, consumeErrors=True)
         return Verdict(
--- a/soak/tests/test_part_failures.py
+++ b/soak/tests/test_part_failures.py
@@ -5,10 +5,15 @@
 
 import pytest
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from anvilflow.standins import MetadataStore, StoreCall
+from anvilflow.utils import encode
 from soak import _part_failures
+from soak._environment import Environment
 from soak._faults import Fault
+from soak._instances import Instances
+from soak._launch import INJECTED_ERROR
 from soak._part_failures import FIRST_LATE_S, LATE_S, LossyStore, make_part_failures
 
 
@@ -97,6 +102,23 @@
     assert store.result() == (1, 1)
 
 
+def test_part_that_fails_by_itself_is_a_violation(tmp_path):
+    """Guards against an odd entry that ends the leader's part, which starts again and hides it."""
+    instances = Instances(
+        environment=Environment(reactor=MemoryReactorClock(), host="127.0.0.1", n_workers=1),
+        folder=tmp_path,
+        n_instances=2,
+        free_address=iter([f"127.0.0.1:{port}" for port in range(1, 7)]).__next__,
+    )
+    for name, error in (("a0", INJECTED_ERROR), ("a1", "maximum recursion depth exceeded")):
+        line = {"at": 1.0, "event": f"Part home failed: RuntimeError('{error}')."}
+        (tmp_path / f"{name}.log").write_bytes(encode(line) + b"\n")
+    [message] = instances.part_failures()
+    instances.close()
+    assert message.startswith("a1: ")
+    assert "recursion" in message
+
+
 def test_failures_of_parts_meet_a_lossy_store_and_a_kill_of_the_leader():
     """Guards against a soak in which the leader's parts never fail while the store loses writes."""
     faults = make_part_failures(Random(7), n_faults=40, seconds=10.0)
