--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     "config": ("--config=True",),
     "series": ("--config=True", "--series=2"),
     "removals": ("--removals=True",),
+    "parts": ("--instances=2", "--faults=1", "--parts=4"),
 }
 
 
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -3,8 +3,8 @@
 The machine's clock is not changed. ``time.time`` is replaced before any module of the instance is
 imported, so that code that uses the time of day as a clock is affected by the steps.
 
-SIGRTMIN and the signal after it let the leader's part resp. the part for the election fail, as by
-an exception that it does not catch.
+SIGRTMIN makes the leader's part fail, and the signal after it the part for the election, as an
+exception that the part does not catch.
 
 If the environment has ``SOAK_RUNS_PER_TERM``, leaders have that many run numbers of their own.
 """
@@ -17,10 +17,9 @@
 #: Size of one step. Unit: seconds.
 STEP_S = 5.0
 
-#: Signals that let a part fail, by the name of the part.
+#: Signals that make a part fail, by the name of the part.
 FAILURE_SIGNALS = {"home": signal.SIGRTMIN, "leadership": signal.SIGRTMIN + 1}
 
-
 #: Text of the error of a part that fails by a signal.
 INJECTED_ERROR = "injected by the soak"
 
@@ -40,7 +39,7 @@
 
 
 def install_part_failures():
-    """Let signals fail parts of the instance, on the thread of its reactor."""
+    """Install the signals that make parts fail, on the thread of the reactor."""
     from anvilflow.cell import _daemon
 
     daemons = []
