--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -10,12 +10,14 @@
 
 from anvilflow.standins import (
     AdviceServer,
+    EndAudit,
     MetadataStore,
     PlatformWorker,
     WireFaults,
     make_platform_config,
 )
 
+from ._part_failures import LossyStore
 from ._proxy import Proxy
 
 #: Time that the advice service takes for one step. Unit: seconds.
@@ -137,7 +139,9 @@
         self.closing_proxies = []
         self.store = MetadataStore(clock=reactor)
         self.store_faults = WireFaults()
-        self.store_target = self._serve(self.store, self.store_faults)
+        self.end_audit = EndAudit(store=self.store)
+        self.lossy_store = LossyStore(reactor=reactor, store=self.store)
+        self.store_target = self._serve(self.lossy_store, self.store_faults)
         self.config_version = 1
         self.config_at = 0.0
         self.n_routes = 0
@@ -224,6 +228,7 @@
         )
         worker_slot.worker = worker
         self._listen_again(worker_slot)
+        worker.on_ends_dropped = self.end_audit.ends_dropped
         worker.on_crash = lambda: self._worker_crashed(worker_slot, worker)
         self.workers[worker.worker_id] = worker
         self.advice.allowed.add(worker.worker_id)
@@ -334,6 +339,7 @@
     def heal(self):
         """End all faults."""
         self.store_faults.clear()
+        self.lossy_store.heal()
         for worker_slot in self.worker_slots:
             worker_slot.faults.clear()
             if worker_slot.worker.alive and worker_slot.worker.cpu != self.cpu:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,7 +28,8 @@
 from ._final_phase import FinalPhase, FinalPhaseRunner, make_final_phase
 from ._instances import Instances
 from ._invariants import CANCEL_GRACE_S, InvariantChecker
-from ._lapses import LapseInjector, make_lapses
+from ._lapses import ODD_KINDS, LapseInjector, make_lapses
+from ._part_failures import make_part_failures
 from ._removal_phase import STATUS_KEPT_S, RemovalPhase
 from ._services import RUNS_PER_TERM, Services
 
@@ -85,7 +86,10 @@
         Whether the soak ends with the removal of all jobs and changes of leader after it.
     n_lapses : int, default=None
         Number of faults of the registry; by default, a sixth of `n_faults`, or none with
-        `only_config`.
+        `only_config`. Odd registry entries are half as many.
+    n_parts : int, default=None
+        Number of failures of parts and of the store's transactions on the leader's row; by default,
+        a sixth of `n_faults`, or none with `only_config`.
     n_services : int, default=0
         Number of long-running jobs that fail until all faults have ended; leaders then have few run
         numbers of their own.
@@ -107,6 +111,7 @@
         expects_pressure=False,
         has_removals=False,
         n_lapses=None,
+        n_parts=None,
         n_services=0,
     ):
         self.reactor = reactor
@@ -122,6 +127,7 @@
         self.expects_pressure = expects_pressure
         self.has_removals = has_removals
         self.n_lapses = n_lapses
+        self.n_parts = n_parts
         self.n_services = n_services
 
     @property
@@ -198,14 +204,22 @@
         departures = make_departures(
             Random(f"{self.seed} departures"), n_faults=n_faults // 3, seconds=seconds
         )
-        n_lapses = 0 if self.only_config else n_faults // 6
-        lapses = make_lapses(
-            Random(f"{self.seed} lapses"),
-            n_faults=n_lapses if self.n_lapses is None else self.n_lapses,
+        n_default = 0 if self.only_config else n_faults // 6
+        n_lapses = n_default if self.n_lapses is None else self.n_lapses
+        lapses = make_lapses(Random(f"{self.seed} lapses"), n_faults=n_lapses, seconds=seconds)
+        lapses += make_faults(
+            Random(f"{self.seed} odd entries"),
+            n_faults=(n_lapses + 1) // 2,
+            seconds=seconds,
+            weights=ODD_KINDS,
+        )
+        parts = make_part_failures(
+            Random(f"{self.seed} parts"),
+            n_faults=n_default if self.n_parts is None else self.n_parts,
             seconds=seconds,
         )
         faults = config if self.only_config else faults + config
-        faults += series + capacity + restarts + departures + lapses
+        faults += series + capacity + restarts + departures + lapses + parts
         return faults, later_random_state
 
     @inlineCallbacks
@@ -278,6 +292,7 @@
             checker.violations += yield removal_phase.play()
         else:
             yield callers.recheck_end_states()
+        checker.violations += instances.part_failures()
         broken = checker.finish(callers.calls)
         yield gatherResults(calls, consumeErrors=True)
         return Verdict(
