Election: an ended part sends no claim; tests of the review's findings

Change: the check comes before the claim as well. The row is encoded once for all attempts of a write.

--- a/anvilflow/cell/_context.py
+++ b/anvilflow/cell/_context.py
@@ -59,7 +59,7 @@
 
 
 class Deposed(Struct, kw_only=True):
-    """Event: another instance has become the leader in place of this one."""
+    """Event: this instance leads no longer: the row has another write, or a part has stopped."""
 
 
 class StoreRecovered(Struct, kw_only=True):
--- a/anvilflow/cell/_leader.py
+++ b/anvilflow/cell/_leader.py
@@ -121,10 +121,12 @@
         the leader again; without it the instance would treat itself as the leader forever.
         """
         was_leader = self._claimed is not None
-        self._end()
-        if was_leader:
-            self.deposed()
-        super().stop()
+        try:
+            self._end()
+        finally:
+            if was_leader:
+                self.deposed()
+            super().stop()
 
     def dump(self):
         """Return the states of jobs and workers, for diagnostics."""
--- a/anvilflow/cell/_leader_row_store.py
+++ b/anvilflow/cell/_leader_row_store.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ..exceptions import PlatformError
+from ..platform import RowWrite
 from ..utils import decode
 from ._tables import LEADER_KEY, LEADER_TABLE, PART, LeaderRow, condition, write
 
@@ -13,7 +14,8 @@
     """What a read of the leader's row proves about a write that had no answer.
 
     An undecided write may be carried out later, unless another write is carried out first. One that
-    is superseded is either over, or never will be carried out.
+    is superseded may have been carried out before the row was written again, and will not be
+    carried out from now on.
     """
 
     COMMITTED = "committed"
@@ -22,9 +24,13 @@
 
 
 class LeaderRowWrite(Struct, kw_only=True, frozen=True):
-    """A write of the leader's row, on the condition that the row has `expected_version`."""
+    """A write of the leader's row, on the condition that the row has `expected_version`.
+
+    `item` is the write with the encoded row, which is the same in each attempt.
+    """
 
     row: LeaderRow
+    item: RowWrite
     expected_version: int
 
     def outcome(self, found):
@@ -71,7 +77,8 @@
         """Return the :class:`LeaderRowWrite` of a row, which gets the next write number."""
         self._n_prepared += 1
         row.write_number = self._n_prepared
-        return LeaderRowWrite(row=row, expected_version=expected_version)
+        item = write(LEADER_TABLE, LEADER_KEY, row)
+        return LeaderRowWrite(row=row, item=item, expected_version=expected_version)
 
     def commit(self, row_write, writes=(), *, timeout):
         """Write the row and further rows in one transaction; return the new version.
@@ -81,7 +88,7 @@
         """
         return self.store.commit(
             [condition(LEADER_TABLE, LEADER_KEY, row_write.expected_version)],
-            [write(LEADER_TABLE, LEADER_KEY, row_write.row), *writes],
+            [row_write.item, *writes],
             timeout=timeout,
         )
 
--- a/anvilflow/cell/_leadership.py
+++ b/anvilflow/cell/_leadership.py
@@ -419,7 +419,7 @@
         The Deferred fires with the leader's row if the row has been written since it was read, so
         that the claim was refused; else with None.
         """
-        if self.context.leaving:
+        if self.context.leaving or self._stopped:
             return None
         former = self.row
         row = LeaderRow(
--- a/anvilflow/cell/_recorder.py
+++ b/anvilflow/cell/_recorder.py
@@ -48,7 +48,7 @@
 #: Largest number of conditions and writes in one transaction, a limit of the platform.
 MAX_ENTRIES = 100
 
-#: Those of the leader's row: a condition and a write.
+#: Number of these that the leader's row takes: a condition and a write.
 LEADER_ROW_ENTRIES = 2
 
 #: Most final states of removed jobs in one transaction, so that they do not delay its records.
@@ -107,7 +107,7 @@
     on_removed : callable
         Called with the id of each job whose final state has been removed.
     on_deposed : callable
-        Called when the leader's row shows another leader.
+        Called when the leader's row has another write than the last one of this recorder.
     on_confirmed : callable
         Called with the time at which a call was sent that confirmed that this is the leader.
 
--- a/anvilflow/cell/_tables.py
+++ b/anvilflow/cell/_tables.py
@@ -59,6 +59,7 @@
     nameless: list[str] = []
     unanswered_starts: dict[str, int] = {}
     n_loads: int = 0
+    # Part of each transaction, so that its name in the store is short.
     write_number: int = field(default=0, name="write")
 
 
--- a/anvilflow/cell/tests/test_drawn_lost_writes.py
+++ b/anvilflow/cell/tests/test_drawn_lost_writes.py
@@ -183,6 +183,7 @@
             slow=self.names if self._draw(SLOW_SHARE) else (),
             weak=self.names if self._draw(WEAK_SHARE) else (),
         )
+        self.disagreements = set()
         self.audit = self.cell.audit_ends()
         self.store = _LossyStore(
             store=self.cell.store, clock=self.cell.clock, random_state=self.random_state
@@ -233,6 +234,7 @@
         for at, act, subject in self.events:
             while cell.clock.seconds() - self.began_at < at:
                 cell.advance(STEP_S)
+                self._check_roles()
             act(subject)
         cell.advance(4.0)
         while self._find_lost_jobs() and cell.clock.seconds() - self.began_at < DURATION_S:
@@ -240,7 +242,15 @@
         lost = self._find_lost_jobs()
         cell.mark_unacknowledged_ends()
         errors = [repr(error) for error in cell.errors]
-        return self.audit.violations() + cell.check() + lost + errors
+        return self.audit.violations() + cell.check() + lost + errors + sorted(self.disagreements)
+
+    def _check_roles(self):
+        """Note instances whose parts disagree on whether the instance leads."""
+        for name, daemon in self.cell.daemons.items():
+            election = daemon.supervisor.part("leadership")
+            leader = daemon.supervisor.part("home")
+            if election and leader and election.is_leader != (leader._claimed is not None):
+                self.disagreements.add(f"{name}: the parts disagree on whether it leads")
 
     def _find_lost_jobs(self):
         """Return the accepted jobs that have not been done."""
--- a/anvilflow/cell/tests/test_leader_row_writes.py
+++ b/anvilflow/cell/tests/test_leader_row_writes.py
@@ -114,7 +114,8 @@
     assert cell.store.value(LEADER_TABLE, LEADER_KEY, part=PART)["term"] == 2
 
 
-def test_closed_recorder_does_not_end_a_later_term_of_its_process():
+@pytest.mark.parametrize("answer", [None, (500, b"")], ids=["no answer", "error"])
+def test_closed_recorder_does_not_end_a_later_term_of_its_process(answer):
     """Guards against a recorder that finds the row changed after its own term has ended."""
     cell = _cell_that_gives_up_leading()
     handle = cell.store.handle
@@ -122,7 +123,7 @@
 
     def delay_reads(method, path, query, *call):
         if path == StoreCall.COMMIT and _writes_leader_row(call[0]) and not reads:
-            return Deferred()
+            return Deferred() if answer is None else answer
         if path == StoreCall.READ and query["table"] == LEADER_TABLE and not reads:
             reads.append(done := Deferred())
             return done
--- a/anvilflow/metrics/_meters.py
+++ b/anvilflow/metrics/_meters.py
@@ -25,7 +25,7 @@
     "crash_suspects": ("Suspect tasks on lost workers, counted once per loss.", ()),
     "crash_verdicts": ("Jobs that failed because one of their tasks crashes workers.", ()),
     "records_without_answer": (
-        "Transactions of records whose outcome was read from the leader's row, by outcome.",
+        "Transactions of records without a confirmation, by what the leader's row showed.",
         ("outcome",),
     ),
     "refused_run_numbers": (
